Lay out the workspace, its generic layer and the design

Cause: the project starts empty. The design page comes first so that every part is built against the same interfaces, and the generic layer and the frame of the decision core so that parts can be built side by side. Change: design page, glossary, six packages, clock, tables, registries, error table, logs, metrics, core dispatch, typed form of the text, test runner that passes over listed known failures.

--- /dev/null
+++ b/packages/base/bramleyrill_base/__init__.py
@@ -0,0 +1,36 @@
+"""Generic layer below the domain model: clock, tables, registries, errors, logs, metrics."""
+
+from bramleyrill_base._clock import Clock, ManualClock, SystemClock
+from bramleyrill_base._errors import (
+    ANSWERS,
+    Answer,
+    ErrorKind,
+    Problem,
+    Retry,
+    answer_for,
+    is_not_run,
+)
+from bramleyrill_base._logs import log_event, set_up_logs
+from bramleyrill_base._metrics import Metrics, NullMetrics, StatsdMetrics
+from bramleyrill_base._registry import Registry
+from bramleyrill_base._table import Table
+
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "Clock",
+    "ErrorKind",
+    "ManualClock",
+    "Metrics",
+    "NullMetrics",
+    "Problem",
+    "Registry",
+    "Retry",
+    "StatsdMetrics",
+    "SystemClock",
+    "Table",
+    "answer_for",
+    "is_not_run",
+    "log_event",
+    "set_up_logs",
+]
--- /dev/null
+++ b/packages/core/bramleyrill_core/_values.py
@@ -0,0 +1,104 @@
+"""Values that several subsystems share: ids, ranks, log positions, member status."""
+
+from enum import Enum, IntEnum
+from typing import NewType
+
+from attrs import frozen
+
+VmId = NewType("VmId", str)
+DatabaseId = NewType("DatabaseId", str)
+MemberId = NewType("MemberId", str)
+
+
+def database_id(fleet: str, service: str, database: str) -> DatabaseId:
+    """Return the qualified id `fleet/service/database`."""
+    return DatabaseId(f"{fleet}/{service}/{database}")
+
+
+def member_id(database: DatabaseId, member: str) -> MemberId:
+    """Return the qualified id `fleet/service/database/member`."""
+    return MemberId(f"{database}/{member}")
+
+
+def database_of(member: MemberId) -> DatabaseId:
+    """Return the database that a member belongs to."""
+    return DatabaseId(member.rpartition("/")[0])
+
+
+def fleet_of(qualified: str) -> str:
+    """Return the fleet of a database or member id."""
+    return qualified.partition("/")[0]
+
+
+def service_of(qualified: str) -> str:
+    """Return the service of a database or member id, without its fleet."""
+    return qualified.split("/", 2)[1]
+
+
+class Rank(IntEnum):
+    """Rank of a request; a lower number is served first."""
+
+    URGENT = 0
+    EVERYDAY = 1
+    LEAST_URGENT = 2
+
+
+class StatementClass(Enum):
+    """What a statement may do, as far as its text proves it."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SET = "set"
+    UNSUPPORTED = "unsupported"
+
+
+@frozen(order=True)
+class Mark:
+    """A point in a database's log: term of the entry, then its position."""
+
+    term: int
+    position: int
+
+
+NO_MARK = Mark(0, 0)
+
+
+class MemberRole(Enum):
+    """Role that a member reports."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+    FENCED = "fenced"
+
+
+@frozen
+class TermStart:
+    """A term and the position at which its primary started."""
+
+    term: int
+    start: int
+
+
+@frozen
+class MemberStatus:
+    """Answer of `group_status()`.
+
+    `term` is the highest term the member has accepted; `last_term` and `position` are those of
+    the last entry of its log; `history` lists the terms in the log, oldest first.
+    """
+
+    member: str
+    term: int
+    position: int
+    role: MemberRole
+    leader: str
+    last_term: int
+    history: tuple[TermStart, ...] = ()
+
+    @property
+    def mark(self) -> Mark:
+        """Return term and position of the last entry, which order members by progress."""
+        return Mark(self.last_term, self.position)
--- /dev/null
+++ b/packages/core/bramleyrill_core/configuration/_text.py
@@ -0,0 +1,180 @@
+"""The text in force, as typed values."""
+
+from datetime import timedelta
+from enum import Enum
+
+from attrs import field, frozen
+
+from bramleyrill_core._values import (
+    DatabaseId,
+    MemberId,
+    Rank,
+    database_id,
+    database_of,
+    member_id,
+)
+
+
+class Durability(Enum):
+    """How many members have a write before it is acknowledged."""
+
+    PRIMARY = "primary"
+    SECOND_MEMBER = "second_member"
+
+
+@frozen
+class RankPolicy:
+    """What a service promises to one rank.
+
+    `target` is the latency within which the share `objective` of requests is to be served;
+    `floor` is the share of slot time that the rank keeps in any flood; `deadline` is how long a
+    request may wait in all before it is refused.
+    """
+
+    target: timedelta
+    objective: float
+    floor: float
+    deadline: timedelta
+    durability: Durability = Durability.PRIMARY
+
+
+@frozen
+class Limits:
+    """Limits of one member: connections in all, statements at a time, time that a dial takes."""
+
+    connections: int
+    slots: int
+    dial: timedelta
+
+
+@frozen
+class MemberSpec:
+    """One server of a database's replication group."""
+
+    id: MemberId
+    name: str
+    domain: str
+    host: str
+    port: int
+    leaving: bool = False
+
+
+@frozen
+class DatabaseSpec:
+    """A database and its members; the order of members fixes which one may lead which term."""
+
+    id: DatabaseId
+    name: str
+    members: tuple[MemberSpec, ...]
+
+    def member(self, name: str) -> MemberSpec | None:
+        """Return the member called `name`, or None."""
+        return next((member for member in self.members if member.name == name), None)
+
+
+@frozen
+class UserSpec:
+    """A caller's user: SCRAM verifier or clear-text password, and defaults for its sessions.
+
+    `verifier` has the form that PostgreSQL stores: `SCRAM-SHA-256$4096:SALT$STORED:SERVER`.
+    """
+
+    name: str
+    verifier: str = ""
+    password: str = field(default="", repr=False)
+    rank: Rank = Rank.EVERYDAY
+    age: timedelta = timedelta()
+    writes: bool = True
+    repeatable: bool = False
+
+
+@frozen
+class ServiceSpec:
+    """A service of a fleet: limits of its members, promises by rank, databases and users."""
+
+    fleet: str
+    name: str
+    limits: Limits
+    ranks: dict[Rank, RankPolicy]
+    databases: dict[str, DatabaseSpec]
+    users: dict[str, UserSpec]
+    floor: float = 0.0
+    clear_text_passwords: bool = False
+    caller_tls: bool = False
+    upstream_tls: bool = False
+
+
+@frozen
+class DomainSpec:
+    """A failure domain and the region that it lies in."""
+
+    name: str
+    region: str
+
+
+@frozen
+class FleetSpec:
+    """One of the merged estates; `floor` is its share of each VM when the other floods."""
+
+    name: str
+    floor: float
+    domains: dict[str, DomainSpec]
+    services: dict[str, ServiceSpec]
+
+
+@frozen
+class FailoverPolicy:
+    """Times of the change of primary."""
+
+    probe_interval: timedelta = timedelta(milliseconds=250)
+    suspect_after: timedelta = timedelta(seconds=1)
+    permit: timedelta = timedelta(seconds=1)
+
+
+@frozen
+class Text:
+    """The whole text: `version` is the platform's object version, `identity` that of the offer."""
+
+    version: int = 0
+    identity: str = ""
+    digest: str = ""
+    fleets: dict[str, FleetSpec] = field(factory=dict)
+    failover: FailoverPolicy = FailoverPolicy()
+    drain_timeout: timedelta = timedelta(seconds=30)
+    databases: dict[DatabaseId, DatabaseSpec] = field(factory=dict)
+    services: dict[DatabaseId, ServiceSpec] = field(factory=dict)
+
+    def service_of(self, database: DatabaseId) -> ServiceSpec:
+        """Return the service of a database; raise KeyError if the text does not have it."""
+        return self.services[database]
+
+    def database_of(self, member: MemberId) -> DatabaseSpec:
+        """Return the database of a member; raise KeyError if the text does not have it."""
+        return self.databases[database_of(member)]
+
+
+def build_text(fleets: dict[str, FleetSpec], **fields: object) -> Text:
+    """Return a text with its indexes by database id filled in."""
+    databases = {}
+    services = {}
+    for fleet in fleets.values():
+        for service in fleet.services.values():
+            for database in service.databases.values():
+                databases[database.id] = database
+                services[database.id] = service
+    return Text(fleets=fleets, databases=databases, services=services, **fields)
+
+
+def build_database(
+    fleet: str, service: str, name: str, members: dict[str, tuple[str, str, int]]
+) -> DatabaseSpec:
+    """Return a database from member name to (domain, host, port)."""
+    key = database_id(fleet, service, name)
+    specs = tuple(
+        MemberSpec(id=member_id(key, member), name=member, domain=domain, host=host, port=port)
+        for member, (domain, host, port) in members.items()
+    )
+    return DatabaseSpec(id=key, name=name, members=specs)
+
+
+EMPTY_TEXT = Text()
--- /dev/null
+++ b/packages/wire/bramleyrill_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Package bramleyrill_wire."""
--- /dev/null
+++ b/tests/base/test_base.py
@@ -0,0 +1,45 @@
+"""Tests of the generic layer."""
+
+import unittest
+from datetime import timedelta
+
+from bramleyrill_base import ANSWERS, ErrorKind, ManualClock, Registry, is_not_run
+from bramleyrill_base._logs import format_value
+
+
+class ErrorTableTest(unittest.TestCase):
+    """Guards against an error kind that has no answer, or two that a caller cannot tell apart."""
+
+    def test_each_kind_has_an_answer_of_its_own(self):
+        self.assertEqual(set(ANSWERS), set(ErrorKind))
+        states = [answer.sqlstate for answer in ANSWERS.values()]
+        self.assertEqual(len(states), len(set(states)))
+
+    def test_unknown_outcome_is_never_called_not_run(self):
+        self.assertFalse(is_not_run(ErrorKind.OUTCOME_UNKNOWN))
+        self.assertTrue(is_not_run(ErrorKind.TOO_STALE))
+
+
+class ClockTest(unittest.TestCase):
+    """Guards against a test clock that goes back."""
+
+    def test_going_back_is_refused(self):
+        with self.assertRaises(ValueError):
+            ManualClock().advance(timedelta(seconds=-1))
+
+
+class RegistryTest(unittest.TestCase):
+    """Guards against a second registration that hides the first."""
+
+    def test_name_is_taken_once(self):
+        registry = Registry("command")
+        registry.register("check")(1)
+        with self.assertRaises(ValueError):
+            registry.register("check")(2)
+
+
+class LogFormatTest(unittest.TestCase):
+    """Guards against a value that splits a log line or a pair."""
+
+    def test_value_with_newline_and_space_is_quoted(self):
+        self.assertEqual(format_value('a "b"\nc'), '"a \\"b\\"\\nc"')
