Check the text whole and spread it by version

Cause: every part works by the text, and a faulty or older one must never come into force. Change: typed text moved to its own package below the core's frame, a parser that reports all errors with line, column and advice, the commented example of both fleets, and the spread of versions from the platform and from peers. Ruled out: reading into plain mappings first, which loses the places. Fixed on the way: World named a field like the module that it annotates with, and failed on import.

--- a/packages/core/bramleyrill_core/_world.py
+++ b/packages/core/bramleyrill_core/_world.py
@@ -1,6 +1,6 @@
 """The world of one VM: identity, clock, random source, text in force, tables."""
 
-import random
+from random import Random
 from typing import TypeVar
 
 from attrs import define, field, frozen
@@ -8,7 +8,7 @@
 
 from bramleyrill_core._rules import Rules
 from bramleyrill_core._values import VmId
-from bramleyrill_core.configuration._text import EMPTY_TEXT, Text
+from bramleyrill_core.text._model import EMPTY_TEXT, Text
 
 T = TypeVar("T")
 
@@ -35,7 +35,7 @@
 
     identity: VmIdentity
     clock: Clock
-    random: random.Random = field(factory=lambda: random.Random(0))
+    random: Random = field(factory=lambda: Random(0))
     text: Text = EMPTY_TEXT
     rules: Rules = field(factory=Rules)
     _tables: dict[type, object] = field(factory=dict, init=False, repr=False)
--- a/packages/core/bramleyrill_core/configuration/__init__.py
+++ b/packages/core/bramleyrill_core/configuration/__init__.py
@@ -1,35 +1,27 @@
-"""The text: its typed form, its checks, its way to every VM."""
+"""The text in force: how each VM gets it, and its typed form for those who read it."""
 
-from bramleyrill_core.configuration._text import (
-    EMPTY_TEXT,
-    DatabaseSpec,
-    DomainSpec,
-    Durability,
-    FailoverPolicy,
-    FleetSpec,
-    Limits,
-    MemberSpec,
-    RankPolicy,
-    ServiceSpec,
-    Text,
-    UserSpec,
-    build_database,
-    build_text,
+from bramleyrill_core.configuration._messages import (
+    PeerVersionSeen,
+    PullFailed,
+    PullText,
+    TextInForce,
+    TextOffered,
+    TextRejected,
 )
+from bramleyrill_core.configuration._spread import ConfigurationTables
+from bramleyrill_core.configuration._watchers import is_watcher, watchers
+from bramleyrill_core.text import *  # noqa: F403 (the typed form is public here too)
+from bramleyrill_core.text import __all__ as _text_names
 
 __all__ = [
-    "EMPTY_TEXT",
-    "DatabaseSpec",
-    "DomainSpec",
-    "Durability",
-    "FailoverPolicy",
-    "FleetSpec",
-    "Limits",
-    "MemberSpec",
-    "RankPolicy",
-    "ServiceSpec",
-    "Text",
-    "UserSpec",
-    "build_database",
-    "build_text",
+    "ConfigurationTables",
+    "PeerVersionSeen",
+    "PullFailed",
+    "PullText",
+    "TextInForce",
+    "TextOffered",
+    "TextRejected",
+    "is_watcher",
+    "watchers",
+    *_text_names,
 ]
--- /dev/null
+++ b/packages/core/bramleyrill_core/configuration/_spread.py
@@ -0,0 +1,114 @@
+"""The way of the text to every VM: newest version wins, pulled from peers that have it."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+
+from attrs import Factory, define
+from returns.pipeline import is_successful
+
+from bramleyrill_core._core import handles, system
+from bramleyrill_core._messages import Effect
+from bramleyrill_core._values import VmId
+from bramleyrill_core._world import World
+from bramleyrill_core.configuration._messages import (
+    PeerVersionSeen,
+    PullFailed,
+    PullText,
+    TextInForce,
+    TextOffered,
+    TextRejected,
+)
+from bramleyrill_core.text import parse_text
+
+# A peer that has not answered by then is passed over; the goal is 5 s from end to end.
+PULL_TIMEOUT = timedelta(milliseconds=800)
+# Errors of a rejected text that are kept for `bramleyrill show`.
+MOST_ERRORS_KEPT = 20
+
+
+@define
+class ConfigurationTables:
+    """What this VM knows of versions: its own, its peers', and those that it cannot carry out."""
+
+    source: str = ""
+    identity: str = ""
+    in_force_since: timedelta | None = None
+    version_by_vm: dict[VmId, int] = Factory(dict)
+    rejected_by_version: dict[int, tuple[str, ...]] = Factory(dict)
+    pulling_from: VmId | None = None
+    pull_deadline: timedelta = timedelta()
+    failed_vms: set[VmId] = Factory(set)
+
+
+@handles(TextOffered)
+def take_offer(world: World, offer: TextOffered) -> Iterator[Effect]:
+    """Put a newer text in force, or report why this VM cannot."""
+    tables = world.tables(ConfigurationTables)
+    tables.pulling_from = None
+    if offer.version in tables.rejected_by_version:
+        return
+    if offer.version <= world.text.version and world.rules.on("text_version_rises"):
+        return
+    parsed = parse_text(offer.source, offer.version, offer.identity)
+    if not is_successful(parsed):
+        errors = tuple(str(error) for error in parsed.failure()[:MOST_ERRORS_KEPT])
+        tables.rejected_by_version[offer.version] = errors
+        yield TextRejected(offer.version, errors)
+        return
+    world.text = parsed.unwrap()
+    tables.source = offer.source
+    tables.identity = offer.identity
+    tables.in_force_since = world.clock.monotonic()
+    tables.failed_vms.clear()
+    for version in [known for known in tables.rejected_by_version if known < offer.version]:
+        del tables.rejected_by_version[version]
+    yield TextInForce(offer.version, world.text.digest)
+
+
+@handles(PeerVersionSeen)
+def note_peer_version(world: World, seen: PeerVersionSeen) -> Iterator[Effect]:
+    """Remember a peer's version and pull it at once if it is newer."""
+    tables = world.tables(ConfigurationTables)
+    tables.version_by_vm[seen.vm] = seen.version
+    yield from _pull_newer(world, tables)
+
+
+@handles(PullFailed)
+def pass_over_peer(world: World, failed: PullFailed) -> Iterator[Effect]:
+    """Try another peer after one did not answer."""
+    tables = world.tables(ConfigurationTables)
+    if tables.pulling_from == failed.vm:
+        tables.pulling_from = None
+    tables.failed_vms.add(failed.vm)
+    yield from _pull_newer(world, tables)
+
+
+@system("configuration", order=40)
+def retry_pull(world: World) -> Iterator[Effect]:
+    """Pass over a peer that has not answered a pull in time."""
+    tables = world.tables(ConfigurationTables)
+    if tables.pulling_from is None or world.clock.monotonic() < tables.pull_deadline:
+        return
+    tables.failed_vms.add(tables.pulling_from)
+    tables.pulling_from = None
+    yield from _pull_newer(world, tables)
+
+
+def _pull_newer(world: World, tables: ConfigurationTables) -> Iterator[Effect]:
+    if tables.pulling_from is not None:
+        return
+    held = max([world.text.version, *tables.rejected_by_version])
+    newer = {vm: version for vm, version in tables.version_by_vm.items() if version > held}
+    if not newer:
+        return
+    # When every peer with a newer text has failed once, all of them are tried again.
+    if not newer.keys() - tables.failed_vms:
+        tables.failed_vms.clear()
+        return
+    highest = max(version for vm, version in newer.items() if vm not in tables.failed_vms)
+    candidates = sorted(
+        vm for vm, version in newer.items() if version == highest and vm not in tables.failed_vms
+    )
+    tables.pulling_from = world.random.choice(candidates)
+    tables.pull_deadline = world.clock.monotonic() + PULL_TIMEOUT
+    yield PullText(tables.pulling_from)
--- /dev/null
+++ b/packages/core/bramleyrill_core/text/_parse.py
@@ -0,0 +1,302 @@
+"""From the YAML source of the text to its typed form, with every error at once."""
+
+import hashlib
+import ipaddress
+import zlib
+from collections.abc import Iterator
+from datetime import timedelta
+from importlib import resources
+
+from returns.result import Failure, Result, Success
+
+from bramleyrill_core._values import Rank, database_id, member_id
+from bramleyrill_core.text._errors import TextError
+from bramleyrill_core.text._model import (
+    DatabaseSpec,
+    DomainSpec,
+    Durability,
+    FailoverPolicy,
+    FleetSpec,
+    Limits,
+    MemberSpec,
+    RankPolicy,
+    ServiceSpec,
+    Text,
+    UserSpec,
+    build_text,
+)
+from bramleyrill_core.text._nodes import Errors, Section, compose
+
+# The platform holds values up to a megabyte; larger sources are stored compressed.
+VALUE_LIMIT_BYTES = 1_000_000
+COMPRESS_ABOVE_BYTES = 256_000
+# One connection for the holder's locks and one for the probes of each of three holders.
+RESERVED_CONNECTIONS = 4
+MOST_MEMBERS = 7
+
+_DEFAULT_RANKS = {
+    Rank.URGENT: RankPolicy(timedelta(milliseconds=250), 0.99, 0.4, timedelta(seconds=3)),
+    Rank.EVERYDAY: RankPolicy(timedelta(seconds=1), 0.95, 0.2, timedelta(seconds=5)),
+    Rank.LEAST_URGENT: RankPolicy(timedelta(seconds=5), 0.9, 0.1, timedelta(seconds=10)),
+}
+
+
+def parse_text(source: str, version: int = 0, identity: str = "") -> Result[Text, list[TextError]]:
+    """Return the typed text, or every error in it ordered by line.
+
+    `version` and `identity` are those of the platform's object that holds the source.
+
+    Example: `parse_text("fleets: {}").failure()[0].line == 1`.
+    """
+    errors = Errors()
+    root = compose(source, errors)
+    if root is None:
+        if not errors.found:
+            errors.found.append(TextError(1, 1, "", "the text is empty", "add `fleets:`"))
+        return Failure(errors.found)
+    top = Section(root, "", errors)
+    failover = _read_failover(top.section("failover"))
+    drain_timeout = top.duration("drain_timeout", timedelta(seconds=30), least=timedelta(seconds=1))
+    fleets = _read_fleets(top.section("fleets", required=True))
+    top.close()
+    _check_addresses(fleets, top)
+    if stored_size(source) > VALUE_LIMIT_BYTES:
+        top.fail("fleets", "the text is over one megabyte when stored", "split off a fleet")
+    if errors.found:
+        return Failure(sorted(errors.found))
+    digest = hashlib.sha256(source.encode()).hexdigest()[:16]
+    return Success(
+        build_text(
+            fleets,
+            version=version,
+            identity=identity,
+            digest=digest,
+            failover=failover,
+            drain_timeout=drain_timeout,
+        )
+    )
+
+
+def stored_size(source: str) -> int:
+    """Return the bytes that the platform's object takes for `source`."""
+    plain = source.encode()
+    if len(plain) <= COMPRESS_ABOVE_BYTES:
+        return len(plain)
+    return len(zlib.compress(plain)) * 4 // 3
+
+
+def _read_failover(section: Section) -> FailoverPolicy:
+    default = FailoverPolicy()
+    floor = timedelta(milliseconds=50)
+    policy = FailoverPolicy(
+        probe_interval=section.duration("probe_interval", default.probe_interval, least=floor),
+        suspect_after=section.duration("suspect_after", default.suspect_after, least=floor),
+        permit=section.duration("permit", default.permit, least=floor),
+    )
+    section.close()
+    if policy.permit < 2 * policy.probe_interval:
+        section.fail(
+            "permit", "a permit must outlast two probes", "write at least twice `probe_interval`"
+        )
+    if policy.suspect_after < 2 * policy.probe_interval:
+        section.fail(
+            "suspect_after", "one late probe would start a failover", "write at least two probes"
+        )
+    return policy
+
+
+def _read_fleets(section: Section) -> dict[str, FleetSpec]:
+    fleets = {name: _read_fleet(name, part) for name, part in section.sections()}
+    if section.node is not None and not fleets:
+        section.errors.add(
+            section.node, section.path, "no fleet is named", "add one below `fleets:`"
+        )
+    _check_floors(section, [(name, fleet.floor) for name, fleet in fleets.items()])
+    return fleets
+
+
+def _read_fleet(name: str, section: Section) -> FleetSpec:
+    floor = section.share("floor", 0.0)
+    domains = {}
+    for domain, part in section.section("domains", required=True).sections():
+        domains[domain] = DomainSpec(domain, part.text("region", required=True))
+        part.close()
+    services = {}
+    parts = section.section("services", required=True)
+    for service, part in parts.sections():
+        services[service] = _read_service(name, service, part, domains)
+    _check_floors(parts, [(key, service.floor) for key, service in services.items()])
+    section.close()
+    return FleetSpec(name, floor, domains, services)
+
+
+def _read_service(
+    fleet: str, name: str, section: Section, domains: dict[str, DomainSpec]
+) -> ServiceSpec:
+    limits = Limits(
+        connections=section.integer("connections", 16, least=1, required=True),
+        slots=section.integer("slots", 2, least=1, required=True),
+        dial=section.duration("dial", timedelta(milliseconds=12)),
+    )
+    if limits.connections < RESERVED_CONNECTIONS + limits.slots:
+        section.fail(
+            "connections",
+            "too few for the slots and the proxy's own probes",
+            f"write at least slots + {RESERVED_CONNECTIONS}",
+        )
+    clear_text = section.flag("clear_text_passwords", False)
+    service = ServiceSpec(
+        fleet=fleet,
+        name=name,
+        limits=limits,
+        ranks=_read_ranks(section.section("ranks")),
+        databases=_read_databases(fleet, name, section.section("databases", True), domains),
+        users=_read_users(section.section("users", True), clear_text),
+        floor=section.share("floor", 0.0),
+        clear_text_passwords=clear_text,
+        caller_tls=section.flag("caller_tls", False),
+        upstream_tls=section.flag("upstream_tls", False),
+    )
+    section.close()
+    return service
+
+
+def _read_ranks(section: Section) -> dict[Rank, RankPolicy]:
+    ranks = {}
+    for rank in Rank:
+        ranks[rank] = _read_rank(section.section(rank.name.lower()), _DEFAULT_RANKS[rank])
+    section.close()
+    _check_floors(section, [(rank.name.lower(), policy.floor) for rank, policy in ranks.items()])
+    return ranks
+
+
+def _read_rank(section: Section, default: RankPolicy) -> RankPolicy:
+    policy = RankPolicy(
+        target=section.duration("target", default.target, least=timedelta(milliseconds=1)),
+        objective=section.share("objective", default.objective),
+        floor=section.share("floor", default.floor),
+        deadline=section.duration("deadline", default.deadline, least=timedelta(milliseconds=1)),
+        durability=section.choice("durability", Durability, default.durability),
+    )
+    section.close()
+    if policy.deadline < policy.target:
+        section.fail("deadline", "the deadline is before the target", "write a longer deadline")
+    return policy
+
+
+def _check_floors(section: Section, floors: list[tuple[str, float]]) -> None:
+    total = sum(floor for _, floor in floors)
+    if total > 1.0 + 1e-9:
+        section.fail(
+            floors[-1][0], f"the floors add up to {total:g}", "lower them to 1 or less in all"
+        )
+
+
+def _read_databases(
+    fleet: str, service: str, section: Section, domains: dict[str, DomainSpec]
+) -> dict[str, DatabaseSpec]:
+    databases = {}
+    for name, part in section.sections():
+        key = database_id(fleet, service, name)
+        parts = part.section("members", required=True)
+        members = tuple(
+            _read_member(key, member, member_part, domains)
+            for member, member_part in parts.sections()
+        )
+        part.close()
+        if len(members) % 2 == 0 or len(members) > MOST_MEMBERS:
+            parts.errors.add(
+                parts.node or part.node,
+                parts.path,
+                f"{len(members)} members cannot form a clear majority",
+                "write 1, 3, 5 or 7 members",
+            )
+        databases[name] = DatabaseSpec(key, name, members)
+    return databases
+
+
+def _read_member(
+    database: str, name: str, section: Section, domains: dict[str, DomainSpec]
+) -> MemberSpec:
+    domain = section.text("domain", required=True)
+    if domain and domain not in domains:
+        known = ", ".join(domains) or "none"
+        section.fail("domain", f"{domain!r} is not a domain of the fleet", f"known: {known}")
+    host, port = _read_address(section)
+    leaving = section.flag("leaving", False)
+    section.close()
+    return MemberSpec(member_id(database, name), name, domain, host, port, leaving)
+
+
+def _read_address(section: Section) -> tuple[str, int]:
+    address = section.text("address", required=True)
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 < int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        if address:
+            section.fail(
+                "address", f"{address!r} is not valid", "write IP:PORT, as in 10.0.0.7:5432"
+            )
+        return "", 0
+    return host.strip("[]"), int(port)
+
+
+def _read_users(section: Section, clear_text: bool) -> dict[str, UserSpec]:
+    users = {}
+    for name, part in section.sections():
+        if "@" in name:
+            section.fail(name, "a user's name has no @", "the fleet is added by the caller")
+        user = UserSpec(
+            name=name,
+            verifier=part.text("verifier"),
+            password=part.text("password"),
+            rank=part.choice("rank", Rank, Rank.EVERYDAY),
+            age=part.duration("age", timedelta()),
+            writes=part.flag("writes", True),
+            repeatable=part.flag("repeatable", False),
+        )
+        part.close()
+        _check_secret(part, user, clear_text)
+        users[name] = user
+    return users
+
+
+def _check_secret(section: Section, user: UserSpec, clear_text: bool) -> None:
+    if bool(user.verifier) == bool(user.password):
+        section.fail("verifier", "a user has either a verifier or a password", "write one of them")
+    elif user.verifier and not user.verifier.startswith("SCRAM-SHA-256$"):
+        section.fail("verifier", "not a SCRAM verifier", "make one with `bramleyrill verifier`")
+    elif user.password and not clear_text:
+        section.fail(
+            "password",
+            "clear-text passwords are not allowed in this service",
+            "write a verifier, or set `clear_text_passwords: true`",
+        )
+
+
+def _members(fleets: dict[str, FleetSpec]) -> Iterator[MemberSpec]:
+    for fleet in fleets.values():
+        for service in fleet.services.values():
+            for database in service.databases.values():
+                yield from database.members
+
+
+def _check_addresses(fleets: dict[str, FleetSpec], top: Section) -> None:
+    taken: dict[tuple[str, int], str] = {}
+    for member in _members(fleets):
+        key = (member.host, member.port)
+        if member.port and key in taken:
+            top.fail(
+                "fleets",
+                f"{member.id} and {taken[key]} have the same address {member.host}:{member.port}",
+                "give each member its own",
+            )
+        taken[key] = member.id
+
+
+def example_source() -> str:
+    """Return the example text that ships with the package."""
+    return resources.files("bramleyrill_core.text").joinpath("example.yaml").read_text("utf-8")
--- /dev/null
+++ b/tests/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the text and its spread."""
--- /dev/null
+++ b/tests/configuration/test_text.py
@@ -0,0 +1,67 @@
+"""Tests of the checks of the text."""
+
+import unittest
+
+from bramleyrill_core import Rank
+from bramleyrill_core.text import Durability, example_source, parse_text
+
+
+class TextTest(unittest.TestCase):
+    """Guards against a faulty text that is accepted, or an error that is hard to find."""
+
+    def errors(self, *changes):
+        source = example_source()
+        for old, new in changes:
+            self.assertIn(old, source)
+            source = source.replace(old, new, 1)
+        return parse_text(source).failure()
+
+    def test_example_is_accepted_with_both_fleets(self):
+        text = parse_text(example_source(), version=7).unwrap()
+        self.assertEqual(len(text.databases), 6)
+        service = text.service_of("kintsugi/onarim-defteri/records")
+        self.assertEqual((service.limits.slots, service.limits.connections), (2, 16))
+        self.assertIs(service.ranks[Rank.URGENT].durability, Durability.SECOND_MEMBER)
+        self.assertIn("gatecare/gatebook/records", text.databases)
+
+    def test_all_errors_come_at_once_with_line_and_advice(self):
+        found = self.errors(
+            ("slots: 2", "slot: 2"),
+            ("target: 250ms", "target: 250"),
+            ("domain: ege-a", "domain: egea"),
+            ("127.0.0.1:17200", "lagos.example:17200"),
+        )
+        self.assertEqual(len(found), 5)
+        self.assertEqual([error.line for error in found], sorted(error.line for error in found))
+        self.assertIn("did you mean `slots`?", str(found[1]))
+        self.assertTrue(all(error.advice for error in found))
+
+    def test_key_that_stands_twice_is_refused(self):
+        (found,) = self.errors(("        slots: 2", "        slots: 2\n        slots: 3"))
+        self.assertIn("twice", found.message)
+
+    def test_two_members_with_one_address_are_refused(self):
+        (found,) = self.errors(("127.0.0.1:17101", "127.0.0.1:17100"))
+        self.assertIn("same address", found.message)
+
+    def test_even_number_of_members_is_refused(self):
+        (found,) = self.errors(
+            ('              records-3: {domain: ic-anadolu-a, address: "127.0.0.1:17102"}\n', "")
+        )
+        self.assertIn("majority", found.message)
+
+    def test_floors_above_one_are_refused(self):
+        (found,) = self.errors(("floor: 0.2, deadline", "floor: 0.9, deadline"))
+        self.assertIn("add up", found.message)
+
+    def test_permit_shorter_than_two_probes_is_refused(self):
+        (found,) = self.errors(("permit: 1s", "permit: 300ms"))
+        self.assertIn("permit", found.path)
+
+    def test_broken_yaml_is_reported_with_its_line(self):
+        (found,) = parse_text("fleets:\n  a: [1\n  b: 2\n").failure()
+        self.assertGreaterEqual(found.line, 2)
+
+    def test_list_or_scalar_in_place_of_a_mapping_is_refused(self):
+        for source in ("", "- a\n", "fleets: 3\n", "fleets:\n", "fleets: {a: }\n"):
+            self.assertTrue(parse_text(source).failure(), source)
