--- a/packages/cli/bramleyrill_cli/__init__.py
+++ b/packages/cli/bramleyrill_cli/__init__.py
@@ -1,6 +1,5 @@
-"""The operator command."""
+"""The operator's command line: one function for each command."""
 
+from bramleyrill_cli._app import app, main
 
-def main() -> None:
-    """Run the command line."""
-    raise SystemExit("not built yet")
+__all__ = ["app", "main"]
--- /dev/null
+++ b/packages/cli/bramleyrill_cli/_app.py
@@ -0,0 +1,24 @@
+"""The application that the commands register with."""
+
+import sys
+
+import cyclopts
+from bramleyrill_base import set_up_logs
+
+app = cyclopts.App(
+    name="bramleyrill",
+    help="Check, apply and read back the text; report, replay and measure.",
+)
+bench = cyclopts.App(name="bench", help="Measure the product against its own baselines.")
+report = cyclopts.App(name="report", help="Print reports on the running system.")
+app.command(bench)
+app.command(report)
+
+
+def main() -> None:
+    """Run the command line; commands return their exit code."""
+    # Importing the modules registers their commands.
+    from bramleyrill_cli import _commands  # noqa: F401
+
+    set_up_logs()
+    sys.exit(app(result_action="return_value") or 0)
