Add membership and the admission queue

The daemon needs holder_of, live_vms and AdmissionQueue to be built against.

The queue serves urgent work first, keeps floors with bounded balances of slot time and refuses hopeless requests at once.

--- /dev/null
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -0,0 +1,328 @@
+"""The queue in front of the slots of a member or of an entry VM."""
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Hashable
+from datetime import timedelta
+
+from bramleyrill_base import Clock, ErrorKind, Problem
+
+from bramleyrill_core._values import Rank
+from bramleyrill_core.admission._floors import FloorAccount
+from bramleyrill_core.admission._limit import InFlightLimit
+from bramleyrill_core.admission._values import (
+    AdmissionPolicy,
+    Queued,
+    Refused,
+    Request,
+    Started,
+    WorkClass,
+)
+
+_US = timedelta(microseconds=1)
+_RANKS = len(Rank)
+# Weight of a statement in the average service time of its class: about the last 20 count.
+_AVERAGE_WEIGHT = 0.05
+# Use by higher ranks is averaged over this long when a wait is predicted.
+_USE_DECAY_S = 1.0
+# Hints below make callers spin, hints above outlast most floods.
+_MIN_HINT_S = 0.010
+_MAX_HINT_S = 10.0
+
+
+class _Class:
+    """One class: its queue, service time and floor accounts."""
+
+    __slots__ = ("accounts", "floor", "limit", "mean", "queue", "rank", "resumed", "used", "key")
+
+    def __init__(self, key: WorkClass, accounts: tuple, floor: float, limit: int, mean: float):
+        self.key = key
+        self.rank = int(key.rank)
+        self.accounts: tuple[FloorAccount, ...] = accounts
+        self.floor = floor
+        self.limit = limit
+        self.mean = mean
+        self.queue: deque[Request] = deque()
+        self.resumed: deque[Request] = deque()
+        self.used = 0.0
+
+    def __len__(self) -> int:
+        return len(self.queue) + len(self.resumed)
+
+
+class AdmissionQueue:
+    """Decide which request gets a slot, which waits and which is refused at once.
+
+    A free slot goes to the fleet, service or class furthest below its floor of slot time that
+    has work waiting, and else to the highest rank. A request whose deadline cannot be met at the
+    measured service rate is refused at once with a retry hint. The caller starts what comes back
+    as `Started`, answers what comes back as `Refused`, and reports the end of each started
+    request with `finish`. No call blocks, and time comes only from `clock`.
+
+    Example:
+
+        queue = AdmissionQueue(AdmissionPolicy(slots=2), clock)
+        outcome = queue.offer(Request(1, WorkClass("kintsugi", "onarim-defteri", Rank.URGENT),
+                                      clock.monotonic() + timedelta(seconds=2)))
+    """
+
+    def __init__(self, policy: AdmissionPolicy, clock: Clock) -> None:
+        self.policy = policy
+        self._clock = clock
+        self._limit = InFlightLimit(policy.slots, policy.adaptive)
+        self._classes: dict[WorkClass, _Class] = {}
+        self._groups: dict[tuple[str, ...], FloorAccount] = {}
+        self._waiting: dict[WorkClass, _Class] = {}
+        self._queued: dict[Hashable, _Class] = {}
+        self._deadlines: list[tuple[timedelta, int, Hashable]] = []
+        self._running: dict[Hashable, tuple[_Class, timedelta, float]] = {}
+        self._paused: dict[Hashable, _Class] = {}
+        self._use_by_rank = [0.0] * _RANKS
+        self._use_at = 0.0
+        self._sequence = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests hold a slot."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a slot."""
+        return len(self._queued)
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may hold a slot at present; at most the slots."""
+        return int(self._limit.value)
+
+    def offer(self, request: Request) -> Started | Queued | Refused:
+        """Take in a new request; raise ValueError if its id is in use."""
+        if request.id in self._running or request.id in self._queued:
+            raise ValueError(f"request {request.id!r} is already known")
+        now = self._clock.monotonic()
+        row = self._classes.get(request.work_class) or self._add_class(request.work_class)
+        if not self._queued and len(self._running) < int(self._limit.value):
+            if request.deadline <= now:
+                return self._refuse(request.id, row, ErrorKind.NOT_RUN_DEADLINE, now)
+            return self._start(request, row, now)
+        if len(row.queue) >= row.limit:
+            return self._refuse(request.id, row, ErrorKind.NOT_RUN_OVERLOADED, now)
+        if self.policy.predict:
+            wait = self._predict(row, now)
+            if now + timedelta(seconds=wait) > request.deadline:
+                return self._refuse(request.id, row, ErrorKind.NOT_RUN_OVERLOADED, now, wait)
+        self._enqueue(row.queue, request, row, now)
+        return self._start_if_free(request, now)
+
+    def finish(self, request_id: Hashable) -> list[Started | Refused]:
+        """Give back the slot of a request that ended; return what follows.
+
+        Ids that hold no slot are accepted, since a request may end while it is paused.
+        """
+        if self._paused.pop(request_id, None) is not None:
+            return []
+        now = self._clock.monotonic()
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return []
+        row, started_at, expected = running
+        seconds = (now - started_at) / _US * 1e-6
+        row.mean += _AVERAGE_WEIGHT * (seconds - row.mean)
+        self._limit.note(row.key, seconds)
+        self._charge(row, seconds - expected, now)
+        return self._dispatch(now)
+
+    def pause(self, request_id: Hashable) -> list[Started | Refused]:
+        """Give back the slot of a transaction that is idle between statements."""
+        running = self._running.get(request_id)
+        if running is None:
+            return []
+        outcomes = self.finish(request_id)
+        self._paused[request_id] = running[0]
+        return outcomes
+
+    def resume(self, request: Request) -> Started | Queued | Refused:
+        """Ask for a slot for the next statement of a paused transaction.
+
+        It goes ahead of new work of its class and is never refused for a long queue: it holds a
+        connection and locks that others wait for.
+        """
+        if self._paused.pop(request.id, None) is None:
+            raise ValueError(f"request {request.id!r} is not paused")
+        now = self._clock.monotonic()
+        row = self._classes[request.work_class]
+        if not self._queued and len(self._running) < int(self._limit.value):
+            return self._start(request, row, now)
+        self._enqueue(row.resumed, request, row, now)
+        return self._start_if_free(request, now)
+
+    def withdraw(self, request_id: Hashable) -> list[Started | Refused]:
+        """Forget a request in any state, for instance when its caller is gone."""
+        row = self._queued.pop(request_id, None)
+        if row is None:
+            return self.finish(request_id)
+        for queue in (row.queue, row.resumed):
+            for request in queue:
+                if request.id == request_id:
+                    queue.remove(request)
+                    self._note_waiting(row, -1, self._clock.monotonic())
+                    return []
+        return []
+
+    def tick(self) -> list[Refused]:
+        """Refuse what waited past its deadline."""
+        now = self._clock.monotonic()
+        refused = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, _, request_id = heapq.heappop(self._deadlines)
+            row = self._queued.get(request_id)
+            if row is not None and self._take_expired(row, request_id, now):
+                refused.append(self._refuse(request_id, row, ErrorKind.NOT_RUN_DEADLINE, now))
+        if len(self._deadlines) > 64 + 4 * len(self._queued):
+            self._deadlines = [item for item in self._deadlines if item[2] in self._queued]
+            heapq.heapify(self._deadlines)
+        return refused
+
+    def _add_class(self, key: WorkClass) -> _Class:
+        policy = self.policy.classes.get(key, self.policy.default)
+        accounts = []
+        for group in ((key.fleet,), (key.fleet, key.service)):
+            if group in self.policy.group_floors and group not in self._groups:
+                self._groups[group] = FloorAccount(self.policy.group_floors[group])
+            if group in self._groups:
+                accounts.append(self._groups[group])
+        accounts.append(FloorAccount(policy.floor))
+        mean = self.policy.expected / _US * 1e-6
+        row = _Class(key, tuple(accounts), policy.floor, policy.queue_limit, mean)
+        self._classes[key] = row
+        return row
+
+    def _enqueue(self, queue: deque, request: Request, row: _Class, now: timedelta) -> None:
+        queue.append(request)
+        self._queued[request.id] = row
+        self._sequence += 1
+        heapq.heappush(self._deadlines, (request.deadline, self._sequence, request.id))
+        self._note_waiting(row, 1, now)
+
+    def _note_waiting(self, row: _Class, change: int, now: timedelta) -> None:
+        seconds = now / _US * 1e-6
+        for account in row.accounts:
+            account.accrue(seconds, self._limit.value)
+            account.waiting += change
+        if len(row):
+            self._waiting[row.key] = row
+        else:
+            self._waiting.pop(row.key, None)
+
+    def _take_expired(self, row: _Class, request_id: Hashable, now: timedelta) -> bool:
+        for queue in (row.resumed, row.queue):
+            for request in queue:
+                if request.id == request_id:
+                    if request.deadline > now:
+                        return False
+                    queue.remove(request)
+                    del self._queued[request_id]
+                    self._note_waiting(row, -1, now)
+                    return True
+        return False
+
+    def _start_if_free(self, request: Request, now: timedelta) -> Started | Queued:
+        """Start the request itself if a slot is free; the limit may have grown since."""
+        if len(self._running) < int(self._limit.value) and len(self._queued) == 1:
+            row = self._queued[request.id]
+            (row.resumed or row.queue).pop()
+            del self._queued[request.id]
+            self._note_waiting(row, -1, now)
+            return self._start(request, row, now)
+        return Queued(request.id)
+
+    def _start(self, request: Request, row: _Class, now: timedelta) -> Started:
+        self._running[request.id] = (row, now, row.mean)
+        self._charge(row, row.mean, now)
+        return Started(request.id)
+
+    def _charge(self, row: _Class, slot_time: float, now: timedelta) -> None:
+        """Charge at the start what is expected, so that a burst does not overdraw a floor."""
+        seconds = now / _US * 1e-6
+        for account in row.accounts:
+            account.accrue(seconds, self._limit.value)
+            account.charge(slot_time, row.mean)
+        self._decay_use(seconds)
+        self._use_by_rank[row.rank] += slot_time
+
+    def _decay_use(self, seconds: float) -> None:
+        factor = math.exp((self._use_at - seconds) / _USE_DECAY_S)
+        self._use_at = seconds
+        use = self._use_by_rank
+        for rank in range(_RANKS):
+            use[rank] *= factor
+
+    def _dispatch(self, now: timedelta) -> list[Started | Refused]:
+        outcomes: list[Started | Refused] = []
+        while self._waiting and len(self._running) < int(self._limit.value):
+            row = self._choose(now)
+            request = (row.resumed or row.queue).popleft()
+            del self._queued[request.id]
+            self._note_waiting(row, -1, now)
+            if request.deadline <= now:
+                outcomes.append(self._refuse(request.id, row, ErrorKind.NOT_RUN_DEADLINE, now))
+            else:
+                outcomes.append(self._start(request, row, now))
+        return outcomes
+
+    def _choose(self, now: timedelta) -> _Class:
+        """Choose the class that gets the next slot; some class must be waiting."""
+        rows = list(self._waiting.values())
+        if len(rows) == 1:
+            return rows[0]
+        if self.policy.floors:
+            seconds = now / _US * 1e-6
+            for row in rows:
+                for account in row.accounts:
+                    account.accrue(seconds, self._limit.value)
+            rows = self._narrow(rows)
+        if self.policy.urgent_first:
+            best = min(row.rank for row in rows)
+            rows = [row for row in rows if row.rank == best]
+        if len(rows) == 1:
+            return rows[0]
+        return min(rows, key=_oldest)
+
+    def _narrow(self, rows: list[_Class]) -> list[_Class]:
+        """Keep the classes of the fleet, then the service, then the rank that is owed most."""
+        for level in range(max(len(row.accounts) for row in rows)):
+            owed = [
+                row for row in rows if level < len(row.accounts) and row.accounts[level].is_owed
+            ]
+            if owed:
+                most = max(row.accounts[level].balance for row in owed)
+                rows = [row for row in owed if row.accounts[level].balance == most]
+                if len(rows) == 1:
+                    break
+        return rows
+
+    def _predict(self, row: _Class, now: timedelta) -> float:
+        """Return the expected wait in seconds of one more request of the class.
+
+        Its rate is what higher ranks leave, by their recent use, and at least its floor.
+        """
+        self._decay_use(now / _US * 1e-6)
+        limit = int(self._limit.value)
+        higher = sum(self._use_by_rank[: row.rank]) / (_USE_DECAY_S * limit)
+        share = max(1.0 - higher, row.floor, 0.001)
+        ahead = len(row.queue) + len(row.resumed)
+        return (ahead + 1) * row.mean / (limit * share)
+
+    def _refuse(
+        self, request_id: Hashable, row: _Class, kind: ErrorKind, now: timedelta, wait: float = -1.0
+    ) -> Refused:
+        if wait < 0:
+            wait = self._predict(row, now)
+        hint = timedelta(seconds=min(max(wait, _MIN_HINT_S), _MAX_HINT_S))
+        return Refused(request_id, Problem(kind, f"rank {row.key.rank.name.lower()}", hint))
+
+
+def _oldest(row: _Class) -> timedelta:
+    return (row.resumed or row.queue)[0].deadline
--- /dev/null
+++ b/packages/core/bramleyrill_core/membership/__init__.py
@@ -0,0 +1,51 @@
+"""Membership: which VMs live, which are leaving, and which holds which member."""
+
+from bramleyrill_core.membership._heartbeats import announce_leaving, announce_left
+from bramleyrill_core.membership._holders import (
+    holder_of,
+    holders_of,
+    live_vms,
+    rendezvous_order,
+)
+from bramleyrill_core.membership._messages import (
+    HeartbeatAcked,
+    HeartbeatArrived,
+    HeartbeatTimedOut,
+    IndirectAcked,
+    IndirectAsked,
+    ListedVm,
+    SendHeartbeat,
+    SendHeartbeatAck,
+    SendIndirect,
+    SendIndirectAck,
+    VmsListed,
+    VmState,
+    VmStateChanged,
+    VmUpdate,
+)
+from bramleyrill_core.membership._view import MembershipTables, Vm
+
+__all__ = [
+    "HeartbeatAcked",
+    "HeartbeatArrived",
+    "HeartbeatTimedOut",
+    "IndirectAcked",
+    "IndirectAsked",
+    "ListedVm",
+    "MembershipTables",
+    "SendHeartbeat",
+    "SendHeartbeatAck",
+    "SendIndirect",
+    "SendIndirectAck",
+    "Vm",
+    "VmState",
+    "VmStateChanged",
+    "VmUpdate",
+    "VmsListed",
+    "announce_leaving",
+    "announce_left",
+    "holder_of",
+    "holders_of",
+    "live_vms",
+    "rendezvous_order",
+]
