--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_answers.py
@@ -0,0 +1,198 @@
+"""Scan the upstream's answer: find its end, hold back what acknowledges, read the status row."""
+
+import functools
+import json
+import struct
+
+from bramleyrill_core import MemberRole, MemberStatus, TermStart
+
+STATUS_SQL = "SELECT * FROM group_status()"
+# A statement that may commit has its answer held from the first CommandComplete on. Answers of
+# more statements than fit here are passed on, so that memory stays bounded.
+MAX_HELD_BYTES = 64 * 1024
+# Frames that must be whole to be judged are small; an upstream that sends larger ones is broken.
+MAX_WHOLE_FRAME = 1024 * 1024
+
+_HEADER = struct.Struct("!BI")
+_COMMAND_COMPLETE = ord("C")
+_EMPTY_QUERY = ord("I")
+_DATA_ROW = ord("D")
+_ERROR = ord("E")
+_READY = ord("Z")
+_SUSPENDED = ord("s")
+_WHOLE = frozenset((_COMMAND_COMPLETE, _EMPTY_QUERY, _ERROR, _READY, _SUSPENDED))
+_HOLDS = frozenset((_COMMAND_COMPLETE, _EMPTY_QUERY, _SUSPENDED))
+
+
+class AnswerError(ConnectionError):
+    """The upstream sent what no server sends; its connection cannot be used further."""
+
+
+class AnswerScanner:
+    """Split the answer to one request from that of the status query behind it.
+
+    `feed` returns what may be forwarded now. After `done`, `tail` holds the rest of the answer,
+    `tx_status` its transaction status and `status_row` the body of the status row, if any.
+    """
+
+    __slots__ = (
+        "_hold",
+        "_held",
+        "_held_bytes",
+        "_holding",
+        "_in_status",
+        "_rest",
+        "_skip",
+        "done",
+        "failed",
+        "forwarded",
+        "status_row",
+        "surplus",
+        "tail",
+        "tx_status",
+        "wants_status",
+    )
+
+    def __init__(self, hold: bool, wants_status: bool) -> None:
+        self._hold = hold
+        self.wants_status = wants_status
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+        self._holding = False
+        self._in_status = False
+        self._rest = b""
+        self._skip = 0
+        self.done = False
+        self.failed = False
+        self.forwarded = False
+        self.status_row: bytes | None = None
+        self.surplus = False
+        self.tail = b""
+        self.tx_status = b"I"
+
+    def feed(self, data: bytes) -> bytes:
+        """Take received bytes; raise AnswerError on a malformed frame."""
+        if self._rest:
+            data = self._rest + data
+            self._rest = b""
+        end = len(data)
+        position = min(self._skip, end)
+        self._skip -= position
+        if self._in_status:
+            self._feed_status(data, position)
+            return b""
+        hold_from = 0 if self._holding else -1
+        while end - position >= 5:
+            kind, length = _HEADER.unpack_from(data, position)
+            stop = position + 1 + length
+            if length < 4:
+                raise AnswerError(f"frame length {length}")
+            if kind in _WHOLE:
+                if length > MAX_WHOLE_FRAME:
+                    raise AnswerError(f"frame length {length}")
+                if stop > end:
+                    break
+                if kind == _READY:
+                    self._end_answer(data, stop, hold_from)
+                    return b""
+                if kind == _ERROR:
+                    self.failed = True
+                elif self._hold and hold_from < 0 and kind in _HOLDS:
+                    hold_from = position
+            if stop > end:
+                self._skip = stop - end
+                position = end
+                break
+            position = stop
+        self._rest = data[position:]
+        return self._forward(data, position, hold_from)
+
+    def _forward(self, data: bytes, end: int, hold_from: int) -> bytes:
+        """Return what of `data` up to `end` is not held back."""
+        if hold_from < 0:
+            if end:
+                self.forwarded = True
+            return data if end == len(data) else data[:end]
+        self._holding = True
+        self._held.append(data[hold_from:end])
+        self._held_bytes += end - hold_from
+        free = data[:hold_from]
+        if self._held_bytes > MAX_HELD_BYTES:
+            free += b"".join(self._held)
+            self._held.clear()
+            self._held_bytes = 0
+            self._holding = False
+        if free:
+            self.forwarded = True
+        return free
+
+    def _end_answer(self, data: bytes, stop: int, hold_from: int) -> None:
+        self.tx_status = data[stop - 1 : stop]
+        tail = data if stop == len(data) else data[:stop]
+        self.tail = b"".join(self._held) + tail if self._held else tail
+        if self.wants_status:
+            self._in_status = True
+            self._feed_status(data, stop)
+        else:
+            self.done = True
+            self.surplus = stop != len(data)
+
+    def _feed_status(self, data: bytes, position: int) -> None:
+        end = len(data)
+        while end - position >= 5:
+            kind, length = _HEADER.unpack_from(data, position)
+            stop = position + 1 + length
+            if not 4 <= length <= MAX_WHOLE_FRAME:
+                raise AnswerError(f"frame length {length}")
+            if stop > end:
+                break
+            if kind == _DATA_ROW:
+                self.status_row = data[position + 5 : stop]
+            elif kind == _READY:
+                self.done = True
+                self.surplus = stop != end
+                return
+            position = stop
+        self._rest = data[position:]
+
+
+def row_values(body: bytes) -> list[str | None]:
+    """Return the values of a DataRow body in text form; raise AnswerError if it is cut short."""
+    values: list[str | None] = []
+    try:
+        (count,) = struct.unpack_from("!H", body)
+        offset = 2
+        for _ in range(count):
+            (length,) = struct.unpack_from("!i", body, offset)
+            offset += 4
+            if length < 0:
+                values.append(None)
+                continue
+            values.append(body[offset : offset + length].decode("utf-8", "replace"))
+            offset += length
+    except struct.error as error:
+        raise AnswerError("row is cut short") from error
+    return values
+
+
+@functools.lru_cache(maxsize=1024)
+def _read_history(text: str) -> tuple[TermStart, ...]:
+    # The history changes with the term only, so that its JSON is parsed once per term.
+    return tuple(TermStart(int(term), int(start)) for term, start in json.loads(text))
+
+
+def read_status(values: list[str | None]) -> MemberStatus:
+    """Return the status of a `group_status()` row; raise AnswerError if it is malformed."""
+    try:
+        member, term, position, role, leader, last_term, history = values
+        return MemberStatus(
+            member=member or "",
+            term=int(term),
+            position=int(position),
+            role=MemberRole(role),
+            leader=leader or "",
+            last_term=int(last_term),
+            history=_read_history(history or "[]"),
+        )
+    except (TypeError, ValueError) as error:
+        raise AnswerError(f"malformed status row: {error}") from error
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_member.py
@@ -0,0 +1,110 @@
+"""What a holder keeps for one member: the queue in front of its slots and who waits in it."""
+
+import itertools
+from datetime import timedelta
+
+from attrs import frozen
+from bramleyrill_base import ErrorKind, Problem
+from bramleyrill_core import DatabaseId, MemberId, MemberStatus, Rank, World
+from bramleyrill_core.admission import (
+    AdmissionQueue,
+    Queued,
+    Refused,
+    Request,
+    Started,
+    WorkClass,
+    policy_for_member,
+)
+from gevent.event import AsyncResult
+
+from bramleyrill_daemon._answers import read_status, row_values
+
+NO_TIME = timedelta()
+CANCELED = Problem(ErrorKind.CANCELED)
+
+
+@frozen
+class Ticket:
+    """A request's place in the queue: its id there, its class and its deadline."""
+
+    id: int
+    work_class: WorkClass
+    deadline: timedelta
+
+
+class MemberDesk:
+    """Admit requests to one member and wake those that wait.
+
+    `admit` and `readmit` block until the request has a slot; they return None, or the problem
+    for which it did not run. `leave` gives the slot back.
+    """
+
+    def __init__(self, world: World, member: MemberId, database: DatabaseId) -> None:
+        self.member = member
+        self.database = database
+        self._world = world
+        self._queue = AdmissionQueue(policy_for_member(world.text, member), world.clock)
+        self._ids = itertools.count(1)
+        self._waiting: dict[int, AsyncResult] = {}
+        self._status_row = b""
+        self._status: MemberStatus | None = None
+
+    @property
+    def in_use(self) -> bool:
+        """Tell whether any request has a slot or waits for one."""
+        return bool(self._queue.in_flight or self._queue.waiting)
+
+    def ticket(self, fleet: str, service: str, rank: Rank, deadline: timedelta) -> Ticket:
+        """Return a new place for a request."""
+        return Ticket(next(self._ids), WorkClass(fleet, service, rank), deadline)
+
+    def admit(self, ticket: Ticket) -> Problem | None:
+        """Wait for a slot for a new request."""
+        return self._wait(self._queue.offer(Request(ticket.id, ticket.work_class, ticket.deadline)))
+
+    def readmit(self, ticket: Ticket, deadline: timedelta) -> Problem | None:
+        """Wait for a slot for the next statement of a transaction."""
+        return self._wait(self._queue.resume(Request(ticket.id, ticket.work_class, deadline)))
+
+    def pause(self, ticket: Ticket) -> None:
+        """Give the slot back while a transaction is idle."""
+        self._wake(self._queue.pause(ticket.id))
+
+    def leave(self, ticket: Ticket) -> None:
+        """Give the slot back for good."""
+        self._wake(self._queue.finish(ticket.id))
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a request out of the queue; its waiting greenlet gets CANCELED."""
+        self._wake(self._queue.withdraw(ticket.id))
+        waiting = self._waiting.pop(ticket.id, None)
+        if waiting is not None:
+            waiting.set(CANCELED)
+
+    def tick(self) -> None:
+        """Refuse what waited past its deadline."""
+        self._wake(self._queue.tick())
+
+    def status_of(self, row: bytes) -> MemberStatus:
+        """Return the status in a row; equal rows in sequence are read once."""
+        if row != self._status_row or self._status is None:
+            self._status = read_status(row_values(row))
+            self._status_row = row
+        return self._status
+
+    def _wait(self, outcome: Started | Queued | Refused) -> Problem | None:
+        if isinstance(outcome, Started):
+            return None
+        if isinstance(outcome, Refused):
+            return outcome.problem
+        waiting = self._waiting[outcome.id] = AsyncResult()
+        try:
+            return waiting.get()
+        finally:
+            self._waiting.pop(outcome.id, None)
+
+    def _wake(self, outcomes: list[Started | Refused]) -> None:
+        for outcome in outcomes:
+            waiting = self._waiting.pop(outcome.id, None)
+            if waiting is not None:
+                waiting.set(None if isinstance(outcome, Started) else outcome.problem)
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_remote.py
@@ -0,0 +1,216 @@
+"""Entry side of an exchange with a member that another VM holds."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from bramleyrill_base import Clock, ErrorKind, Problem
+from bramleyrill_core.routing import Route
+from bramleyrill_wire.peers import frames as wire
+from gevent.event import Event
+from gevent.queue import SimpleQueue
+
+from bramleyrill_daemon._exchange import (
+    Chunk,
+    Exchange,
+    ExchangeClosed,
+    Executor,
+    Outcome,
+    Request,
+)
+from bramleyrill_daemon._peer_link import PeerLink, PeerLost
+from bramleyrill_daemon._stream_codec import (
+    WINDOW,
+    execute_frame,
+    read_result,
+    request_flags,
+)
+
+_LOST = object()
+_CLOSED = object()
+
+
+class RemoteExchange:
+    """One request or transaction over a stream of a peer link."""
+
+    __slots__ = (
+        "_clock",
+        "_credit",
+        "_credit_came",
+        "_deadline",
+        "_ended",
+        "_inbox",
+        "_link",
+        "_link_of",
+        "_may_commit",
+        "_opened",
+        "_problem",
+        "_request",
+        "_request_number",
+        "_route",
+        "_stream",
+        "_taken",
+    )
+
+    def __init__(
+        self, link_of: Callable[[str], PeerLink], clock: Clock, route: Route, request: Request
+    ) -> None:
+        self._link_of = link_of
+        self._clock = clock
+        self._route = route
+        self._request = request
+        self._deadline = clock.monotonic() + request.deadline_left
+        self._link: PeerLink | None = None
+        self._stream = 0
+        self._request_number = 1
+        self._inbox: SimpleQueue = SimpleQueue()
+        self._credit = WINDOW
+        self._credit_came: Event | None = None
+        self._taken = 0
+        self._opened = False
+        self._ended = False
+        self._may_commit = True
+        self._problem: Problem | None = None
+
+    def send(self, frames: bytes, may_commit: bool = True, more: bool = False) -> None:
+        """Send frames; block while the holder has not taken the earlier ones."""
+        if self._ended or self._problem is not None:
+            return
+        self._may_commit = may_commit
+        if self._link is None:
+            try:
+                self._link = self._link_of(self._route.vm)
+            except PeerLost:
+                self._problem = Problem(ErrorKind.NOT_RUN_UNREACHABLE, f"VM {self._route.vm}")
+                return
+            self._stream = self._link.open_stream(self)
+        if len(frames) <= WINDOW:
+            self._send_piece(frames, may_commit, more)
+            return
+        for start in range(0, len(frames), WINDOW // 2):
+            piece = frames[start : start + WINDOW // 2]
+            last = start + len(piece) == len(frames)
+            self._send_piece(piece, may_commit, more or not last)
+
+    def receive(self) -> Chunk | Outcome:
+        """Return the next part of the answer."""
+        while True:
+            if self._problem is not None:
+                return Outcome(problem=self._problem)
+            frame = self._inbox.get()
+            if frame is _CLOSED:
+                raise ExchangeClosed
+            if frame is _LOST:
+                self._problem = self._lost_problem()
+                continue
+            if frame.request != self._request_number:
+                continue
+            if type(frame) is wire.Data:
+                self._take(len(frame.frames))
+                return Chunk(frame.frames)
+            self._request_number += 1
+            outcome = read_result(frame)
+            if outcome.problem is not None or outcome.tx_status == b"I":
+                self._end()
+            return outcome
+
+    def cancel(self) -> None:
+        """Ask the holder to cancel what runs."""
+        self._post(wire.Cancel(stream=self._stream))
+
+    def close(self) -> None:
+        """Give the stream up; the holder rolls back an open transaction."""
+        if self._ended:
+            return
+        self._post(wire.Close(stream=self._stream))
+        self._end()
+        self._inbox.put(_CLOSED)
+
+    def on_frame(self, frame: Any) -> None:
+        """Take a frame of the stream."""
+        if type(frame) is wire.Credit:
+            self._credit += frame.bytes
+            if self._credit_came is not None:
+                self._credit_came.set()
+        else:
+            self._inbox.put(frame)
+
+    def on_lost(self) -> None:
+        """Learn that the link is gone."""
+        self._inbox.put(_LOST)
+        if self._credit_came is not None:
+            self._credit_came.set()
+
+    def _send_piece(self, data: bytes, may_commit: bool, more: bool) -> None:
+        while self._credit < len(data) and not self._link.closed and not self._ended:
+            self._credit_came = self._credit_came or Event()
+            self._credit_came.clear()
+            self._credit_came.wait()
+        self._credit -= len(data)
+        flags = request_flags(may_commit, more)
+        if not self._opened:
+            left = max(self._deadline - self._clock.monotonic(), timedelta())
+            frame = execute_frame(self._stream, self._route, self._request, left, flags, data)
+            self._opened = True
+        else:
+            frame = wire.Data(
+                stream=self._stream, request=self._request_number, frames=data, flags=flags
+            )
+        self._post(frame)
+
+    def _take(self, count: int) -> None:
+        """Return credit for data that has been handed on, in steps of half a window."""
+        self._taken += count
+        if self._taken >= WINDOW // 2:
+            self._post(wire.Credit(stream=self._stream, bytes=self._taken))
+            self._taken = 0
+
+    def _post(self, frame: Any) -> None:
+        if self._link is None:
+            return
+        try:
+            self._link.send(frame)
+        except PeerLost:
+            # The link has put the loss in the inbox, unless it was lost before the stream began.
+            if self._link.streams.get(self._stream) is None:
+                self._inbox.put(_LOST)
+
+    def _end(self) -> None:
+        self._ended = True
+        if self._link is not None:
+            self._link.drop_stream(self._stream)
+        if self._credit_came is not None:
+            self._credit_came.set()
+
+    def _lost_problem(self) -> Problem:
+        detail = f"connection to VM {self._route.vm} was lost"
+        if self._request_number > 1 and not self._may_commit:
+            # No COMMIT was sent, and the holder rolls back when the connection ends.
+            return Problem(ErrorKind.NOT_RUN_ROLLED_BACK, detail)
+        return Problem(ErrorKind.OUTCOME_UNKNOWN, detail)
+
+
+class RemoteExecutor:
+    """Open exchanges with members that other VMs hold."""
+
+    def __init__(self, link_of: Callable[[str], PeerLink], clock: Clock) -> None:
+        self._link_of = link_of
+        self._clock = clock
+
+    def open(self, route: Route, request: Request) -> RemoteExchange:
+        """Return an exchange with the route's VM."""
+        return RemoteExchange(self._link_of, self._clock, route, request)
+
+
+class Executors:
+    """Open an exchange here or at another VM, as the route says."""
+
+    def __init__(self, vm: str, local: Executor, remote: Executor) -> None:
+        self._vm = vm
+        self._local = local
+        self._remote = remote
+
+    def open(self, route: Route, request: Request) -> Exchange:
+        """Return an exchange for `request` at `route`."""
+        executor = self._local if route.vm == self._vm else self._remote
+        return executor.open(route, request)
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_served.py
@@ -0,0 +1,173 @@
+"""Holder side of a stream: run an exchange for another VM and send back what it gives."""
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from bramleyrill_base import ErrorKind, Problem, log_event
+from bramleyrill_wire.peers import frames
+from gevent.event import Event
+from gevent.queue import SimpleQueue
+
+from bramleyrill_daemon._exchange import Chunk, Exchange, ExchangeClosed, Executor, Outcome
+from bramleyrill_daemon._peer_link import PeerLink, PeerLost
+from bramleyrill_daemon._stream_codec import (
+    MAY_COMMIT,
+    MORE,
+    WINDOW,
+    read_execute,
+    result_frame,
+)
+
+
+class ServedStream:
+    """Serve one stream that a peer opened."""
+
+    __slots__ = (
+        "_credit",
+        "_credit_came",
+        "_ended",
+        "_exchange",
+        "_inbox",
+        "_link",
+        "_number",
+        "_request_number",
+        "_taken",
+    )
+
+    def __init__(self, link: PeerLink, number: int) -> None:
+        self._link = link
+        self._number = number
+        self._request_number = 1
+        self._inbox: SimpleQueue = SimpleQueue()
+        self._exchange: Exchange | None = None
+        self._credit = WINDOW
+        self._credit_came: Event | None = None
+        self._taken = 0
+        self._ended = False
+
+    def run(self, executor: Executor, frame: Any) -> None:
+        """Serve requests until the transaction ends or the peer gives up."""
+        try:
+            route, request = read_execute(frame, self._link.vm)
+            self._exchange = executor.open(route, request)
+            while True:
+                self._feed(frame)
+                if not self._answer():
+                    return
+                frame = self._inbox.get()
+                if frame is None:
+                    return
+        except (ExchangeClosed, PeerLost):
+            pass
+        except ValueError as error:
+            self._fail(Problem(ErrorKind.PROTOCOL_VIOLATION, str(error)))
+        except Exception as error:
+            log_event("stream_failed", vm=self._link.vm, error=type(error).__name__)
+            self._fail(Problem(ErrorKind.OUTCOME_UNKNOWN, "internal error at the holder"))
+            raise
+        finally:
+            self._end()
+
+    def on_frame(self, frame: Any) -> None:
+        """Take a frame of the stream."""
+        kind = type(frame)
+        if kind is frames.Data:
+            self._inbox.put(frame)
+        elif kind is frames.Credit:
+            self._credit += frame.bytes
+            if self._credit_came is not None:
+                self._credit_came.set()
+        elif kind is frames.Cancel and self._exchange is not None:
+            self._exchange.cancel()
+        elif kind is frames.Close:
+            self.on_lost()
+
+    def on_lost(self) -> None:
+        """Give the exchange up: the peer closed the stream or is gone."""
+        self._ended = True
+        if self._exchange is not None:
+            self._exchange.close()
+        self._inbox.put(None)
+        if self._credit_came is not None:
+            self._credit_came.set()
+
+    def _feed(self, frame: Any) -> None:
+        """Send one piece of a request on; the rest of it follows in a greenlet of its own."""
+        self._feed_piece(frame)
+        if frame.flags & MORE:
+            gevent.spawn(self._feed_rest)
+
+    def _feed_piece(self, frame: Any) -> None:
+        data = frame.frames or b""
+        flags = frame.flags or 0
+        self._exchange.send(data, bool(flags & MAY_COMMIT), bool(flags & MORE))
+        self._taken += len(data)
+        if self._taken >= WINDOW // 2:
+            self._post(frames.Credit(stream=self._number, bytes=self._taken))
+            self._taken = 0
+
+    def _feed_rest(self) -> None:
+        while not self._ended:
+            frame = self._inbox.get()
+            if frame is None:
+                return
+            try:
+                self._feed_piece(frame)
+            except PeerLost:
+                return
+            if not (frame.flags or 0) & MORE:
+                return
+
+    def _answer(self) -> bool:
+        """Send the answer to one request; tell whether the transaction goes on."""
+        receive = self._exchange.receive
+        while True:
+            part = receive()
+            if type(part) is Chunk:
+                self._send_chunk(part.frames)
+                continue
+            self._post(result_frame(self._number, self._request_number, part))
+            self._request_number += 1
+            return part.problem is None and part.tx_status != b"I"
+
+    def _send_chunk(self, data: bytes) -> None:
+        while self._credit <= 0:
+            if self._ended:
+                raise ExchangeClosed
+            self._credit_came = self._credit_came or Event()
+            self._credit_came.clear()
+            self._credit_came.wait()
+        self._credit -= len(data)
+        self._post(frames.Data(stream=self._number, request=self._request_number, frames=data))
+
+    def _post(self, frame: Any) -> None:
+        self._link.send(frame)
+
+    def _fail(self, problem: Problem) -> None:
+        try:
+            outcome = Outcome(problem=problem)
+            self._post(result_frame(self._number, self._request_number, outcome))
+        except PeerLost:
+            pass
+
+    def _end(self) -> None:
+        self._ended = True
+        self._link.drop_stream(self._number)
+        if self._exchange is not None:
+            self._exchange.close()
+
+
+def serve_stream(executor: Executor) -> Callable[[PeerLink, Any], None]:
+    """Return the function that serves each Execute frame in a greenlet of its own."""
+
+    def serve(link: PeerLink, frame: Any) -> None:
+        number = frame.stream
+        if number is None or number in link.streams or number % 2 == link.dialed:
+            log_event("stream_refused", vm=link.vm, stream=number)
+            return
+        stream = ServedStream(link, number)
+        link.streams[number] = stream
+        gevent.spawn(stream.run, executor, frame)
+
+    return serve
--- a/packages/daemon/bramleyrill_daemon/_upstream.py
+++ b/packages/daemon/bramleyrill_daemon/_upstream.py
@@ -10,6 +10,8 @@
 from gevent import socket
 from scramp import ScramClient, ScramException
 
+from bramleyrill_daemon._answers import row_values
+
 READ_BYTES = 65536
 PROTOCOL_VERSION = 196608
 SSL_REQUEST = 80877103
@@ -61,22 +63,6 @@
     return {part[:1].decode(): part[1:].decode("utf-8", "replace") for part in parts if part}
 
 
-def row_values(body: bytes) -> list[str | None]:
-    """Return the values of a DataRow in text form; raise struct.error if it is cut short."""
-    (count,) = struct.unpack_from("!h", body)
-    offset = 2
-    values: list[str | None] = []
-    for _ in range(count):
-        (length,) = _INT.unpack_from(body, offset)
-        offset += 4
-        if length < 0:
-            values.append(None)
-        else:
-            values.append(body[offset : offset + length].decode("utf-8", "replace"))
-            offset += length
-    return values
-
-
 class UpstreamConnection:
     """One logged-in connection to a member.
 
@@ -131,7 +117,7 @@
                         error = UpstreamError(fields.get("C", "XX000"), fields.get("M", ""))
                     elif kind == b"Z":
                         break
-        except (OSError, struct.error):
+        except OSError:
             self.close()
             raise
         if error is not None:
