Offer a text with an identity that resolves lost answers

Cause: an answer of the platform can be lost although the write took effect, and operators race. Change: offer_text writes conditionally, reads back after a lost answer and compares the identity; large texts are stored compressed. What it cannot tell: an own text that was accepted and replaced by another operator before the read back is reported as a conflict.

--- a/packages/core/bramleyrill_core/configuration/__init__.py
+++ b/packages/core/bramleyrill_core/configuration/__init__.py
@@ -8,6 +8,15 @@
     TextOffered,
     TextRejected,
 )
+from bramleyrill_core.configuration._offer import (
+    ObjectStore,
+    StoredObject,
+    StoreUnreachable,
+    VersionConflict,
+    decode_value,
+    encode_value,
+    offer_text,
+)
 from bramleyrill_core.configuration._spread import ConfigurationTables
 from bramleyrill_core.configuration._watchers import is_watcher, watchers
 from bramleyrill_core.text import *  # noqa: F403 (the typed form is public here too)
@@ -21,7 +30,14 @@
     "TextInForce",
     "TextOffered",
     "TextRejected",
+    "ObjectStore",
+    "StoreUnreachable",
+    "StoredObject",
+    "VersionConflict",
+    "decode_value",
+    "encode_value",
     "is_watcher",
+    "offer_text",
     "watchers",
     *_text_names,
 ]
--- a/packages/core/bramleyrill_core/text/__init__.py
+++ b/packages/core/bramleyrill_core/text/__init__.py
@@ -18,9 +18,15 @@
     build_text,
 )
 from bramleyrill_core.text._nodes import parse_duration
-from bramleyrill_core.text._parse import example_source, parse_text, stored_size
+from bramleyrill_core.text._parse import (
+    COMPRESS_ABOVE_BYTES,
+    example_source,
+    parse_text,
+    stored_size,
+)
 
 __all__ = [
+    "COMPRESS_ABOVE_BYTES",
     "EMPTY_TEXT",
     "DatabaseSpec",
     "DomainSpec",
