--- /dev/null
+++ b/packages/core/bramleyrill_core/routing/_route.py
@@ -0,0 +1,149 @@
+"""Entry side: the member and the holder that a statement goes to."""
+
+from datetime import timedelta
+
+import xxhash
+from attrs import frozen
+from bramleyrill_base import ErrorKind, Problem
+from returns.result import Failure, Result, Success
+
+from bramleyrill_core._values import NO_MARK, Mark, MemberId, StatementClass, VmId
+from bramleyrill_core._world import World
+from bramleyrill_core.membership import holder_of
+from bramleyrill_core.routing._tables import RoutingTables
+from bramleyrill_core.sessions._marks import take_lost
+from bramleyrill_core.sessions._tables import Session
+from bramleyrill_core.text import DatabaseSpec, MemberSpec
+
+# Not run at the member that was asked; another member may answer.
+_TRY_ANOTHER = frozenset(
+    [
+        ErrorKind.TOO_STALE,
+        ErrorKind.NOT_RUN_UNREACHABLE,
+        ErrorKind.NOT_RUN_NO_PRIMARY,
+        ErrorKind.NOT_RUN_DRAINING,
+        ErrorKind.NOT_RUN_OVERLOADED,
+    ]
+)
+_NEEDS_WRITES = frozenset([StatementClass.WRITE])
+
+
+@frozen
+class Route:
+    """Where a statement goes.
+
+    `vm` holds the connections of `member`. `at_primary` asks the holder to refuse unless the
+    member is the primary under a valid permit; the answer then needs the permit check, reads
+    included. `floor` and `age` are what a replica must prove. `tried` are members that refused.
+    """
+
+    member: MemberId
+    vm: VmId
+    at_primary: bool
+    floor: Mark
+    age: timedelta
+    tried: tuple[MemberId, ...] = ()
+
+
+def route(
+    world: World, session: Session, statement_class: StatementClass, in_transaction: bool
+) -> Result[Route, Problem]:
+    """Choose the member for the next statement of a session.
+
+    Fail with UNKNOWN_DATABASE, READ_ONLY_CALLER, with LOST_ENTRY once after a loss, or with
+    NOT_RUN_NO_PRIMARY when no holder of the database is alive. While the primary is not known,
+    any holder is asked: it redirects.
+    """
+    database = world.text.databases.get(session.database)
+    if database is None:
+        return Failure(Problem(ErrorKind.UNKNOWN_DATABASE, session.database))
+    if not session.writes and statement_class in _NEEDS_WRITES:
+        return Failure(Problem(ErrorKind.READ_ONLY_CALLER, session.user))
+    reads = statement_class is StatementClass.READ and not in_transaction
+    if reads and session.lost is not None:
+        return Failure(take_lost(session).failure())
+    if reads and _may_use_replica(world, session):
+        found = _nearest_replica(world, session, database, ())
+        if found is not None:
+            return Success(found)
+    return _to_primary(world, session, database, ())
+
+
+def _may_use_replica(world: World, session: Session) -> bool:
+    known = session.mark is not None or not world.rules.on("unknown_session")
+    return known and session.age > timedelta()
+
+
+def next_route(
+    world: World, session: Session, earlier: Route, problem: Problem
+) -> Result[Route, Problem]:
+    """Choose another member for a read that `earlier` refused, or fail with its problem.
+
+    A read goes from a replica to the primary and, when that cannot be reached, to the replicas
+    that have not been asked. What needs the primary is not moved here: the caller of this
+    function learns a new primary with `note_primary` and routes again.
+    """
+    database = world.text.databases.get(session.database)
+    if database is None or problem.kind not in _TRY_ANOTHER or earlier.age <= timedelta():
+        return Failure(problem)
+    tried = (*earlier.tried, earlier.member)
+    if not any(_is_primary(world, database, member) for member in tried):
+        found = _to_primary(world, session, database, tried)
+        if isinstance(found, Success):
+            return found
+    replica = _nearest_replica(world, session, database, tried)
+    return Failure(problem) if replica is None else Success(replica)
+
+
+def _is_primary(world: World, database: DatabaseSpec, member: MemberId) -> bool:
+    known = world.tables(RoutingTables).primaries.get(database.id)
+    return known is not None and known.member == member
+
+
+def _nearness(world: World, member: MemberSpec) -> tuple[int, int]:
+    """Order members: own domain, own region, others; ties by rendezvous order of this VM."""
+    own = world.identity
+    tie = xxhash.xxh64_intdigest(f"{own.id} {member.id}".encode())
+    if member.domain == own.domain:
+        return 0, tie
+    fleet = world.text.fleets.get(member.id.partition("/")[0])
+    domain = fleet.domains.get(member.domain) if fleet else None
+    return (1 if domain and domain.region == own.region else 2), tie
+
+
+def _by_nearness(world: World, database: DatabaseSpec) -> list[MemberSpec]:
+    """Return the members by nearness; sorted once for each form of the database in the text."""
+    nearest = world.tables(RoutingTables).nearest
+    known = nearest.get(database.id)
+    if known is None or known[0] is not database:
+        members = sorted(database.members, key=lambda m: _nearness(world, m))
+        known = nearest.add(database.id, (database, members))
+    return known[1]
+
+
+def _nearest_replica(
+    world: World, session: Session, database: DatabaseSpec, tried: tuple[MemberId, ...]
+) -> Route | None:
+    for member in _by_nearness(world, database):
+        if member.leaving or member.id in tried:
+            continue
+        vm = holder_of(world, member.id)
+        if vm is not None:
+            floor = session.mark or NO_MARK
+            return Route(member.id, vm, False, floor, session.age, tried)
+    return None
+
+
+def _to_primary(
+    world: World, session: Session, database: DatabaseSpec, tried: tuple[MemberId, ...]
+) -> Result[Route, Problem]:
+    known = world.tables(RoutingTables).primaries.get(database.id)
+    members = [m for m in database.members if known is not None and m.id == known.member]
+    if not members:
+        members = _by_nearness(world, database)
+    for member in members:
+        vm = holder_of(world, member.id)
+        if vm is not None and member.id not in tried:
+            floor = session.mark or NO_MARK
+            return Success(Route(member.id, vm, True, floor, session.age, tried))
+    return Failure(Problem(ErrorKind.NOT_RUN_NO_PRIMARY, database.id))
