Add the upstream stand-in and its launcher

Change: `python -m bramleyrill_standins.upstream` serves the members of a group over the PostgreSQL v3 protocol, with terms, fence, promotion, rewind, asynchronous replication, advisory locks, limits and switchable faults. `processes` starts and stops such groups for tests.

--- /dev/null
+++ b/packages/standins/bramleyrill_standins/processes/_group.py
@@ -0,0 +1,85 @@
+"""A replication group of stand-ins, one process a member or all in one."""
+
+from typing import Any
+
+from bramleyrill_standins.processes._admin import AdminClient
+from bramleyrill_standins.processes._process import Process
+
+MODULE = "bramleyrill_standins.upstream"
+
+
+class Group:
+    """Members of one group by name, with their ports, processes and admin clients.
+
+    `together` runs all members in one process. `options` are further arguments of the module.
+
+    Example: `group = Group(["a", "b", "c"]); group.switch("a", freeze=True); group.stop()`.
+    """
+
+    def __init__(self, names: list[str], *options: str, together: bool = True) -> None:
+        self.names = names
+        self._options = options
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}
+        self._admins: dict[str, AdminClient] = {}
+        try:
+            for batch in [names] if together else [[name] for name in names]:
+                self._start(batch)
+            self._connect_members()
+        except BaseException:
+            self.stop()
+            raise
+
+    def switch(self, name: str, **wanted: Any) -> dict[str, Any]:
+        """Change switches or settings of a member and return its state."""
+        return self._admins[name].post(f"members/{name}", **wanted)
+
+    def state(self, name: str) -> dict[str, Any]:
+        """Return status, switches, settings and counters of a member."""
+        return self._admins[name].get("members")[name]
+
+    def reset(self, name: str) -> None:
+        """Start a member's counters again."""
+        self._admins[name].post(f"members/{name}/reset")
+
+    def applied(self, name: str) -> dict[str, int]:
+        """Return how often each write id is in a member's log."""
+        return self._admins[name].get(f"members/{name}/applied")
+
+    def primary(self) -> str:
+        """Return the primary of the highest term, among members that run."""
+        running = [name for name in self.names if self.processes[name].exit_code is None]
+        statuses = [self.state(name)["status"] for name in running]
+        primaries = [status for status in statuses if status["role"] == "primary"]
+        return max(primaries, key=lambda status: status["term"])["member"] if primaries else ""
+
+    def restart(self, name: str) -> None:
+        """Start a member's process again on its port, after it ended; it needs a journal."""
+        self._start([name], port=self.ports[name])
+        self._connect_members()
+
+    def stop(self) -> None:
+        """Stop every process of the group."""
+        unique = {process.pid: process for process in self.processes.values()}
+        for process in unique.values():
+            process.resume()
+            process.terminate()
+        for process in unique.values():
+            process.stop()
+
+    def _start(self, names: list[str], port: int = 0) -> None:
+        arguments = []
+        for name in names:
+            arguments += ["--member", f"{name}={port}"]
+        process = Process(MODULE, *arguments, "--leader", self.names[0], *self._options)
+        admin = AdminClient(process.ready["admin_port"])
+        for name in names:
+            self.processes[name] = process
+            self._admins[name] = admin
+        self.ports.update(process.ready["ports"])
+
+    def _connect_members(self) -> None:
+        peers = {name: ["127.0.0.1", port] for name, port in self.ports.items()}
+        for name, process in self.processes.items():
+            if process.exit_code is None:
+                self._admins[name].post("peers", **peers)
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/upstream/__init__.py
@@ -0,0 +1,6 @@
+"""Stand-in for the members of a replication group, over the PostgreSQL v3 protocol."""
+
+from bramleyrill_standins.upstream._member import Member
+from bramleyrill_standins.upstream._settings import MemberSettings
+
+__all__ = ["Member", "MemberSettings"]
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/upstream/_session.py
@@ -0,0 +1,262 @@
+"""State and statements of one session on a member."""
+
+import re
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from bramleyrill_standins.upstream._errors import SqlError
+from bramleyrill_standins.upstream._log import Write
+from bramleyrill_standins.upstream._sql import Kind, Statement, parse
+from bramleyrill_standins.upstream._store import TEXT, Result
+
+if TYPE_CHECKING:
+    from bramleyrill_standins.upstream._member import Member
+
+_SET = re.compile(
+    r"(?:set\s+(?:session\s+|(?P<local>local\s+))?(?P<name>[\w.]+|time\s+zone)\s*(?:=|\bto\b)?"
+    r"\s*(?P<value>.*)|reset\s+(?P<reset>[\w.]+))",
+    re.I | re.S,
+)
+_SHOW = re.compile(r"show\s+([\w.]+|time\s+zone|transaction\s+isolation\s+level)", re.I)
+_SAVEPOINT = re.compile(
+    r"(savepoint|release(?:\s+savepoint)?|rollback\s+to(?:\s+savepoint)?)\s+(\w+)", re.I
+)
+DEFAULTS = {
+    "server_version": "15.0",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "datestyle": "ISO, MDY",
+    "timezone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+    "search_path": "public",
+    "statement_timeout": "0",
+    "transaction_isolation": "read committed",
+    "application_name": "",
+}
+
+
+class Session:
+    """Run statements one after another, inside or outside of a transaction.
+
+    `status` is PostgreSQL's transaction status: `I`, `T` or `E`. An implicit transaction spans
+    the statements of one simple query, or all up to a Sync. `pause` waits for seconds and raises
+    SqlError when the session is canceled or terminated meanwhile.
+    """
+
+    def __init__(
+        self,
+        member: "Member",
+        pid: int,
+        settings: dict[str, str],
+        pause: Callable[[float], None],
+    ) -> None:
+        self.member = member
+        self.pid = pid
+        self.pause = pause
+        self.database = settings.get("database", "")
+        self.defaults = {**DEFAULTS, **settings}
+        self.settings = dict(self.defaults)
+        self.explicit = False
+        self.failed = False
+        self._term = 0
+        self._buffered: list[Write] = []
+        self._ids: list[str] = []
+        self._savepoints: list[tuple[str, int]] = []
+        self._outer_settings: dict[str, str] | None = None
+        self._local_settings: dict[str, str] = {}
+
+    @property
+    def status(self) -> bytes:
+        """Return the status for ReadyForQuery."""
+        if not self.explicit:
+            return b"I"
+        return b"E" if self.failed else b"T"
+
+    @property
+    def has_writes(self) -> bool:
+        """Tell whether the open transaction holds writes."""
+        return bool(self._buffered)
+
+    def run(self, statement: Statement, parameters: dict[str, Any], alone: bool = False) -> Result:
+        """Run one statement; `alone` commits it at once outside of a transaction block."""
+        kind = statement.kind
+        if self.failed and self.explicit and not _ends_block(statement):
+            raise SqlError("25P02", "current transaction is aborted, commands ignored until end")
+        try:
+            if kind in (Kind.READ, Kind.WRITE):
+                result = self._run_on_tables(statement, parameters)
+            else:
+                result = self._run_control(statement)
+            if alone and not self.explicit:
+                self.commit_implicit()
+        except SqlError:
+            self.fail()
+            raise
+        return result
+
+    def fail(self) -> None:
+        """Note an error: an implicit transaction is rolled back, an explicit one has failed."""
+        if self.explicit:
+            self.failed = True
+        else:
+            self._end()
+
+    def commit_implicit(self) -> None:
+        """Commit what was written outside of a transaction block."""
+        if not self.explicit and self._buffered:
+            self._commit()
+
+    def close(self) -> None:
+        """Roll back and release all locks."""
+        self._end()
+        self.member.locks.release_all(self.pid)
+
+    def _run_on_tables(self, statement: Statement, parameters: dict[str, Any]) -> Result:
+        if statement.kind is Kind.WRITE:
+            self._check_writable()
+        result = self.member.run_statement(self, statement, parameters, self._buffered)
+        if statement.kind is Kind.WRITE:
+            self._check_writable()
+            self._buffered.append((statement.sql, parameters))
+            if statement.entry_id:
+                self._ids.append(statement.entry_id)
+        return result
+
+    def _check_writable(self) -> None:
+        log = self.member.log
+        if log.role != "primary":
+            if self._buffered:
+                self.member.counters.fence_aborts += 1
+            raise SqlError("25006", f"cannot write on a {log.role} member at term {log.term}")
+        if not self._buffered:
+            self._term = log.term
+        elif self._term != log.term:
+            self.member.counters.fence_aborts += 1
+            raise SqlError("25006", f"the transaction is of term {self._term}, now {log.term}")
+
+    def _run_control(self, statement: Statement) -> Result:
+        kind = statement.kind
+        if kind is Kind.BEGIN:
+            return self._begin()
+        if kind is Kind.COMMIT:
+            return self._end_block()
+        if kind is Kind.ROLLBACK and not _SAVEPOINT.search(statement.sql):
+            self._end()
+            return _done("ROLLBACK")
+        if kind in (Kind.SAVEPOINT, Kind.ROLLBACK):
+            return self._run_savepoint(statement)
+        if kind is Kind.SETTING:
+            return self._set(statement)
+        if kind is Kind.SHOW:
+            return self._show(statement)
+        if kind is Kind.DISCARD:
+            return self._discard()
+        if kind is Kind.DEALLOCATE:
+            return _done("DEALLOCATE")
+        raise SqlError("0A000", f"{statement.word.upper()} is not supported by the stand-in")
+
+    def _begin(self) -> Result:
+        if not self.explicit:
+            self.explicit = True
+            self._outer_settings = dict(self.settings)
+        return _done("BEGIN")
+
+    def _end_block(self) -> Result:
+        if self.failed:
+            self._end()
+            return _done("ROLLBACK")
+        if self._buffered:
+            self._commit()
+        self._outer_settings = None
+        self._end()
+        return _done("COMMIT")
+
+    def _commit(self) -> None:
+        try:
+            self._check_writable()
+            self.member.commit(self._buffered, self._ids)
+        finally:
+            self._end()
+
+    def _end(self) -> None:
+        if self._outer_settings is not None:
+            self.settings = self._outer_settings
+        for name, value in self._local_settings.items():
+            self.settings[name] = value
+        self._local_settings = {}
+        self.explicit = self.failed = False
+        self._buffered = []
+        self._ids = []
+        self._savepoints = []
+        self._outer_settings = None
+
+    def _run_savepoint(self, statement: Statement) -> Result:
+        found = _SAVEPOINT.search(statement.sql)
+        if found is None or not self.explicit:
+            raise SqlError("25P01", "savepoints need a transaction block")
+        action, name = found.group(1).lower(), found.group(2)
+        if action == "savepoint":
+            self._savepoints.append((name, len(self._buffered)))
+            return _done("SAVEPOINT")
+        names = [entry[0] for entry in self._savepoints]
+        if name not in names:
+            raise SqlError("3B001", f'savepoint "{name}" does not exist')
+        index = len(names) - 1 - names[::-1].index(name)
+        if action.startswith("release"):
+            del self._savepoints[index:]
+            return _done("RELEASE")
+        self.failed = False
+        del self._buffered[self._savepoints[index][1] :]
+        del self._savepoints[index + 1 :]
+        return _done("ROLLBACK")
+
+    def _set(self, statement: Statement) -> Result:
+        found = _SET.match(statement.sql.strip())
+        if found is None:
+            raise SqlError("42601", "cannot parse the SET statement")
+        if found.group("reset"):
+            name = found.group("reset").lower()
+            if name == "all":
+                self.settings = dict(self.defaults)
+            elif name in self.defaults:
+                self.settings[name] = self.defaults[name]
+            else:
+                self.settings.pop(name, None)
+            return _done("RESET")
+        name = found.group("name").lower().replace("time zone", "timezone")
+        if found.group("local"):
+            self._local_settings.setdefault(name, self.settings.get(name, ""))
+        value = found.group("value").strip()
+        if value.startswith("'") and value.endswith("'"):
+            value = value[1:-1].replace("''", "'")
+        self.settings[name] = value
+        return _done("SET")
+
+    def _show(self, statement: Statement) -> Result:
+        found = _SHOW.match(statement.sql.strip())
+        name = found.group(1).lower() if found else ""
+        name = {"time zone": "timezone"}.get(name, name)
+        if name not in self.settings:
+            raise SqlError("42704", f'unrecognized configuration parameter "{name}"')
+        return Result([(name, TEXT)], [(self.settings[name],)], "SHOW")
+
+    def _discard(self) -> Result:
+        if self.explicit:
+            raise SqlError("25001", "DISCARD ALL cannot run inside a transaction block")
+        self.settings = dict(self.defaults)
+        self.member.locks.release_all(self.pid)
+        return _done("DISCARD ALL")
+
+
+def _ends_block(statement: Statement) -> bool:
+    return statement.kind in (Kind.COMMIT, Kind.ROLLBACK)
+
+
+def _done(tag: str) -> Result:
+    return Result([], [], tag)
+
+
+def parse_all(statements: list[str]) -> list[Statement]:
+    """Return the parsed statements of a query string."""
+    return [parse(statement) for statement in statements]
