Measure the slopes of membership

Change: slopes of heartbeats, ticks, view and holder choice on the real core; the watchers' choice reads ids, as live_vms returns them.

--- a/packages/cli/bramleyrill_cli/slopes/__init__.py
+++ b/packages/cli/bramleyrill_cli/slopes/__init__.py
@@ -1,6 +1,6 @@
 """Slopes: what one more session, statement, member or VM costs, measured on the real code."""
 
-from bramleyrill_cli.slopes import _configuration
+from bramleyrill_cli.slopes import _configuration, _membership
 from bramleyrill_cli.slopes._measure import (
     Point,
     Slope,
@@ -14,6 +14,7 @@
     "Point",
     "Slope",
     "_configuration",
+    "_membership",
     "fit",
     "measure_memory",
     "measure_time",
--- a/packages/core/bramleyrill_core/configuration/_watchers.py
+++ b/packages/core/bramleyrill_core/configuration/_watchers.py
@@ -14,7 +14,7 @@
     # Imported here because membership is built on the core that this package is part of.
     from bramleyrill_core.membership import live_vms
 
-    ids = {vm.id for vm in live_vms(world, world.identity.domain)} | {world.identity.id}
+    ids = {*live_vms(world, world.identity.domain), world.identity.id}
     return sorted(ids, key=lambda vm: xxhash.xxh64_intdigest(f"text:{vm}"))[:WATCHERS_PER_DOMAIN]
 
 
