--- /dev/null
+++ b/packages/standins/bramleyrill_standins/callers/_load.py
@@ -0,0 +1,55 @@
+"""Several callers at once."""
+
+from typing import Any
+
+from bramleyrill_standins.callers._caller import Caller, Endpoint, Login
+from bramleyrill_standins.callers._history import History
+
+JOIN_LIMIT_S = 60.0
+
+
+class Load:
+    """Callers that run until `stop`, with one common history.
+
+    `keys` below the number of callers makes them share keys, so that each also reads what others
+    wrote. Example: `load = Load(endpoints, login, callers=6); load.start(); load.stop()`.
+    """
+
+    def __init__(
+        self,
+        endpoints: list[Endpoint],
+        login: Login,
+        *,
+        callers: int,
+        seed: int = 1,
+        keys: int = 0,
+        **options: Any,
+    ) -> None:
+        self.history = History()
+        self.callers = [
+            Caller(
+                f"caller{number}",
+                endpoints,
+                login,
+                self.history,
+                seed=seed * 1000 + number,
+                key=f"key{number % (keys or callers)}",
+                **options,
+            )
+            for number in range(callers)
+        ]
+
+    def start(self) -> None:
+        """Start all callers."""
+        for caller in self.callers:
+            caller.start()
+
+    def stop(self) -> History:
+        """Stop all callers and return their history; raise TimeoutError if one hangs."""
+        for caller in self.callers:
+            caller.stop()
+        for caller in self.callers:
+            caller.join(JOIN_LIMIT_S)
+            if caller.is_alive():
+                raise TimeoutError(f"{caller.name} waits for an answer")
+        return self.history
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes, under load."""
