--- /dev/null
+++ b/tests/succession/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the change of primary."""
--- /dev/null
+++ b/tests/succession/test_failover.py
@@ -0,0 +1,115 @@
+"""Tests of the change of primary in a simulated group."""
+
+import unittest
+from datetime import timedelta
+
+from bramleyrill_core import MemberRole
+from bramleyrill_core.succession import (
+    AppendSpan,
+    PlannedChangeRequested,
+    SendFence,
+    entry_expiry,
+    holds_writes,
+    permit_for,
+)
+
+from tests.succession.simulation import DATABASE, NAMES, Simulation, ms
+
+
+def permit_at(simulation, name):
+    return permit_for(simulation.world(NAMES.index(name)), DATABASE)
+
+
+def run_until_writable(simulation, above, limit=16_000):
+    """Run until a primary of a term over `above` has a permit; return the time that it took."""
+    start = simulation.now
+    while simulation.now - start < limit:
+        simulation.run(10)
+        leader = simulation.primary()
+        if leader and leader.term > above and permit_at(simulation, leader.name):
+            return simulation.now - start
+    return None
+
+
+class FailoverTest(unittest.TestCase):
+    def test_gap_after_a_crash_and_a_cut(self):
+        """Guards against a failover gap beyond 4 s, in simulated time."""
+        for seed in range(8):
+            for cut in (False, True):
+                simulation = Simulation(seed)
+                simulation.max_delay = 25
+                simulation.run(2000 + 37 * seed)
+                if cut:
+                    others = (0, 1, 2, "m2", "m3")
+                    simulation.cut = {(other, "m1") for other in others}
+                else:
+                    simulation.members["m1"].up = False
+                self.assertLess(run_until_writable(simulation, 1), 4000, (seed, cut))
+
+    def test_second_failure_in_a_row(self):
+        """Guards against a group that fails over only once, or whose old primary stays fenced."""
+        simulation = Simulation(1)
+        simulation.run(2000)
+        for _ in range(3):
+            leader = simulation.primary()
+            leader.up = False
+            self.assertIsNotNone(run_until_writable(simulation, leader.term))
+            leader.up = True
+            simulation.run(6000)
+            self.assertEqual(
+                {m.term for m in simulation.members.values()}, {simulation.primary().term}
+            )
+
+    def test_cut_off_supervisor_fences_nobody(self):
+        """Guards against a minority that raises terms and disturbs the group when it returns."""
+        simulation = Simulation(2)
+        simulation.run(2000)
+        simulation.cut = {(2, 0), (2, 1), (2, "m1"), (2, "m2"), ("m3", "m1"), ("m3", "m2")}
+        simulation.run(20_000)
+        self.assertFalse([e for _, _, e in simulation.effects if isinstance(e, SendFence)])
+        self.assertIsNotNone(permit_at(simulation, "m1"))
+
+    def test_member_left_behind_at_a_higher_term_is_taken_back(self):
+        """Guards against a member that an abandoned attempt cut off for good."""
+        simulation = Simulation(3)
+        simulation.run(2000)
+        simulation.members["m3"].fence(9)
+        simulation.run(12_000)
+        self.assertGreater(simulation.primary().term, 9)
+        self.assertEqual(simulation.members["m3"].role, MemberRole.REPLICA)
+
+    def test_planned_change_loses_no_entry(self):
+        """Guards against a planned change that promotes a replica before it has every entry."""
+        for seed in range(6):
+            simulation = Simulation(seed)
+            simulation.run(2000)
+            for index in range(3):
+                simulation.world(index)
+                simulation.feed(index, PlannedChangeRequested(DATABASE))
+            entries = 0
+            for _ in range(300):
+                leader = simulation.primary()
+                held = leader and holds_writes(simulation.world(NAMES.index(leader.name)), DATABASE)
+                if leader and not held and permit_at(simulation, leader.name):
+                    simulation.write(leader, entries)
+                    entries += 1
+                simulation.run(10)
+            self.assertNotEqual(simulation.primary().name, "m1")
+            self.assertEqual([p for _, p in simulation.primary().log], list(range(entries)))
+
+    def test_no_platform_write_during_a_failover(self):
+        """Guards against a failover that needs the platform."""
+        simulation = Simulation(4)
+        simulation.run(2000)
+        simulation.members["m1"].up = False
+        run_until_writable(simulation, 1)
+        self.assertFalse([e for _, _, e in simulation.effects if isinstance(e, AppendSpan)])
+
+
+class ExpiryTest(unittest.TestCase):
+    def test_expiry_on_the_entry_side(self):
+        """Guards against an answer acknowledged after the permit, also for long statements."""
+        self.assertEqual(entry_expiry(ms(5000), ms(200), ms(1000)), ms(5794))
+        late = entry_expiry(ms(0), ms(-60_000), ms(1000))
+        self.assertEqual(late, ms(61_000) - ms(61) - ms(5))
+        self.assertIsInstance(late, timedelta)
