Serve callers: login, statements, transactions, cancel, draining

The daemon had no caller side. bramleyrill_daemon.front accepts callers, negotiates TLS, authenticates against the text, runs simple and extended queries through the exchange interface, and holds the acknowledgement of what may commit until the permit is checked right before its bytes leave. The exception that ends an awaited exchange is called ExchangeClosed again, as the holder side imports it.

--- a/packages/daemon/bramleyrill_daemon/_exchange.py
+++ b/packages/daemon/bramleyrill_daemon/_exchange.py
@@ -80,8 +80,10 @@
     def send(self, frames: bytes, may_commit: bool = True, more: bool = False) -> None:
         """Send whole frames of a request; block while the holder takes no more.
 
-        `more` says that the request is not complete: its Sync follows in a later `send`, and
-        `receive` gives only chunks until then. Failures show in `receive`.
+        `more` says that the request is not complete: its Sync follows in a later `send`. Such
+        frames end with a Flush; nothing of the answer to them is held back, since the entry side
+        reads it before it sends the rest, and `receive` gives only chunks for it. `may_commit`
+        of the last `send` decides what is held. Failures show in `receive`.
         """
 
     def receive(self) -> Chunk | Outcome:
@@ -97,11 +99,11 @@
         """Give the connection up; an open transaction is rolled back.
 
         May be called at any time and more than once, also while another greenlet waits in
-        `receive`, which then raises `ExchangeClosedError`.
+        `receive`, which then raises `ExchangeClosed`.
         """
 
 
-class ExchangeClosedError(Exception):
+class ExchangeClosed(Exception):  # noqa: N818 (the suffix would call an orderly end an error)
     """The exchange was closed while its answer was awaited."""
 
 
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/front/_caller.py
@@ -0,0 +1,136 @@
+"""The socket of a caller: reads, writes and the write that acknowledges."""
+
+import select
+import ssl
+from collections.abc import Callable
+
+import gevent.socket
+
+from bramleyrill_daemon.front._limits import Pulse
+
+READ_SIZE = 16 << 10
+_POLL_RDHUP = getattr(select, "POLLRDHUP", 0x2000)
+
+
+class CallerSocket:
+    """Blocking reads and writes for one greenlet, over a TCP or TLS socket of gevent.
+
+    `blocked_since` is the pulse at which a write began that the caller does not take, or None.
+    """
+
+    __slots__ = ("_pulse", "_sock", "blocked_since", "is_tls")
+
+    def __init__(self, sock: gevent.socket.socket, pulse: Pulse) -> None:
+        self._sock = sock
+        self._pulse = pulse
+        self.blocked_since: float | None = None
+        self.is_tls = False
+
+    def start_tls(self, context: ssl.SSLContext) -> None:
+        """Do the server's side of a TLS handshake."""
+        self._sock = context.wrap_socket(self._sock, server_side=True)
+        self.is_tls = True
+
+    def fileno(self) -> int:
+        """Return the descriptor, or -1 after close."""
+        return self._sock.fileno()
+
+    def receive(self) -> bytes:
+        """Return the next bytes, or b"" at the end."""
+        return self._sock.recv(READ_SIZE)
+
+    def receive_exactly(self, size: int) -> bytes:
+        """Return exactly `size` bytes; raise ConnectionError if the caller closes before."""
+        data = b""
+        while len(data) < size:
+            part = self._sock.recv(size - len(data))
+            if not part:
+                raise ConnectionError("closed by the caller")
+            data += part
+        return data
+
+    def send(self, data: bytes) -> None:
+        """Send all of `data`; block while the caller does not read."""
+        sent = self._try_send(data)
+        if sent < len(data):
+            self._send_blocking(data[sent:])
+
+    def send_if(self, data: bytes, allowed: Callable[[], bool]) -> bool:
+        """Send `data` if `allowed()` holds right before its bytes leave.
+
+        Returns False with nothing sent if it does not hold. Raises ConnectionError if it ceases
+        to hold when a part has left, since the rest must not follow.
+        """
+        sent = 0
+        while sent < len(data):
+            self._wait_writable()
+            if not allowed():
+                if sent:
+                    raise ConnectionError("an acknowledgement was cut short")
+                return False
+            sent += self._try_send(data[sent:] if sent else data)
+        return True
+
+    def _try_send(self, data: bytes) -> int:
+        if self.is_tls:
+            self._send_blocking(data)
+            return len(data)
+        try:
+            return self._sock.send(data, 0, 0.0)
+        except BlockingIOError:
+            return 0
+
+    def _send_blocking(self, data: bytes) -> None:
+        self.blocked_since = self._pulse.now
+        try:
+            self._sock.sendall(data)
+        finally:
+            self.blocked_since = None
+
+    def _wait_writable(self) -> None:
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLOUT)
+        if poll.poll(0):
+            return
+        self.blocked_since = self._pulse.now
+        try:
+            gevent.socket.wait_write(self._sock.fileno())
+        finally:
+            self.blocked_since = None
+
+    def has_input(self) -> bool:
+        """Tell whether bytes of the caller wait to be read."""
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def finish(self, last: bytes, linger: float) -> None:
+        """Send the last frame, and read on for up to `linger` seconds so that it arrives.
+
+        Closing with unread input would reset the connection, and the caller might lose the frame.
+        """
+        try:
+            with gevent.Timeout(linger, False):
+                self._sock.sendall(last)
+                if not self.is_tls:
+                    self._sock.shutdown(gevent.socket.SHUT_WR)
+                    while self._sock.recv(READ_SIZE):
+                        pass
+        except OSError:
+            pass
+
+    def close(self) -> None:
+        """Close the socket."""
+        try:
+            self._sock.close()
+        except OSError:
+            pass
+
+
+def gone_callers(callers: dict[int, object]) -> list[object]:
+    """Return the values of those descriptors whose caller has closed the connection."""
+    poll = select.poll()
+    for descriptor in callers:
+        poll.register(descriptor, _POLL_RDHUP)
+    gone = select.POLLERR | select.POLLHUP | select.POLLNVAL | _POLL_RDHUP
+    return [callers[fd] for fd, events in poll.poll(0) if events & gone]
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -0,0 +1,304 @@
+"""The caller side of the daemon: listener, sessions by id, cancel, time limits, draining."""
+
+import itertools
+import os
+import secrets
+import ssl
+from collections.abc import Callable
+from datetime import timedelta
+
+import gevent
+import gevent.socket
+from absl import logging
+from bramleyrill_base import ErrorKind, Problem, log_event
+from bramleyrill_core import World
+from bramleyrill_core.sessions import Session, SessionTables, apply_setting, open_session
+from bramleyrill_wire import postgres as pg
+from gevent.server import StreamServer
+from returns.result import Failure
+
+from bramleyrill_daemon._exchange import ExchangeClosed, Executor
+from bramleyrill_daemon.front._caller import CallerSocket, gone_callers
+from bramleyrill_daemon.front._identity import Identity
+from bramleyrill_daemon.front._limits import FrontLimits, Pulse
+from bramleyrill_daemon.front._login import authenticate, read_start
+from bramleyrill_daemon.front._replies import SessionEndError, error_frame
+from bramleyrill_daemon.front._request import RequestRunner
+from bramleyrill_daemon.front._session import CallerSession
+
+BACKLOG = 1024
+# A caller that does not read its last message within this is cut off.
+LINGER_S = 1.0
+KEEPALIVE_IDLE_S = 60
+_PREFIX = "bramleyrill."
+
+# What upstreams report by default; callers' drivers decode results by it.
+_PARAMETERS = b"".join(
+    pg.parameter_status(name, value)
+    for name, value in (
+        ("server_version", "16.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("IntervalStyle", "postgres"),
+        ("TimeZone", "UTC"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+        ("is_superuser", "off"),
+    )
+)
+
+Record = Callable[[Session, timedelta, bool], None]
+
+
+class Front:
+    """Serve callers on one listening socket.
+
+    `executor` opens exchanges with holders. `tls` is the server's context, or None to refuse
+    TLS. `record(session, latency, served)` is called once per request with its outcome.
+
+    Example: `front = Front(world, executor); host, port = front.start("127.0.0.1", 0)`.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        executor: Executor,
+        limits: FrontLimits | None = None,
+        tls: ssl.SSLContext | None = None,
+        record: Record = lambda session, latency, served: None,
+    ) -> None:
+        self.world = world
+        self.executor = executor
+        self.limits = limits or FrontLimits()
+        self.pulse = Pulse()
+        self.record = record
+        self.sessions: dict[int, CallerSession] = {}
+        self._tls = tls
+        self._runner = RequestRunner(self)
+        self._handshakes: dict[gevent.Greenlet, float] = {}
+        self._busy: dict[int, CallerSession] = {}
+        self._session_ids = itertools.count(1)
+        self._request_ids = itertools.count(1)
+        self._mock_secret = os.urandom(32)
+        self._draining = False
+        self._server: StreamServer | None = None
+        self._sweeper: gevent.Greenlet | None = None
+
+    def start(self, host: str, port: int) -> tuple[str, int]:
+        """Listen and return the address; raise OSError if it cannot be had."""
+        self._server = StreamServer((host, port), self._serve, backlog=BACKLOG)
+        self._server.start()
+        self._sweeper = gevent.spawn(self._sweep)
+        return self._server.server_host, self._server.server_port
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; sessions go on."""
+        if self._server is not None:
+            self._server.close()
+
+    def drain(self) -> None:
+        """End every session as soon as it is between transactions, with 57P01."""
+        self._draining = True
+        self.stop_accepting()
+        for session_id in list(self.sessions):
+            self.close_session(session_id)
+
+    def close_session(self, session_id: int) -> None:
+        """End one session with 57P01, now or when its transaction is over."""
+        session = self.sessions.get(session_id)
+        if session is None or session.leaving:
+            return
+        session.leaving = True
+        if session.waiting and session.between_requests:
+            end = SessionEndError(Problem(ErrorKind.SHUTTING_DOWN))
+            session.greenlet.kill(end, block=False)
+
+    def stop(self) -> None:
+        """Cut off everything; for tests and after the drain timeout."""
+        self.stop_accepting()
+        if self._sweeper is not None:
+            self._sweeper.kill()
+        greenlets = [session.greenlet for session in self.sessions.values()]
+        gevent.killall([*greenlets, *self._handshakes], SessionEndError, timeout=LINGER_S)
+
+    @property
+    def requests_in_flight(self) -> int:
+        """Return how many sessions run a request or are in a transaction."""
+        return sum(1 for session in self.sessions.values() if not session.between_requests)
+
+    def next_request(self) -> int:
+        """Return the id of a new request."""
+        return next(self._request_ids)
+
+    def deadline_of(self, session: Session) -> timedelta:
+        """Return how long a request of the session may take to get its connection."""
+        service = self.world.text.services.get(session.database)
+        policy = service.ranks.get(session.rank) if service else None
+        return policy.deadline if policy else self.limits.deadline
+
+    def begin_request(self, session: CallerSession) -> None:
+        """Watch a session for a caller that leaves, while its request runs."""
+        session.busy_since = self.pulse.now
+        self._busy[session.row.id] = session
+
+    def end_request(self, session: CallerSession) -> None:
+        """Stop watching a session."""
+        session.busy_since = None
+        self._busy.pop(session.row.id, None)
+
+    def _serve(self, sock: gevent.socket.socket, _address: object) -> None:
+        caller = CallerSocket(sock, self.pulse)
+        greenlet = gevent.getcurrent()
+        self._handshakes[greenlet] = self.pulse.now
+        session = None
+        try:
+            _tune(sock)
+            session = self._log_in(caller)
+            self._handshakes.pop(greenlet, None)
+            if session is not None:
+                session.greenlet = greenlet
+                session.run()
+        except SessionEndError as end:
+            if end.problem is not None:
+                caller.finish(error_frame(end.problem, "FATAL"), LINGER_S)
+        except pg.FrameError as error:
+            caller.finish(error_frame(error.problem, "FATAL"), LINGER_S)
+        except (OSError, ExchangeClosed):
+            # The caller is gone or was cut off; what ran for it is given up below.
+            pass
+        except Exception as error:
+            log_event("session_failed", logging.ERROR, error=type(error).__name__)
+            logging.exception("session failed")
+            caller.finish(error_frame(Problem(ErrorKind.INTERNAL), "FATAL"), LINGER_S)
+        finally:
+            self._handshakes.pop(greenlet, None)
+            if session is not None:
+                self._forget(session)
+            caller.close()
+
+    def _forget(self, session: CallerSession) -> None:
+        session.close_exchange()
+        self._busy.pop(session.row.id, None)
+        self.sessions.pop(session.row.id, None)
+        self.world.tables(SessionTables).sessions.remove(session.row.id)
+
+    def _log_in(self, caller: CallerSocket) -> CallerSession | None:
+        """Do the startup of a connection; return its session unless it was a cancel request."""
+        start = read_start(caller, self._tls)
+        if start is None:
+            return None
+        if isinstance(start, pg.CancelRequest):
+            session = self.sessions.get(start.pid)
+            if session is not None and session.secret == start.secret:
+                session.cancel()
+            return None
+        if self._draining:
+            raise SessionEndError(Problem(ErrorKind.SHUTTING_DOWN))
+        if len(self.sessions) >= self.limits.sessions:
+            raise SessionEndError(Problem(ErrorKind.NOT_RUN_OVERLOADED, "too many sessions"))
+        if start.minor or start.unknown:
+            caller.send(pg.negotiate_protocol_version(start.unknown))
+        identity = authenticate(self.world, caller, start, self._mock_secret)
+        session = self._open(caller, identity)
+        try:
+            self._apply_startup(session.row, start)
+            status = pg.parameter_status("session_authorization", identity.name)
+            key = pg.backend_key_data(session.row.id, session.secret)
+            ready = pg.ready_for_query(b"I")
+            caller.send(pg.AUTHENTICATION_OK + _PARAMETERS + status + key + ready)
+        except BaseException:
+            self._forget(session)
+            raise
+        return session
+
+    def _open(self, caller: CallerSocket, identity: Identity) -> CallerSession:
+        session_id = next(self._session_ids)
+        row = open_session(
+            self.world,
+            session_id,
+            identity.fleet.name,
+            identity.service.name,
+            identity.database,
+            identity.name,
+        )
+        splitter = pg.FrameSplitter(None, self.limits.frame)
+        secret = secrets.randbits(32)
+        session = CallerSession(self, self._runner, caller, row, secret, splitter)
+        session.leaving = self._draining
+        self.sessions[session_id] = session
+        return session
+
+    def _apply_startup(self, row: Session, start: pg.Startup) -> None:
+        settings = dict(start.settings)
+        for name, value in start.parameters.items():
+            if name.startswith(_PREFIX):
+                settings[name] = value
+        for name, value in settings.items():
+            if not name.startswith(_PREFIX):
+                raise SessionEndError(Problem(ErrorKind.NOT_SUPPORTED, f"option {name!r}"))
+            result = apply_setting(self.world, row, name, value)
+            if isinstance(result, Failure):
+                raise SessionEndError(result.failure())
+
+    def _sweep(self) -> None:
+        period = self.limits.sweep.total_seconds()
+        while True:
+            gevent.sleep(period)
+            self.pulse.beat()
+            try:
+                self._check_handshakes()
+                self._check_busy()
+                self._check_sessions()
+            except Exception:
+                logging.exception("sweep failed")
+
+    def _check_handshakes(self) -> None:
+        oldest = self.pulse.now - self.limits.handshake.total_seconds()
+        late = [greenlet for greenlet, since in self._handshakes.items() if since < oldest]
+        for greenlet in late:
+            problem = Problem(ErrorKind.PROTOCOL_VIOLATION, "startup took too long")
+            self._handshakes.pop(greenlet, None)
+            greenlet.kill(SessionEndError(problem), block=False)
+
+    def _check_busy(self) -> None:
+        """Cancel requests whose caller has closed its connection."""
+        # A request that started since the last sweep is most likely a short one.
+        before = self.pulse.now - self.limits.sweep.total_seconds() / 2
+        watched = {
+            session.caller.fileno(): session
+            for session in self._busy.values()
+            if not session.gone and session.busy_since <= before
+        }
+        watched.pop(-1, None)
+        for session in gone_callers(watched) if watched else ():
+            session.gone = True
+            session.cancel()
+
+    def _check_sessions(self) -> None:
+        now = self.pulse.now
+        blocked = now - self.limits.write_blocked.total_seconds()
+        idle = now - self.limits.idle_in_transaction.total_seconds()
+        for session in list(self.sessions.values()):
+            since = session.caller.blocked_since
+            if since is not None and since < blocked:
+                log_event("caller_cut_off", session=session.row.id, reason="unread_answer")
+                session.greenlet.kill(SessionEndError(), block=False)
+            elif session.waiting and session.exchange is not None:
+                since = session.idle_since
+                if since is not None and since < idle:
+                    self._end_idle_transaction(session)
+
+    def _end_idle_transaction(self, session: CallerSession) -> None:
+        log_event("transaction_ended", session=session.row.id, reason="idle")
+        problem = Problem(ErrorKind.NOT_RUN_ROLLED_BACK, "idle in transaction for too long")
+        if session.status == b"I":
+            session.greenlet.kill(SessionEndError(problem), block=False)
+        else:
+            session.fail_transaction(problem)
+
+
+def _tune(sock: gevent.socket.socket) -> None:
+    sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+    sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/front/_local.py
@@ -0,0 +1,91 @@
+"""Statements that the proxy answers itself."""
+
+import re
+
+from attrs import frozen
+from bramleyrill_base import ErrorKind, Problem
+from bramleyrill_core import StatementClass, World
+from bramleyrill_core.sessions import Session, Statement, apply_setting, issue_token
+from bramleyrill_wire import postgres as pg
+from returns.result import Failure
+
+PREFIX = "bramleyrill."
+_MAY_SHOW = "bramleyrill"
+
+_SHOW = re.compile(r"\s*SHOW\s+(bramleyrill\.\w+)\s*;?\s*$", re.IGNORECASE)
+# Clients send these by themselves; the values are the only ones that the proxy offers anyway.
+_ACCEPTED = {
+    "application_name": lambda _: True,
+    "client_encoding": lambda value: value.upper().replace("-", "") in ("UTF8", "UNICODE"),
+}
+
+
+@frozen
+class LocalStatement:
+    """A SET (with a value) or SHOW (without) of a setting that the proxy keeps."""
+
+    name: str
+    value: str | None = None
+
+    @property
+    def tag(self) -> str:
+        """Return the tag of CommandComplete."""
+        return "SHOW" if self.value is None else "SET"
+
+
+def read_local(sql: str, statement: Statement) -> LocalStatement | None:
+    """Return the statement if the proxy answers it itself."""
+    if statement.kind is StatementClass.SET and statement.setting is not None:
+        name, value = statement.setting
+        if name.startswith(PREFIX) or (name in _ACCEPTED and _ACCEPTED[name](value)):
+            return LocalStatement(name, value)
+    elif (
+        statement.kind is StatementClass.READ
+        and _MAY_SHOW in sql.lower()
+        and (match := _SHOW.match(sql))
+    ):
+        return LocalStatement(match[1].lower())
+    return None
+
+
+def refused_setting(statement: Statement, in_transaction: bool) -> Problem | None:
+    """Refuse a setting that would be lost when the connection goes back to the pool."""
+    if statement.kind is not StatementClass.SET or in_transaction:
+        return None
+    name = statement.setting[0] if statement.setting else "this form of SET"
+    detail = f"{name} outside of a transaction: its connection is shared; use SET LOCAL in one"
+    return Problem(ErrorKind.NOT_SUPPORTED, detail)
+
+
+def run_local(world: World, session: Session, local: LocalStatement) -> bytes | Problem:
+    """Carry the statement out; return the frames of its result, without CommandComplete."""
+    if local.value is None:
+        value = _read_setting(world, session, local.name)
+        if value is None:
+            return Problem(ErrorKind.BAD_SETTING, f"no setting named {local.name!r}")
+        return pg.data_row([value.encode()])
+    if not local.name.startswith(PREFIX):
+        return b""
+    result = apply_setting(world, session, local.name, local.value)
+    return result.failure() if isinstance(result, Failure) else b""
+
+
+def describe_local(local: LocalStatement) -> bytes:
+    """Return the description of the statement's result."""
+    if local.value is None:
+        return pg.row_description([(local.name, pg.TEXT_OID)])
+    return pg.NO_DATA
+
+
+def _read_setting(world: World, session: Session, name: str) -> str | None:
+    if name == "bramleyrill.rank":
+        return session.rank.name.lower()
+    if name == "bramleyrill.age":
+        return str(round(session.age.total_seconds() * 1000))
+    if name == "bramleyrill.repeatable":
+        return "on" if session.repeatable else "off"
+    if name == "bramleyrill.token":
+        if session.mark is None:
+            return ""
+        return issue_token(world, session.database, session.mark)
+    return None
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/front/_request.py
@@ -0,0 +1,303 @@
+"""Run one request: route, exchange, retries, and the check before it is acknowledged."""
+
+from collections import deque
+from datetime import timedelta
+
+import attrs
+import gevent
+from attrs import define
+from bramleyrill_base import ErrorKind, Problem, is_not_run
+from bramleyrill_core import NO_MARK, StatementClass
+from bramleyrill_core.membership import holder_of
+from bramleyrill_core.retries import may_retry, note_request
+from bramleyrill_core.routing import Route, next_route, note_primary, route
+from bramleyrill_core.sessions import issue_token, note_answer
+from bramleyrill_wire import postgres as pg
+from returns.result import Failure
+
+from bramleyrill_daemon._exchange import Exchange, Outcome, Request
+from bramleyrill_daemon.front._batch import Prepared, Tracker
+from bramleyrill_daemon.front._permit import entry_expiry
+
+# A VM that does not know the primary asks again after this long; failovers take seconds.
+REROUTE_DELAY = timedelta(milliseconds=25)
+# Views of who holds a member differ for a short time only; more redirects would go in circles.
+MAX_REDIRECTS = 3
+_MAX_ATTEMPTS = 8
+_HARMLESS = (StatementClass.READ, StatementClass.BEGIN)
+_ENDS_TRANSACTION = (StatementClass.COMMIT, StatementClass.ROLLBACK)
+_READY_SIZE = pg.READY_SIZE
+
+
+@define
+class Work:
+    """One request on its way: a Query frame or the frames of a batch.
+
+    `hold` keeps the whole answer back until the permit is checked, for requests that may commit
+    before their last statement. `expected` lists the answers to follow when frames were added.
+    """
+
+    frames: bytes
+    kind: StatementClass
+    may_commit: bool
+    alters_session: bool
+    hold: bool = False
+    expected: deque | None = None
+    prepared: dict[str, Prepared] | None = None
+    forwarded: bool = False
+    held: list[bytes] | None = None
+    held_size: int = 0
+    tracker: Tracker | None = None
+
+    @property
+    def is_read(self) -> bool:
+        """Tell whether the request is provably a read."""
+        return self.kind is StatementClass.READ
+
+    def begin(self) -> None:
+        """Prepare for one attempt."""
+        if self.expected is not None:
+            self.tracker = Tracker(deque(self.expected), self.prepared)
+        if self.hold:
+            self.held = []
+            self.held_size = 0
+
+
+class RequestRunner:
+    """Run requests of one session's caller; `session` is a `CallerSession`.
+
+    A runner has no state of its own, so that all sessions of a front share one.
+    """
+
+    def __init__(self, front) -> None:
+        self._front = front
+        self._world = front.world
+        self._clock = front.world.clock
+        self._executor = front.executor
+
+    def run(self, session, work: Work) -> Problem | None:
+        """Run `work` and answer its caller; return the problem that is still to be told.
+
+        An exchange that stays open for a transaction is in `session.exchange` afterwards, and
+        the status of the transaction in `session.status`.
+        """
+        started = self._clock.monotonic()
+        row = session.row
+        served = False
+        try:
+            if not row.writes and work.kind is StatementClass.WRITE:
+                problem = Problem(ErrorKind.READ_ONLY_CALLER, f"user {row.user!r}")
+            elif session.exchange is not None:
+                since = session.flow_started or started
+                problem = self._run_in_transaction(session, work, since)
+            else:
+                problem = self._run_alone(session, work, started)
+            served = problem is None and not session.gone
+        finally:
+            self._front.record(row, self._clock.monotonic() - started, served)
+        return problem
+
+    def _run_in_transaction(self, session, work: Work, started: timedelta) -> Problem | None:
+        work.begin()
+        outcome = self._attempt(session, session.exchange, work)
+        problem = outcome.problem or self._settle(session, work, outcome, None, started)
+        if problem is None:
+            if outcome.tx_status == b"I":
+                session.close_exchange()
+            return None
+        session.close_exchange()
+        if session.status != b"I" and work.kind not in _ENDS_TRANSACTION:
+            session.fail_transaction(problem)
+        else:
+            session.status = b"I"
+        return problem
+
+    def _run_alone(self, session, work: Work, started: timedelta) -> Problem | None:
+        world, row = self._world, session.row
+        service = f"{row.fleet}/{row.service}"
+        note_request(world, service)
+        deadline = started + self._front.deadline_of(row)
+        repeatable = row.repeatable or work.kind in _HARMLESS
+        may_have_run = False
+        redirects = 0
+        path: Route | None = None
+        for _ in range(_MAX_ATTEMPTS):
+            path = path or self._route(session, work, deadline)
+            if isinstance(path, Problem):
+                return _proved(path, may_have_run)
+            problem, redirect = self._run_once(session, work, path, deadline)
+            if problem is None:
+                return None
+            not_run = is_not_run(problem.kind)
+            may_have_run |= not not_run and work.kind not in _HARMLESS
+            if work.forwarded or session.canceled or self._clock.monotonic() >= deadline:
+                break
+            if not_run and redirect is not None and redirects < MAX_REDIRECTS:
+                redirects += 1
+                path = self._redirected(path, redirect)
+                continue
+            if not may_retry(world, service, problem.kind, repeatable, not not_run):
+                break
+            found = next_route(world, row, path, problem)
+            if not isinstance(found, Failure):
+                path = found.unwrap()
+            elif problem.kind is ErrorKind.TOO_STALE:
+                break
+            else:
+                path = None
+                gevent.sleep(REROUTE_DELAY.total_seconds())
+        return _proved(problem, may_have_run)
+
+    def _route(self, session, work: Work, deadline: timedelta) -> Route | Problem:
+        """Choose a member; wait for a primary until the deadline."""
+        while True:
+            found = route(self._world, session.row, work.kind, False)
+            if not isinstance(found, Failure):
+                return found.unwrap()
+            problem = found.failure()
+            if session.canceled:
+                return Problem(ErrorKind.CANCELED)
+            left = deadline - self._clock.monotonic()
+            if problem.kind is not ErrorKind.NOT_RUN_NO_PRIMARY or left <= REROUTE_DELAY:
+                return problem
+            gevent.sleep(REROUTE_DELAY.total_seconds())
+
+    def _run_once(
+        self, session, work: Work, path: Route, deadline: timedelta
+    ) -> tuple[Problem | None, str | None]:
+        """Make one attempt; return its problem and the VM to ask instead."""
+        sent_at = self._clock.monotonic()
+        request = self._request(session.row, work, deadline - sent_at)
+        work.begin()
+        exchange = session.exchange = self._executor.open(path, request)
+        outcome = self._attempt(session, exchange, work)
+        problem = outcome.problem or self._settle(session, work, outcome, path, sent_at)
+        if problem is not None or outcome.tx_status == b"I":
+            session.close_exchange()
+        return problem, outcome.redirect
+
+    def _request(self, row, work: Work, deadline_left: timedelta) -> Request:
+        return Request(
+            id=self._front.next_request(),
+            fleet=row.fleet,
+            service=row.service,
+            database=row.database,
+            rank=row.rank,
+            kind=work.kind,
+            deadline_left=deadline_left,
+            repeatable=row.repeatable,
+            may_commit=work.may_commit,
+            alters_session=work.alters_session,
+        )
+
+    def _attempt(self, session, exchange: Exchange, work: Work) -> Outcome:
+        exchange.send(work.frames, work.may_commit)
+        while True:
+            part = exchange.receive()
+            if type(part) is Outcome:
+                return part
+            if session.gone:
+                continue
+            if work.held is not None:
+                work.held.append(part.frames)
+                work.held_size += len(part.frames)
+                if work.held_size > self._front.limits.held_answer:
+                    detail = "the answer is too long to be held until its commit is confirmed"
+                    return Outcome(problem=Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
+                continue
+            frames = work.tracker.filter(part.frames) if work.tracker else part.frames
+            work.forwarded = True
+            session.caller.send(frames)
+
+    def open_flow(self, session) -> Problem | None:
+        """Open an exchange for a batch that is sent in parts; it goes to the primary.
+
+        What follows the first part is not known, so that the batch may turn out to write.
+        """
+        deadline = self._clock.monotonic() + self._front.deadline_of(session.row)
+        work = Work(b"", StatementClass.BEGIN, may_commit=True, alters_session=True)
+        path = self._route(session, work, deadline)
+        if isinstance(path, Problem):
+            return path
+        request = self._request(session.row, work, deadline - self._clock.monotonic())
+        session.exchange = self._executor.open(path, request)
+        return None
+
+    def flush(self, session, frames: bytes, tracker: Tracker) -> Problem | None:
+        """Send a part of a batch and forward the answers until all of it is answered."""
+        exchange = session.exchange
+        exchange.send(frames + pg.FLUSH, True, True)
+        while not tracker.settled:
+            part = exchange.receive()
+            if type(part) is Outcome:
+                return part.problem or Problem(ErrorKind.INTERNAL, "an answer ended early")
+            if not session.gone:
+                session.caller.send(tracker.filter(part.frames))
+        return None
+
+    def _settle(
+        self, session, work: Work, outcome: Outcome, path: Route | None, sent_at: timedelta
+    ) -> Problem | None:
+        """Take in an outcome without problem and answer the caller, if the permit still holds."""
+        row = session.row
+        tail = b"".join((*work.held, outcome.tail)) if work.held else outcome.tail
+        if work.tracker is not None:
+            tail = work.tracker.filter(tail)
+        if not (work.may_commit or (path is not None and path.at_primary and work.is_read)):
+            session.status = outcome.tx_status
+            if not session.gone:
+                session.caller.send(tail)
+            return None
+        length = outcome.permit_length
+        expiry = entry_expiry(sent_at, outcome.permit_age, length) if length else None
+        clock = self._clock
+        if expiry is None or clock.monotonic() >= expiry:
+            return _unconfirmed(row, work)
+        if outcome.mark is not None:
+            noted = note_answer(self._world, row, outcome.mark, outcome.history, work.may_commit)
+            if isinstance(noted, Failure):
+                return noted.failure()
+            if path is not None and outcome.at_primary:
+                self._learn_primary(row.database, path, outcome)
+            if work.may_commit:
+                token = issue_token(self._world, row.database, outcome.mark)
+                if token:
+                    status = pg.parameter_status("bramleyrill.token", token)
+                    tail = tail[:-_READY_SIZE] + status + tail[-_READY_SIZE:]
+        if not session.gone and not session.caller.send_if(
+            tail, lambda: clock.monotonic() < expiry
+        ):
+            return _unconfirmed(row, work)
+        session.status = outcome.tx_status
+        return None
+
+    def _learn_primary(self, database: str, path: Route, outcome: Outcome) -> None:
+        term = outcome.mark.term
+        if outcome.history and outcome.history[-1].term > term:
+            term = outcome.history[-1].term
+        note_primary(self._world, database, term, path.member)
+
+    def _redirected(self, path: Route, vm: str) -> Route:
+        """Return the route to the member that `vm` holds, or to the same member there."""
+        world = self._world
+        member = path.member
+        if holder_of(world, member) != vm or path.vm == vm:
+            database = world.text.database_of(member)
+            others = (m.id for m in database.members if m.id != member)
+            member = next((m for m in others if holder_of(world, m) == vm), member)
+        return attrs.evolve(path, member=member, vm=vm)
+
+
+def _proved(problem: Problem, may_have_run: bool) -> Problem:
+    """Return the problem, but never "not run" when an earlier attempt may have run."""
+    if may_have_run and is_not_run(problem.kind):
+        return Problem(ErrorKind.OUTCOME_UNKNOWN, f"first attempt; then: {problem.kind.name}")
+    return problem
+
+
+def _unconfirmed(row, work: Work) -> Problem:
+    """Forget what the session knows, so that a check by the caller reads at the primary."""
+    if work.may_commit and row.mark is not None and row.mark != NO_MARK:
+        row.unchecked = (*row.unchecked, row.mark)
+        row.mark = None
+    return Problem(ErrorKind.OUTCOME_UNKNOWN, "the primary may have been replaced")
--- a/packages/wire/bramleyrill_wire/peers/__init__.py
+++ b/packages/wire/bramleyrill_wire/peers/__init__.py
@@ -8,7 +8,13 @@
     encode,
     frames,
 )
-from bramleyrill_wire.peers._hello import PROTOCOL, client_proof, new_nonce, proof_matches, server_proof
+from bramleyrill_wire.peers._hello import (
+    PROTOCOL,
+    client_proof,
+    new_nonce,
+    proof_matches,
+    server_proof,
+)
 
 __all__ = [
     "MAX_FRAME",
--- /dev/null
+++ b/tests/front/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the caller side of the daemon."""
