Measure the slopes of sessions, statements and tokens in the core

Change: slopes of session rows, of a write's decisions, of the classification of new texts, of tokens and keys.

--- a/packages/cli/bramleyrill_cli/slopes/__init__.py
+++ b/packages/cli/bramleyrill_cli/slopes/__init__.py
@@ -1,6 +1,6 @@
 """Slopes: what one more session, statement, member or VM costs, measured on the real code."""
 
-from bramleyrill_cli.slopes import _configuration, _membership
+from bramleyrill_cli.slopes import _configuration, _membership, _sessions
 from bramleyrill_cli.slopes._measure import (
     Point,
     Slope,
@@ -15,6 +15,7 @@
     "Slope",
     "_configuration",
     "_membership",
+    "_sessions",
     "fit",
     "measure_memory",
     "measure_time",
