Add the launcher of a whole installation and the demo's steps

Cause: the demo and the tests with real processes need platform, groups and proxies started together, with one text and its secrets.

Change: `processes.Estate` starts them and applies a text reduced from the example; `python -m bramleyrill_standins.demo` runs the steps. Members count reads and writes.

--- a/packages/standins/bramleyrill_standins/callers/_load.py
+++ b/packages/standins/bramleyrill_standins/callers/_load.py
@@ -21,6 +21,7 @@
         login: Login,
         *,
         callers: int,
+        name: str = "caller",
         seed: int = 1,
         keys: int = 0,
         **options: Any,
@@ -28,12 +29,12 @@
         self.history = History()
         self.callers = [
             Caller(
-                f"caller{number}",
+                f"{name}{number}",
                 endpoints,
                 login,
                 self.history,
                 seed=seed * 1000 + number,
-                key=f"key{number % (keys or callers)}",
+                key=f"{name}-key{number % (keys or callers)}",
                 **options,
             )
             for number in range(callers)
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/demo/__main__.py
@@ -0,0 +1,48 @@
+"""Show the system at work; exit with 0 only when every step succeeded."""
+
+import sys
+import time
+
+from bramleyrill_standins.demo import _steps
+from bramleyrill_standins.demo._measures import Measures, table
+from bramleyrill_standins.demo._roles import FLEETS
+from bramleyrill_standins.processes import Behaviour, Estate, ProcessError
+
+# Two slots at 4 ms serve 500 statements a second, which the flood's callers exceed.
+BEHAVIOUR = Behaviour(service_ms=4.0, latency_ms=0.5, lag_ms=20.0)
+
+
+def main() -> int:
+    """Run all steps and return the exit code."""
+    started = time.monotonic()
+    measures = {fleet.name: Measures() for fleet in FLEETS}
+    try:
+        with Estate(behaviour=BEHAVIOUR) as estate:
+            _steps.say(
+                f"started the platform, {len(estate.groups)} groups of 3 members"
+                f" and {len(estate.proxies)} proxies"
+            )
+            _run(estate, measures)
+    except (_steps.StepError, ProcessError, TimeoutError) as problem:
+        _steps.say(f"FAILED: {problem}")
+        return 1
+    _steps.say("\n" + table(measures))
+    _steps.say(f"\neverything worked, in {time.monotonic() - started:.0f} s")
+    return 0
+
+
+def _run(estate: Estate, measures: dict[str, Measures]) -> None:
+    _steps.make_tables(estate)
+    for fleet in FLEETS:
+        _steps.show_roaming(estate, fleet)
+    for fleet in FLEETS:
+        _steps.measure_reads(estate, fleet, measures[fleet.name])
+    for fleet in FLEETS:
+        histories = _steps.measure_flood(estate, fleet, measures[fleet.name])
+        histories.append(_steps.show_failover(estate, fleet, measures[fleet.name]))
+        _steps.check_histories(estate, fleet, histories)
+    _steps.show_shutdown(estate)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/demo/_measures.py
@@ -0,0 +1,79 @@
+"""Figures that the demo prints."""
+
+from datetime import timedelta
+
+from attrs import define, field
+
+from bramleyrill_standins.callers import History, Outcome
+from bramleyrill_standins.processes import Group
+
+
+@define
+class Measures:
+    """The four measures of one fleet."""
+
+    replica_share: float = 0.0
+    failover_gap: float = 0.0
+    within_target: dict[str, float] = field(factory=dict)
+    kept: dict[str, float] = field(factory=dict)
+
+
+def replica_share(group: Group, before: dict[str, int]) -> float:
+    """Return the share of reads that replicas served since `before`."""
+    primary = group.primary()
+    served = {name: count - before.get(name, 0) for name, count in reads(group).items()}
+    total = sum(served.values())
+    return (total - served[primary]) / total if total else 0.0
+
+
+def reads(group: Group) -> dict[str, int]:
+    """Return the reads that each running member has served."""
+    return {
+        name: group.state(name)["counters"]["reads"]
+        for name in group.names
+        if group.processes[name].exit_code is None
+    }
+
+
+def served(history: History) -> int:
+    """Return the number of answered requests."""
+    return len(history.reads) + len(history.done_writes())
+
+
+def share_within(history: History, target: timedelta) -> float:
+    """Return the share of all requests that were answered within the target."""
+    answered = [read.ended - read.started for read in history.reads]
+    answered += [
+        write.ended - write.started for write in history.writes if write.outcome is Outcome.DONE
+    ]
+    total = len(history.writes) + len(history.reads) + sum(history.failed_reads.values())
+    good = sum(latency <= target.total_seconds() for latency in answered)
+    return good / total if total else 0.0
+
+
+def table(measures: dict[str, Measures]) -> str:
+    """Return the measures of all fleets as a table of text."""
+    rows = [("measure", *measures)]
+    rows.append(
+        ("reads served by replicas", *(_percent(m.replica_share) for m in measures.values()))
+    )
+    rows.append(("failover gap", *(f"{m.failover_gap:.1f} s" for m in measures.values())))
+    rows.append(
+        ("within target in the flood", *(_ranks(m.within_target) for m in measures.values()))
+    )
+    rows.append(("kept of rate in the flood", *(_ranks(m.kept) for m in measures.values())))
+    widths = [max(len(row[index]) for row in rows) for index in range(len(rows[0]))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in rows
+    ]
+    lines.insert(1, "  ".join("-" * width for width in widths))
+    return "\n".join(lines)
+
+
+def _percent(share: float) -> str:
+    return f"{share * 100:.0f}%"
+
+
+def _ranks(shares: dict[str, float]) -> str:
+    return ", ".join(f"{rank} {_percent(share)}" for rank, share in shares.items())
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/demo/_roles.py
@@ -0,0 +1,90 @@
+"""The callers of each fleet that the demo runs, by rank."""
+
+from typing import Any
+
+from attrs import frozen
+
+from bramleyrill_standins.callers import Endpoint, Load, Login
+from bramleyrill_standins.processes import Estate
+
+RANKS = ("urgent", "everyday", "least_urgent")
+
+
+@frozen
+class Role:
+    """A user of the example text with its rank and the share of its requests that write."""
+
+    user: str
+    rank: str
+    writes: float
+
+
+@frozen
+class Fleet:
+    """What the demo does in one fleet: its service, the roles by rank, and a writer."""
+
+    name: str
+    service: str
+    database: str
+    roles: tuple[Role, ...]
+    writer: str
+
+    @property
+    def key(self) -> str:
+        """Return the qualified id of the database."""
+        return f"{self.name}/{self.service}/{self.database}"
+
+    def login(self, user: str) -> Login:
+        """Return the log-in of a user; passwords of the example equal the user's name."""
+        return Login(f"{user}@{self.name}", user, self.database)
+
+
+FLEETS = (
+    Fleet(
+        "kintsugi",
+        "onarim-defteri",
+        "records",
+        (
+            Role("restorer", "urgent", 0.7),
+            Role("courier", "everyday", 0.5),
+            Role("collector", "least_urgent", 0.0),
+        ),
+        writer="restorer",
+    ),
+    Fleet(
+        "gatecare",
+        "gatebook",
+        "records",
+        (
+            Role("engineer", "urgent", 0.0),
+            Role("crew", "everyday", 0.5),
+            Role("reports", "least_urgent", 0.0),
+        ),
+        writer="crew",
+    ),
+)
+
+
+def endpoints(estate: Estate) -> list[Endpoint]:
+    """Return the caller addresses of all proxies that run."""
+    return [
+        Endpoint("127.0.0.1", proxy.port)
+        for proxy in estate.proxies
+        if proxy.process.exit_code is None
+    ]
+
+
+def start_load(
+    estate: Estate, fleet: Fleet, role: Role, *, callers: int, label: str = "", **options: Any
+) -> Load:
+    """Start callers of one role on all proxies; `label` sets their names apart."""
+    load = Load(
+        endpoints(estate),
+        fleet.login(role.user),
+        name=f"{fleet.name}-{role.user}{label}",
+        callers=callers,
+        writes=role.writes,
+        **options,
+    )
+    load.start()
+    return load
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/demo/_steps.py
@@ -0,0 +1,210 @@
+"""The steps of the demo, each with what it shows."""
+
+import signal
+import time
+from datetime import timedelta
+
+import psycopg
+from bramleyrill_core import Rank
+from bramleyrill_core.text import parse_text
+
+from bramleyrill_standins.callers import (
+    Endpoint,
+    History,
+    Load,
+    Login,
+    check,
+    connect,
+    make_ledger,
+    read_ledger,
+)
+from bramleyrill_standins.demo._measures import (
+    Measures,
+    reads,
+    replica_share,
+    served,
+    share_within,
+)
+from bramleyrill_standins.demo._roles import FLEETS, RANKS, Fleet, endpoints, start_load
+from bramleyrill_standins.processes import UPSTREAM_USER, Estate, to_source, wait_until
+
+TOKEN = "bramleyrill.token"
+READERS = 4
+READ_S = 4.0
+QUIET_S = 4.0
+FLOOD_S = 6.0
+FLOOD_CALLERS = 24
+RESUME_LIMIT_S = 20.0
+AFTER_FAILOVER_S = 2.0
+
+
+class StepError(Exception):
+    """A step of the demo did not show what it should."""
+
+
+def say(text: str) -> None:
+    """Print one line at once."""
+    print(text, flush=True)
+
+
+def make_tables(estate: Estate) -> None:
+    """Create the ledger of each fleet through a proxy, as soon as writes are served."""
+    for fleet in FLEETS:
+        _retry(lambda fleet=fleet: _make_table(estate, fleet), f"{fleet.name}: first write")
+    say("the text is in force: both fleets take writes")
+
+
+def _make_table(estate: Estate, fleet: Fleet) -> bool:
+    with connect(endpoints(estate)[0], fleet.login(fleet.writer), {}) as connection:
+        try:
+            make_ledger(connection)
+        except psycopg.errors.DuplicateTable:
+            pass
+    return True
+
+
+def _retry(action, what: str) -> None:
+    problems = []
+
+    def attempt() -> bool:
+        try:
+            return action()
+        except psycopg.Error as problem:
+            problems[:] = [str(problem).strip()]
+            return False
+
+    try:
+        wait_until(attempt, what, RESUME_LIMIT_S)
+    except TimeoutError as problem:
+        raise StepError(f"{problem}; last answer: {problems}") from None
+
+
+def show_roaming(estate: Estate, fleet: Fleet) -> None:
+    """Write through one proxy, move to the next with the token, and read the write there."""
+    first, second = endpoints(estate)[:2]
+    login = fleet.login(fleet.writer)
+    with connect(first, login, {}) as connection:
+        connection.execute("insert into ledger values (%s, %s)", ("roam", "seen"))
+        token = connection.info.parameter_status(TOKEN) or ""
+    settings = {TOKEN: token, "bramleyrill.age": "30000"}
+    with connect(second, login, settings) as connection:
+        found = connection.execute("select entry from ledger where key = %s", ("roam",)).fetchall()
+    if found != [("seen",)] or not token:
+        raise StepError(f"{fleet.name}: the caller did not find its own write: {found}")
+    say(f"{fleet.name}: {fleet.writer} wrote through one proxy and read it through another")
+
+
+def measure_reads(estate: Estate, fleet: Fleet, measures: Measures) -> None:
+    """Run readers that accept staleness and see which members serve them."""
+    group = estate.groups[fleet.key]
+    before = reads(group)
+    role = fleet.roles[-1]
+    load = start_load(estate, fleet, role, callers=READERS, age_ms=30_000)
+    time.sleep(READ_S)
+    history = load.stop()
+    measures.replica_share = replica_share(group, before)
+    if not history.reads:
+        raise StepError(f"{fleet.name}: no read was answered: {dict(history.failed_reads)}")
+    say(
+        f"{fleet.name}: {len(history.reads)} reads by {role.user},"
+        f" {measures.replica_share:.0%} on replicas"
+    )
+
+
+def show_failover(estate: Estate, fleet: Fleet, measures: Measures) -> History:
+    """Kill the primary under writes and wait until writes succeed again."""
+    group = estate.groups[fleet.key]
+    writer = next(role for role in fleet.roles if role.user == fleet.writer)
+    load = start_load(estate, fleet, writer, callers=3, pause=0.02)
+    _wait_for_writes(load, 20)
+    primary = group.primary()
+    killed = time.monotonic()
+    group.processes[primary].kill()
+    say(f"{fleet.name}: killed the primary {primary}")
+    wait_until(
+        lambda: any(write.started > killed for write in load.history.done_writes()),
+        f"{fleet.name}: writes after the failover",
+        RESUME_LIMIT_S,
+    )
+    time.sleep(AFTER_FAILOVER_S)
+    ended = time.monotonic()
+    history = load.stop()
+    measures.failover_gap = history.longest_gap(killed, ended)
+    say(f"{fleet.name}: {group.primary()} took over, no write for {measures.failover_gap:.1f} s")
+    return history
+
+
+def _wait_for_writes(load: Load, count: int) -> None:
+    wait_until(lambda: len(load.history.done_writes()) >= count, "writes", RESUME_LIMIT_S)
+
+
+def measure_flood(estate: Estate, fleet: Fleet, measures: Measures) -> list[History]:
+    """Run all ranks alone, then beside a flood of the least urgent one."""
+    quiet = _run_ranks(estate, fleet, "quiet", QUIET_S, flood=0)
+    flood = _run_ranks(estate, fleet, "flood", FLOOD_S, flood=FLOOD_CALLERS)
+    targets = _targets(estate, fleet)
+    for rank in RANKS:
+        measures.within_target[rank] = share_within(flood[rank], targets[rank])
+    for rank in RANKS[:-1]:
+        rate = served(quiet[rank]) / QUIET_S
+        measures.kept[rank] = served(flood[rank]) / FLOOD_S / rate if rate else 0.0
+    say(
+        f"{fleet.name}: flood of {served(flood['least_urgent'])} served requests by"
+        f" {fleet.roles[-1].user}, urgent within target {measures.within_target['urgent']:.0%}"
+    )
+    if not served(flood["urgent"]):
+        raise StepError(f"{fleet.name}: no urgent request was served in the flood")
+    return [*quiet.values(), *flood.values()]
+
+
+def _run_ranks(
+    estate: Estate, fleet: Fleet, phase: str, duration: float, flood: int
+) -> dict[str, History]:
+    loads = {}
+    for role in fleet.roles:
+        last = role.rank == RANKS[-1]
+        # Reads of age 0 go to the primary, where they meet the urgent work.
+        loads[role.rank] = start_load(
+            estate,
+            fleet,
+            role,
+            callers=flood if last and flood else 2,
+            pause=0.0 if last and flood else 0.03,
+            roam=0.0,
+            label=phase,
+        )
+    time.sleep(duration)
+    return {rank: load.stop() for rank, load in loads.items()}
+
+
+def _targets(estate: Estate, fleet: Fleet) -> dict[str, timedelta]:
+    text = parse_text(to_source(estate.text)).unwrap()
+    ranks = text.service_of(fleet.key).ranks
+    return {name: ranks[Rank[name.upper()]].target for name in RANKS}
+
+
+def check_histories(estate: Estate, fleet: Fleet, histories: list[History]) -> None:
+    """Check every answer of the fleet's callers against what is in the database."""
+    group = estate.groups[fleet.key]
+    whole = History()
+    for history in histories:
+        whole.writes += history.writes
+        whole.reads += history.reads
+        whole.told_lost += history.told_lost
+    login = Login(UPSTREAM_USER, estate.passwords[f"{fleet.name}/{fleet.service}"], fleet.database)
+    primary = Endpoint("127.0.0.1", group.ports[group.primary()])
+    with connect(primary, login, {}) as connection:
+        faults = check(whole, read_ledger(connection))
+    say(f"{fleet.name}: checked {len(whole.writes)} writes and {len(whole.reads)} reads")
+    if faults:
+        raise StepError(f"{fleet.name}: {len(faults)} faults, first {faults[0]}")
+
+
+def show_shutdown(estate: Estate) -> None:
+    """Stop all proxies with SIGTERM; each must end by itself with exit code 0."""
+    for proxy in estate.proxies:
+        proxy.process.terminate()
+    codes = [proxy.process.wait() for proxy in estate.proxies]
+    if any(codes):
+        raise StepError(f"the proxies ended with exit codes {codes}")
+    say(f"{len(codes)} proxies shut down on signal {signal.SIGTERM.name} with exit code 0")
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/processes/_estate.py
@@ -0,0 +1,141 @@
+"""A whole small installation: platform, groups of both fleets, entry VMs."""
+
+import contextlib
+import secrets
+import uuid
+from typing import Any
+
+from attrs import frozen
+
+from bramleyrill_standins.processes._group import Group
+from bramleyrill_standins.processes._platform import Platform
+from bramleyrill_standins.processes._proxy import Proxy, VmPlace
+from bramleyrill_standins.processes._text import (
+    example_fleets,
+    services_of,
+    set_addresses,
+    to_source,
+)
+
+UPSTREAM_USER = "proxy"
+
+
+@frozen
+class Behaviour:
+    """How the members of a service behave; times are in milliseconds."""
+
+    service_ms: float = 0.0
+    latency_ms: float = 0.0
+    lag_ms: float = 20.0
+
+    def options(self, limits: dict[str, Any], password: str) -> list[str]:
+        """Return the arguments of the upstream stand-in for a service's limits."""
+        dial = str(limits["dial"]).removesuffix("ms")
+        values = {
+            "connections": limits["connections"],
+            "slots": limits["slots"],
+            "dial-ms": dial,
+            "service-ms": self.service_ms,
+            "latency-ms": self.latency_ms,
+            "lag-ms": self.lag_ms,
+            "user": f"{UPSTREAM_USER}:{password}",
+        }
+        return [part for name, value in values.items() for part in (f"--{name}", str(value))]
+
+
+class Estate:
+    """Start everything, apply the text, and stop what was started.
+
+    `groups` is keyed by `fleet/service/database`; `passwords` holds the proxy's password at the
+    members of each `fleet/service`. `together` runs all members of a group in one process;
+    otherwise each has its own, which a test can kill or stop alone.
+
+    Example: `with Estate(databases=1) as estate: connect(estate.proxies[0].port)`.
+    """
+
+    def __init__(
+        self,
+        *,
+        databases: int = 1,
+        proxies: int = 3,
+        fleets: tuple[str, ...] = (),
+        behaviour: Behaviour | None = None,
+        together: bool = False,
+        journal: str = "",
+    ) -> None:
+        self._stack = contextlib.ExitStack()
+        self.text = example_fleets(databases, fleets)
+        self.groups: dict[str, Group] = {}
+        self.passwords: dict[str, str] = {}
+        self.proxies: list[Proxy] = []
+        self._text_version = 0
+        with contextlib.ExitStack() as stack:
+            self.platform = Platform()
+            stack.callback(self.platform.stop)
+            self._start_groups(stack, behaviour or Behaviour(), together, journal)
+            self._store_secrets()
+            self.apply()
+            self._start_proxies(stack, proxies)
+            self._stack = stack.pop_all()
+
+    def __enter__(self) -> "Estate":
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop every process, proxies first."""
+        self._stack.close()
+
+    def apply(self) -> int:
+        """Put the text as it is now into force; return its version."""
+        value = {"identity": str(uuid.uuid4()), "source": to_source(self.text)}
+        self._text_version = self.platform.put("text", "current", value, self._text_version)
+        return self._text_version
+
+    def _start_groups(
+        self, stack: contextlib.ExitStack, behaviour: Behaviour, together: bool, journal: str
+    ) -> None:
+        for fleet, name, service in services_of(self.text):
+            password = secrets.token_hex(8)
+            self.passwords[f"{fleet}/{name}"] = password
+            for database, values in service["databases"].items():
+                key = f"{fleet}/{name}/{database}"
+                options = behaviour.options(service, password)
+                if journal:
+                    options += ["--journal", f"{journal}/{key.replace('/', '.')}"]
+                group = Group(list(values["members"]), *options, together=together)
+                stack.callback(group.stop)
+                self.groups[key] = group
+                set_addresses(values, group.ports)
+
+    def _store_secrets(self) -> None:
+        accounts = {
+            service: {"user": UPSTREAM_USER, "password": password}
+            for service, password in self.passwords.items()
+        }
+        self.platform.put("secrets", "upstreams", accounts)
+        keys = {"keys": {"k1": secrets.token_hex(32)}, "signing": "k1"}
+        self.platform.put("secrets", "keys", keys)
+
+    def _start_proxies(self, stack: contextlib.ExitStack, count: int) -> None:
+        places = [
+            (domain, values["region"])
+            for fleet in self.text["fleets"].values()
+            for domain, values in fleet["domains"].items()
+        ]
+        # Domains in turn over the fleets, so that a few VMs still serve both.
+        per_fleet = len(places) // len(self.text["fleets"])
+        order = sorted(range(len(places)), key=lambda index: index % per_fleet)
+        for number in range(count):
+            domain, region = places[order[number % len(places)]]
+            proxy = Proxy(VmPlace(f"vm-{number + 1}", domain, region), self.platform.url)
+            stack.callback(proxy.stop)
+            self.proxies.append(proxy)
+            vm = {"domain": domain, "region": region, "host": "127.0.0.1", "state": "live"}
+            self.platform.set_vms(**{proxy.place.id: {**vm, "port": proxy.peer_port}})
+        for proxy in self.proxies:
+            proxy.start()
+        for proxy in self.proxies:
+            proxy.wait_until_listening()
--- a/packages/standins/bramleyrill_standins/processes/_group.py
+++ b/packages/standins/bramleyrill_standins/processes/_group.py
@@ -71,15 +71,17 @@
         arguments = []
         for name in names:
             arguments += ["--member", f"{name}={port}"]
-        process = Process(MODULE, *arguments, "--leader", self.names[0], *self._options)
-        admin = AdminClient(process.ready["admin_port"])
-        for name in names:
-            self.processes[name] = process
-            self._admins[name] = admin
-        self.ports.update(process.ready["ports"])
+        leader = ("--leader", self.names[0])
+        process = Process(MODULE, *arguments, *leader, *self._options, ready=False)
+        self.processes.update(dict.fromkeys(names, process))
 
     def _connect_members(self) -> None:
+        running = {name: found for name, found in self.processes.items() if found.exit_code is None}
+        for name, process in running.items():
+            if not process.ready:
+                process.wait_ready()
+            self._admins[name] = AdminClient(process.ready["admin_port"])
+            self.ports.update(process.ready["ports"])
         peers = {name: ["127.0.0.1", port] for name, port in self.ports.items()}
-        for name, process in self.processes.items():
-            if process.exit_code is None:
-                self._admins[name].post("peers", **peers)
+        for name in running:
+            self._admins[name].post("peers", **peers)
--- a/packages/standins/bramleyrill_standins/processes/_process.py
+++ b/packages/standins/bramleyrill_standins/processes/_process.py
@@ -25,8 +25,8 @@
 class Process:
     """A Python module run as a child process.
 
-    The first line on standard output that is a JSON object is kept as `ready`. Standard error
-    goes to a temporary file without a name.
+    The first line on standard output that is a JSON object is kept as `ready`; with `ready=False`
+    nobody waits for it until `wait_ready`. Standard error goes to a temporary file without a name.
 
     Example: `process = Process("bramleyrill_standins.platform"); process.stop()`.
     """
@@ -40,7 +40,9 @@
             stdout=subprocess.PIPE,
             stderr=self._log,
         )
-        self.ready: dict[str, Any] = self._wait_ready() if ready else {}
+        self.ready: dict[str, Any] = {}
+        if ready:
+            self.wait_ready()
 
     @property
     def pid(self) -> int:
@@ -100,7 +102,8 @@
         if self.exit_code is None:
             os.kill(self.pid, signal.SIGCONT)
 
-    def _wait_ready(self) -> dict[str, Any]:
+    def wait_ready(self) -> None:
+        """Wait for the first JSON object on standard output; raise ProcessError without it."""
         end = time.monotonic() + START_LIMIT_S
         output = b""
         with selectors.DefaultSelector() as selector:
@@ -114,7 +117,8 @@
                 output += chunk
                 for line in output.split(b"\n")[:-1]:
                     if line.startswith(b"{"):
-                        return json.loads(line)
+                        self.ready = json.loads(line)
+                        return
         self.kill()
         raise ProcessError(f"{self.name} did not start: {self.log_tail()}")
 
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/processes/_proxy.py
@@ -0,0 +1,74 @@
+"""One entry VM: the proxy's daemon with its settings file."""
+
+import os
+import pathlib
+import socket
+import tempfile
+
+from attrs import frozen
+
+from bramleyrill_standins.processes._process import Process, ProcessError, free_ports, wait_until
+
+MODULE = "bramleyrill_daemon"
+SHARED_KEY = "key of the stand-ins only"
+START_LIMIT_S = 30.0
+
+
+@frozen
+class VmPlace:
+    """Id, failure domain and region of an entry VM."""
+
+    id: str
+    domain: str
+    region: str
+
+
+class Proxy:
+    """A running entry VM.
+
+    `port` is for callers, `peer_port` for other VMs. The process is started again after a kill
+    with `start`, on the same ports.
+    """
+
+    def __init__(self, place: VmPlace, platform_url: str) -> None:
+        self.place = place
+        self.port, self.peer_port = free_ports(2)
+        self.process: Process | None = None
+        self._settings = self._write_settings(platform_url)
+
+    def start(self) -> None:
+        """Start the process without waiting for it."""
+        self.process = Process(MODULE, "--settings", str(self._settings), ready=False)
+
+    def wait_until_listening(self) -> None:
+        """Wait until callers can connect; raise ProcessError when the process has ended."""
+
+        def listening() -> bool:
+            if self.process.exit_code is not None:
+                raise ProcessError(f"{self.place.id} ended: {self.process.log_tail()}")
+            with socket.socket() as probe:
+                probe.settimeout(1.0)
+                return probe.connect_ex(("127.0.0.1", self.port)) == 0
+
+        wait_until(listening, f"{self.place.id} listens", START_LIMIT_S)
+
+    def stop(self) -> int | None:
+        """Stop the process and remove the settings; return the exit code."""
+        code = self.process.stop() if self.process else None
+        self._settings.unlink(missing_ok=True)
+        return code
+
+    def _write_settings(self, platform_url: str) -> pathlib.Path:
+        values = {
+            "id": self.place.id,
+            "domain": self.place.domain,
+            "region": self.place.region,
+            "caller_listen": f"127.0.0.1:{self.port}",
+            "peer_listen": f"127.0.0.1:{self.peer_port}",
+            "platform": platform_url,
+            "shared_key": SHARED_KEY,
+        }
+        handle, name = tempfile.mkstemp(suffix=".yaml")
+        with os.fdopen(handle, "w", encoding="utf-8") as file:
+            file.writelines(f'{key}: "{value}"\n' for key, value in values.items())
+        return pathlib.Path(name)
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/processes/_text.py
@@ -0,0 +1,44 @@
+"""The example text, reduced and with the addresses of running groups."""
+
+import io
+from typing import Any
+
+from bramleyrill_core.text import example_source
+from ruamel.yaml import YAML
+
+
+def example_fleets(databases: int, fleets: tuple[str, ...] = ()) -> dict[str, Any]:
+    """Return the example text as plain values, with the first `databases` of each service."""
+    text = YAML(typ="safe").load(example_source())
+    if fleets:
+        text["fleets"] = {name: text["fleets"][name] for name in fleets}
+    for _, _, service in services_of(text):
+        kept = list(service["databases"].items())[:databases]
+        service["databases"] = dict(kept)
+    return text
+
+
+def services_of(text: dict[str, Any]) -> list[tuple[str, str, dict[str, Any]]]:
+    """Return (fleet, service, values) of every service in a text."""
+    return [
+        (fleet, name, service)
+        for fleet, values in text["fleets"].items()
+        for name, service in values["services"].items()
+    ]
+
+
+def set_addresses(database: dict[str, Any], ports: dict[str, int]) -> None:
+    """Put the ports of a running group into a database of the text."""
+    for name, member in database["members"].items():
+        member["address"] = f"127.0.0.1:{ports[name]}"
+
+
+def to_source(text: dict[str, Any]) -> str:
+    """Return the YAML source of plain values."""
+    stream = io.StringIO()
+    yaml = YAML(typ="safe")
+    yaml.default_flow_style = False
+    # The order of members tells which one leads which term.
+    yaml.sort_base_mapping_type_on_output = False
+    yaml.dump(text, stream)
+    return stream.getvalue()
--- a/packages/standins/bramleyrill_standins/upstream/_member.py
+++ b/packages/standins/bramleyrill_standins/upstream/_member.py
@@ -144,6 +144,10 @@
             if isinstance(found, Result):
                 return found
             return self._run_on_store(session, found, parameters, buffered)
+        if statement.kind is Kind.READ:
+            self.counters.reads += 1
+        else:
+            self.counters.writes += 1
         with self._slot():
             delay = self.settings.service + self.switches.slow
             if statement.sleep.startswith("$"):
--- a/packages/standins/bramleyrill_standins/upstream/_settings.py
+++ b/packages/standins/bramleyrill_standins/upstream/_settings.py
@@ -62,8 +62,9 @@
 class Counters:
     """Counted events of a member.
 
-    `slot_violations` counts statements that arrived while all slots were in use. `applied_by_id`
-    counts how often a write that carries the comment `/* id=NAME */` was committed here.
+    `reads` and `writes` leave out what only controls the member. `slot_violations` counts
+    statements that arrived while all slots were in use. `applied_by_id` counts how often a write
+    that carries the comment `/* id=NAME */` is in the log.
     """
 
     connections: int = 0
@@ -71,6 +72,8 @@
     connections_made: int = 0
     connections_refused: int = 0
     statements: int = 0
+    reads: int = 0
+    writes: int = 0
     statements_now: int = 0
     statements_max: int = 0
     slot_violations: int = 0
--- a/tests/processes/test_checker.py
+++ b/tests/processes/test_checker.py
@@ -203,5 +203,5 @@
 
     def execute(self, sql, parameters):
         nonce, key = parameters
-        swapped = {"key0": "key1", "key1": "key0"}[key]
+        swapped = {"caller-key0": "caller-key1", "caller-key1": "caller-key0"}[key]
         return self._other.execute(sql, (nonce[::-1], swapped))
