--- a/packages/core/bramleyrill_core/routing/_route.py
+++ b/packages/core/bramleyrill_core/routing/_route.py
@@ -33,8 +33,9 @@
     """Where a statement goes.
 
     `vm` holds the connections of `member`. `at_primary` asks the holder to refuse unless the
-    member is the primary under a valid permit; the answer then needs the permit check, reads
-    included. `floor` and `age` are what a replica must prove. `tried` are members that refused.
+    member is the primary under a valid permit when the request arrives; the answer to a write
+    needs the check of `succession.judge_answer` too. `floor` and `age` are what a replica must
+    prove. `tried` are members that refused.
     """
 
     member: MemberId
--- a/packages/core/bramleyrill_core/succession/__init__.py
+++ b/packages/core/bramleyrill_core/succession/__init__.py
@@ -1,5 +1,6 @@
 """Change of primary: permits, detection, fence, wait, promotion."""
 
+from bramleyrill_core.succession._answers import PrimaryAnswer, judge_answer
 from bramleyrill_core.succession._grants import (
     holds_writes,
     needs_second_member,
@@ -40,6 +41,7 @@
     "Group",
     "Permit",
     "PlannedChangeRequested",
+    "PrimaryAnswer",
     "PrimaryChanged",
     "PrimarySeenAnswered",
     "ProbeAnswered",
@@ -55,6 +57,7 @@
     "SuccessionTables",
     "entry_expiry",
     "holds_writes",
+    "judge_answer",
     "leader_of",
     "needs_second_member",
     "next_span",
--- a/packages/core/bramleyrill_core/succession/_change.py
+++ b/packages/core/bramleyrill_core/succession/_change.py
@@ -121,7 +121,7 @@
     """Add a member's answer to the fence; note the time if it completes the majority."""
     if change.step is not Step.FENCE or status.role is not MemberRole.FENCED:
         return change
-    if status.term != change.term and rules.on("fence_exact_term"):
+    if status.term != change.term:
         return change
     answers = {**dict(change.answers), name: status}
     changed = evolve(change, answers=tuple(sorted(answers.items())))
--- a/packages/core/bramleyrill_core/succession/_drive.py
+++ b/packages/core/bramleyrill_core/succession/_drive.py
@@ -61,7 +61,7 @@
         group.recent(group.change_started),
         highest,
         frozenset(avoid),
-        group.no_resume < group.highest,
+        group.no_resume < group.highest and world.rules.on("resume_fence"),
         world.rules,
     )
 
--- /dev/null
+++ b/packages/core/bramleyrill_core/trace/_codec.py
@@ -0,0 +1,80 @@
+"""Messages and effects as JSON: durations in ms, enums by name, marks as pairs."""
+
+from datetime import timedelta
+from enum import Enum
+from types import NoneType, UnionType
+from typing import Any, Union, get_args, get_origin
+
+import attrs
+import cattrs
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
+
+from bramleyrill_core._messages import kind_by_name
+from bramleyrill_core._values import Mark, TermStart
+from bramleyrill_core.succession import Span
+
+_PAIRS = (Mark, TermStart, Span)
+
+
+def _is_duration(kind: Any) -> bool:
+    if get_origin(kind) in (Union, UnionType):
+        return any(arg is timedelta for arg in get_args(kind) if arg is not NoneType)
+    return kind is timedelta
+
+
+def _renamed(cls: type) -> dict[str, Any]:
+    attrs.resolve_types(cls)
+    fields = attrs.fields(cls)
+    return {f.name: override(rename=f"{f.name}_ms") for f in fields if _is_duration(f.type)}
+
+
+def _build() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True, prefer_attrib_converters=True)
+    converter.register_structure_hook_factory(
+        attrs.has,
+        lambda cls: make_dict_structure_fn(
+            cls, converter, _cattrs_forbid_extra_keys=True, **_renamed(cls)
+        ),
+    )
+    converter.register_unstructure_hook_factory(
+        attrs.has, lambda cls: make_dict_unstructure_fn(cls, converter, **_renamed(cls))
+    )
+    for kind in _PAIRS:
+        _register_pair(converter, kind)
+    converter.register_structure_hook(timedelta, lambda ms, _: timedelta(milliseconds=ms))
+    converter.register_unstructure_hook(timedelta, lambda d: d / timedelta(milliseconds=1))
+    converter.register_structure_hook(bytes, lambda text, _: text.encode())
+    converter.register_unstructure_hook(bytes, lambda raw: raw.decode())
+    by_name = lambda name, kind: kind[name.upper()]  # noqa: E731
+    converter.register_structure_hook_func(_is_enum, by_name)
+    converter.register_unstructure_hook_func(_is_enum, lambda item: item.name.lower())
+    return converter
+
+
+def _is_enum(kind: Any) -> bool:
+    return isinstance(kind, type) and issubclass(kind, Enum)
+
+
+def _register_pair(converter: cattrs.Converter, kind: type) -> None:
+    types = [field.type for field in attrs.fields(attrs.resolve_types(kind))]
+
+    def structure(pair: list, _: type) -> Any:
+        return kind(*(converter.structure(v, t) for v, t in zip(pair, types, strict=True)))
+
+    converter.register_structure_hook(kind, structure)
+    converter.register_unstructure_hook(
+        kind, lambda item: [converter.unstructure(v) for v in attrs.astuple(item, recurse=False)]
+    )
+
+
+_converter = _build()
+
+
+def decode(name: str, fields: dict[str, Any]) -> Any:
+    """Return the message or effect of class `name`; raise KeyError or cattrs' errors."""
+    return _converter.structure(fields, kind_by_name(name))
+
+
+def encode(item: Any) -> dict[str, Any]:
+    """Return the fields of a message or effect as JSON values."""
+    return _converter.unstructure(item)
--- /dev/null
+++ b/tests/trace/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the trace format and the recorded traces."""
