Correct implicit transactions of the upstream stand-in

Change: the last statement of a query is found by number, savepoint names may be quoted, Describe runs behind the buffered writes. A write outside of a transaction runs once, not twice.

--- a/packages/standins/bramleyrill_standins/upstream/_backend.py
+++ b/packages/standins/bramleyrill_standins/upstream/_backend.py
@@ -16,7 +16,7 @@
 from bramleyrill_standins.upstream._extended import EXTENDED_KINDS, ExtendedQuery
 from bramleyrill_standins.upstream._link import serve_link
 from bramleyrill_standins.upstream._session import DEFAULTS, Session
-from bramleyrill_standins.upstream._sql import parse, split
+from bramleyrill_standins.upstream._sql import parse_all
 from bramleyrill_standins.upstream._store import Result
 from bramleyrill_standins.upstream._values import encode_row
 
@@ -24,6 +24,9 @@
     from bramleyrill_standins.upstream._member import Member
 
 FLUSH_BYTES = 65536
+IDLE_IN_TRANSACTION = SqlError(
+    "25P03", "terminating connection due to idle-in-transaction timeout", fatal=True
+)
 REPORTED = ("server_version", "server_encoding", "client_encoding", "DateStyle", "TimeZone")
 REPORTED += ("integer_datetimes", "standard_conforming_strings", "application_name")
 
@@ -188,9 +191,10 @@
     def _serve_messages(self) -> None:
         while True:
             limit = self.member.settings.idle_in_transaction
-            idle = limit if limit and self.session.explicit else None
-            problem = SqlError("25P03", "terminating connection due to idle-in-transaction timeout")
-            with gevent.Timeout(idle, problem):
+            if limit and self.session.explicit:
+                with gevent.Timeout(limit, IDLE_IN_TRANSACTION):
+                    kind, body = self._reader.message()
+            else:
                 kind, body = self._reader.message()
             if self.silent:
                 continue
@@ -230,12 +234,12 @@
             raise SqlError("08P01", f"invalid frontend message type {kind[0]}")
 
     def _query(self, source: str) -> None:
-        statements = [parse(sql) for sql in split(source)]
+        statements = parse_all(source)
         if not statements:
             self._output += postgres.EMPTY_QUERY
         try:
-            for statement in statements:
-                result = self.session.run(statement, {}, alone=statement is statements[-1])
+            for number, statement in enumerate(statements, 1):
+                result = self.session.run(statement, {}, alone=number == len(statements))
                 if result.columns:
                     self._output += frames.row_description(result.columns)
                 self._send_rows(result, result.rows, (0,))
--- a/packages/standins/bramleyrill_standins/upstream/_extended.py
+++ b/packages/standins/bramleyrill_standins/upstream/_extended.py
@@ -102,7 +102,7 @@
         name, _ = frames.take_text(body, 1)
         if body[:1] == b"P":
             portal = self._find(self._portals, name, "34000", "portal")
-            columns = []
+            columns = ()
             if portal.prepared.statement.returns_rows:
                 columns = self._result_of(portal).columns
             self._append(self._columns_frame(columns, portal.formats))
@@ -111,10 +111,12 @@
         count = prepared.statement.parameter_count
         oids = [oid or TEXT for oid in prepared.oids] + [TEXT] * (count - len(prepared.oids))
         self._append(postgres.frame(b"t", struct.pack(f"!h{len(oids)}i", len(oids), *oids)))
-        columns = self._member.describe(prepared.statement)
+        columns = self._session.describe(prepared.statement)
         self._append(self._columns_frame(columns, ()))
 
-    def _columns_frame(self, columns: list[tuple[str, int]], formats: tuple[int, ...]) -> bytes:
+    def _columns_frame(
+        self, columns: tuple[tuple[str, int], ...], formats: tuple[int, ...]
+    ) -> bytes:
         if not columns:
             return postgres.NO_DATA
         return frames.row_description(columns, formats)
--- a/packages/standins/bramleyrill_standins/upstream/_frames.py
+++ b/packages/standins/bramleyrill_standins/upstream/_frames.py
@@ -1,5 +1,6 @@
 """Frames as a server reads them from a socket; the builders are those of the wire package."""
 
+import functools
 import struct
 
 from bramleyrill_wire import postgres
@@ -54,7 +55,8 @@
     return body[start:end].decode(), end + 1
 
 
-def row_description(columns: list[tuple[str, int]], formats: tuple[int, ...] = ()) -> bytes:
+@functools.lru_cache(maxsize=256)
+def row_description(columns: tuple[tuple[str, int], ...], formats: tuple[int, ...] = ()) -> bytes:
     """Return a RowDescription of (name, type OID) columns; `formats` as in a Bind message."""
     body = [struct.pack("!h", len(columns))]
     for index, (name, oid) in enumerate(columns):
--- a/packages/standins/bramleyrill_standins/upstream/_functions.py
+++ b/packages/standins/bramleyrill_standins/upstream/_functions.py
@@ -15,9 +15,9 @@
 _CALL = re.compile(r"\bgroup_(status|fence|promote|follow)\s*\(([^()]*)\)", re.I)
 _WHOLE = re.compile(r"\s*select\s+(?:\*\s+from\s+)?group_\w+\s*\([^()]*\)\s*;?\s*", re.I)
 _EFFECT = re.compile(r"\b(pg_terminate_backend|pg_(?:try_)?advisory_\w+)\s*\(", re.I)
-_STATUS_TYPES = [
+_STATUS_TYPES = tuple(
     (name, INT8 if name in ("term", "position", "last_term") else TEXT) for name in STATUS_COLUMNS
-]
+)
 # Long enough for a handshake with a leader that answers, short beside the permit wait.
 FOLLOW_WAIT_S = 0.3
 
@@ -72,12 +72,12 @@
     return parse(f"{statement.sql[:start]}(SELECT {columns}) AS group_row{statement.sql[end:]}")
 
 
-def control_columns(statement: Statement) -> list[tuple[str, int]] | None:
+def control_columns(statement: Statement) -> tuple[tuple[str, int], ...] | None:
     """Return the columns of a call that must not run to be described, or None for others."""
     if _CALL.search(statement.sql):
         return _STATUS_TYPES
     found = _EFFECT.search(statement.sql)
-    return [(found.group(1).lower(), BOOL)] if found else None
+    return ((found.group(1).lower(), BOOL),) if found else None
 
 
 def _call(member: "Member", session: "Session", name: str, arguments: list[Any]) -> None:
--- a/packages/standins/bramleyrill_standins/upstream/_log.py
+++ b/packages/standins/bramleyrill_standins/upstream/_log.py
@@ -1,5 +1,6 @@
 """Term, role and log of one member of a replication group."""
 
+import functools
 import json
 import time
 from typing import Any
@@ -58,7 +59,7 @@
     def status(self) -> tuple[str, int, int, str, str, int, str]:
         """Return the row of `group_status()`."""
         last_term = self.entries[-1].term if self.entries else 0
-        history = json.dumps(self.history)
+        history = _history_text(tuple(self.history))
         return (
             self.member,
             self.term,
@@ -174,6 +175,11 @@
             self.role, self.follow_wanted = FENCED, True
 
 
+@functools.lru_cache(maxsize=16)
+def _history_text(history: tuple[tuple[int, int], ...]) -> str:
+    return json.dumps(history)
+
+
 def encode_entry(entry: Entry) -> list[Any]:
     """Return an entry as JSON values; bytes become hexadecimal."""
     writes = [
--- a/packages/standins/bramleyrill_standins/upstream/_member.py
+++ b/packages/standins/bramleyrill_standins/upstream/_member.py
@@ -1,7 +1,7 @@
 """One member: store, log, locks, connections and the faults in force."""
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from datetime import UTC, datetime
 from typing import Any
 
@@ -136,8 +136,13 @@
         statement: Statement,
         parameters: dict[str, Any],
         buffered: list[Write],
+        commit: Callable[[], None] | None = None,
     ) -> Result:
-        """Run one statement, in a slot unless it only controls the member."""
+        """Run one statement, in a slot unless it only controls the member.
+
+        `commit` runs after all waits and raises SqlError unless a write may be committed; with
+        it the statement is a transaction of its own.
+        """
         self.counters.statements += 1
         if statement.control:
             found = run_control(self, session, statement, parameters)
@@ -156,25 +161,29 @@
                 delay += float(statement.sleep)
             # Also without a delay: the session may have ended while it waited for its slot.
             session.pause(delay)
+            if commit is not None:
+                commit()
+                return self.commit([(statement.sql, parameters)], [statement.entry_id])
             return self._run_on_store(session, statement, parameters, buffered)
 
-    def describe(self, statement: Statement) -> list[tuple[str, int]]:
+    def describe(self, statement: Statement, buffered: list[Write]) -> tuple[tuple[str, int], ...]:
         """Return the columns that a statement yields, without running it for good."""
         if not statement.returns_rows or statement.kind is Kind.SHOW:
-            return [("setting", TEXT)] if statement.returns_rows else []
+            return (("setting", TEXT),) if statement.returns_rows else ()
         columns = control_columns(statement)
         if columns is not None:
             return columns
-        return self.store.describe(statement)
+        return self.store.describe(statement, buffered)
 
-    def commit(self, writes: list[Write], entry_ids: list[str]) -> None:
-        """Run a transaction's writes for good and add them to the log."""
-        self.store.commit(writes)
+    def commit(self, writes: list[Write], entry_ids: list[str]) -> Result:
+        """Run a transaction's writes for good, add them to the log, return the last result."""
+        result = self.store.commit(writes)
         self.log.append(tuple(writes))
         self.counters.commits += 1
         self._count_applied(entry_ids)
         self.appended.set()
         self.appended.clear()
+        return result
 
     def apply(self, entry: Entry) -> None:
         """Apply an entry that the leader has sent."""
--- a/packages/standins/bramleyrill_standins/upstream/_session.py
+++ b/packages/standins/bramleyrill_standins/upstream/_session.py
@@ -6,7 +6,7 @@
 
 from bramleyrill_standins.upstream._errors import SqlError
 from bramleyrill_standins.upstream._log import Write
-from bramleyrill_standins.upstream._sql import Kind, Statement, parse
+from bramleyrill_standins.upstream._sql import Kind, Statement
 from bramleyrill_standins.upstream._store import TEXT, Result
 
 if TYPE_CHECKING:
@@ -19,7 +19,7 @@
 )
 _SHOW = re.compile(r"show\s+([\w.]+|time\s+zone|transaction\s+isolation\s+level)", re.I)
 _SAVEPOINT = re.compile(
-    r"(savepoint|release(?:\s+savepoint)?|rollback\s+to(?:\s+savepoint)?)\s+(\w+)", re.I
+    r'(savepoint|release(?:\s+savepoint)?|rollback\s+to(?:\s+savepoint)?)\s+"?(\w+)', re.I
 )
 DEFAULTS = {
     "server_version": "15.0",
@@ -85,7 +85,7 @@
             raise SqlError("25P02", "current transaction is aborted, commands ignored until end")
         try:
             if kind in (Kind.READ, Kind.WRITE):
-                result = self._run_on_tables(statement, parameters)
+                result = self._run_on_tables(statement, parameters, alone)
             else:
                 result = self._run_control(statement)
             if alone and not self.explicit:
@@ -95,6 +95,10 @@
             raise
         return result
 
+    def describe(self, statement: Statement) -> tuple[tuple[str, int], ...]:
+        """Return the columns that a statement would yield now."""
+        return self.member.describe(statement, self._buffered)
+
     def fail(self) -> None:
         """Note an error: an implicit transaction is rolled back, an explicit one has failed."""
         if self.explicit:
@@ -112,9 +116,15 @@
         self._end()
         self.member.locks.release_all(self.pid)
 
-    def _run_on_tables(self, statement: Statement, parameters: dict[str, Any]) -> Result:
+    def _run_on_tables(
+        self, statement: Statement, parameters: dict[str, Any], alone: bool
+    ) -> Result:
         if statement.kind is Kind.WRITE:
             self._check_writable()
+            if alone and not self.explicit and not self._buffered:
+                return self.member.run_statement(
+                    self, statement, parameters, [], commit=self._check_writable
+                )
         result = self.member.run_statement(self, statement, parameters, self._buffered)
         if statement.kind is Kind.WRITE:
             self._check_writable()
@@ -239,7 +249,7 @@
         name = {"time zone": "timezone"}.get(name, name)
         if name not in self.settings:
             raise SqlError("42704", f'unrecognized configuration parameter "{name}"')
-        return Result([(name, TEXT)], [(self.settings[name],)], "SHOW")
+        return Result(((name, TEXT),), [(self.settings[name],)], "SHOW")
 
     def _discard(self) -> Result:
         if self.explicit:
@@ -254,9 +264,4 @@
 
 
 def _done(tag: str) -> Result:
-    return Result([], [], tag)
-
-
-def parse_all(statements: list[str]) -> list[Statement]:
-    """Return the parsed statements of a query string."""
-    return [parse(statement) for statement in statements]
+    return Result((), [], tag)
--- a/packages/standins/bramleyrill_standins/upstream/_sql.py
+++ b/packages/standins/bramleyrill_standins/upstream/_sql.py
@@ -92,6 +92,12 @@
 )
 
 
+@functools.lru_cache(maxsize=4096)
+def parse_all(source: str) -> tuple["Statement", ...]:
+    """Return the parsed statements of a query string."""
+    return tuple(parse(sql) for sql in split(source))
+
+
 def split(source: str) -> list[str]:
     """Return the statements of a query string."""
     statements = [[]]
--- a/packages/standins/bramleyrill_standins/upstream/_store.py
+++ b/packages/standins/bramleyrill_standins/upstream/_store.py
@@ -36,7 +36,7 @@
 class Result:
     """Columns as (name, type OID), rows and the command tag."""
 
-    columns: list[tuple[str, int]]
+    columns: tuple[tuple[str, int], ...]
     rows: list[tuple[Any, ...]]
     tag: str
 
@@ -82,8 +82,7 @@
             return self._execute(statement, parameters)
         self._db.execute("BEGIN")
         try:
-            for sql, values in buffered:
-                self._execute(parse(sql), values)
+            self._replay(buffered)
             return self._execute(statement, parameters)
         finally:
             self._db.execute("ROLLBACK")
@@ -109,20 +108,26 @@
         for entry in entries:
             self.commit(list(entry.writes))
 
-    def describe(self, statement: Statement) -> list[tuple[str, int]]:
+    def describe(self, statement: Statement, buffered: list[Write]) -> tuple[tuple[str, int], ...]:
         """Return the columns that a statement yields, without running it for good."""
         nulls = {str(number): None for number in range(1, statement.parameter_count + 1)}
         self._db.execute("BEGIN")
         try:
+            self._replay(buffered)
             return self._execute(statement, nulls).columns
         except SqlError as problem:
             # NULL parameters may break a constraint, which does not change the columns.
             if problem.sqlstate.startswith("23"):
-                return []
+                return ()
             raise
         finally:
             self._db.execute("ROLLBACK")
 
+    def _replay(self, buffered: list[Write]) -> None:
+        for sql, values in buffered:
+            self._execute(parse(sql), values)
+        self._learn_types(buffered)
+
     def _execute(self, statement: Statement, parameters: dict[str, Any]) -> Result:
         try:
             cursor = self._db.execute(statement.translated, parameters)
@@ -130,7 +135,7 @@
         except sqlite3.Error as problem:
             raise from_sqlite(problem) from None
         names = [column[0] for column in cursor.description or ()]
-        columns = [self._column(name, index, rows) for index, name in enumerate(names)]
+        columns = tuple(self._column(name, index, rows) for index, name in enumerate(names))
         return Result(columns, rows, _tag(statement, cursor.rowcount, len(rows)))
 
     def _column(self, name: str, index: int, rows: list[tuple[Any, ...]]) -> tuple[str, int]:
--- a/packages/standins/bramleyrill_standins/upstream/_values.py
+++ b/packages/standins/bramleyrill_standins/upstream/_values.py
@@ -68,7 +68,7 @@
 
 
 def encode_row(
-    row: tuple[Any, ...], columns: list[tuple[str, int]], formats: tuple[int, ...]
+    row: tuple[Any, ...], columns: tuple[tuple[str, int], ...], formats: tuple[int, ...]
 ) -> list[bytes | None]:
     """Return the values of a row in the formats that the caller asked for."""
     return [
