Let the latency of an upstream differ by peer

Cause: routing prefers the nearest member, which a single latency cannot show.

Change: `latency_by_peer` replaces the latency for peers known by application name or address; a test covers cutting single peers off.

--- a/packages/standins/bramleyrill_standins/callers/_load.py
+++ b/packages/standins/bramleyrill_standins/callers/_load.py
@@ -1,5 +1,6 @@
 """Several callers at once."""
 
+from collections import Counter
 from typing import Any
 
 from bramleyrill_standins.callers._caller import Caller, Endpoint, Login
@@ -45,6 +46,15 @@
         for caller in self.callers:
             caller.start()
 
+    def progressed(self, since: float, count: int) -> bool:
+        """Tell whether every caller got `count` answers to requests that it sent after `since`."""
+        answered = Counter(
+            event.caller
+            for event in [*self.history.done_writes(), *self.history.reads]
+            if event.started > since
+        )
+        return all(answered[caller.name] >= count for caller in self.callers)
+
     def stop(self) -> History:
         """Stop all callers and return their history; raise TimeoutError if one hangs."""
         for caller in self.callers:
--- a/packages/standins/bramleyrill_standins/upstream/_admin.py
+++ b/packages/standins/bramleyrill_standins/upstream/_admin.py
@@ -95,6 +95,8 @@
     for name, value in wanted.items():
         if name in NUMBERS:
             setattr(member.settings, name, type(getattr(member.settings, name))(value))
+        elif name == "latency_by_peer":
+            member.settings.latency_by_peer = {peer: float(s) for peer, s in value.items()}
         elif name == "kill":
             (member.kill if value else member.revive)()
         elif name == "freeze":
--- a/packages/standins/bramleyrill_standins/upstream/_backend.py
+++ b/packages/standins/bramleyrill_standins/upstream/_backend.py
@@ -45,7 +45,7 @@
         self.session: Session | None = None
         self._sock = sock
         self._names: tuple[str, ...] = (address,)
-        self._reader = frames.FrameReader(sock, self._after_receive)
+        self._reader = frames.FrameReader(sock, self._delay)
         self._output = bytearray()
         self._interrupt: SqlError | None = None
         self._interrupted = Event()
@@ -285,15 +285,15 @@
     def _flush(self) -> None:
         data = bytes(self._output)
         self._output.clear()
-        if self.member.settings.latency:
-            gevent.sleep(self.member.settings.latency)
+        self._delay()
         self.member.wait_until_reachable(self._names)
         if not self.silent and data:
             self._sock.sendall(data)
 
-    def _after_receive(self) -> None:
-        if self.member.settings.latency:
-            gevent.sleep(self.member.settings.latency)
+    def _delay(self) -> None:
+        latency = self.member.settings.latency_of(self._names)
+        if latency:
+            gevent.sleep(latency)
 
     def _pause(self, seconds: float) -> None:
         if seconds > 0:
--- a/packages/standins/bramleyrill_standins/upstream/_settings.py
+++ b/packages/standins/bramleyrill_standins/upstream/_settings.py
@@ -9,7 +9,8 @@
     """What a member is told at its start; times are in seconds.
 
     `lag` delays the application of each entry on this member while it is a replica; `dial` is the
-    time that a new connection takes; `latency` is the one-way delay to and from callers. An empty
+    time that a new connection takes; `latency` is the one-way delay to and from callers, and
+    `latency_by_peer` replaces it for peers known by application name or address. An empty
     `passwords` accepts every user without authentication. `journal` is a file that keeps term and
     log over a kill of the process; without it they are in memory only.
     """
@@ -24,6 +25,7 @@
     slots: int = 0
     service: float = 0.0
     latency: float = 0.0
+    latency_by_peer: dict[str, float] = field(factory=dict)
     idle_in_transaction: float = 0.0
     passwords: dict[str, str] = field(factory=dict)
     scram: bool = True
@@ -32,6 +34,14 @@
     tls_key: str = ""
     _verifiers: dict[str, Verifier] = field(factory=dict, init=False)
 
+    def latency_of(self, names: tuple[str, ...]) -> float:
+        """Return the one-way delay of a peer known by any of `names`."""
+        if self.latency_by_peer:
+            for name in reversed(names):
+                if name in self.latency_by_peer:
+                    return self.latency_by_peer[name]
+        return self.latency
+
     def verifier(self, user: str) -> Verifier:
         """Return the SCRAM verifier of a user, derived once: a derivation takes milliseconds."""
         if user not in self._verifiers:
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -189,6 +189,22 @@
         asking.join()
         self.assertEqual(rows, [(7,)])
 
+    def test_cut_from_one_peer_leaves_the_others(self):
+        near, far = (self.connect("a", application_name=name) for name in ("vm-1", "vm-2"))
+        near.execute("create table t (id bigint)")
+        self.wait_for_position("b", 1)
+        self.group.switch("a", cut=["vm-2", "b"])
+        rows = []
+        asking = threading.Thread(target=lambda: rows.append(far.execute("select 7").fetchone()))
+        asking.start()
+        near.execute("insert into t values (1)")
+        self.wait_for_position("c", 2)
+        self.assertEqual((rows, self.status("b")["position"]), ([], 1))
+        self.group.switch("a", cut=[])
+        asking.join()
+        self.assertEqual(rows, [(7,)])
+        self.wait_for_position("b", 2)
+
     def test_killed_member_refuses_connections_and_keeps_its_log(self):
         self.connect("a").execute("create table t (id bigint)")
         self.group.switch("a", kill=True)
