Run the daemon: pools, permits, succession effects, process

Cause: the parts of a VM need one process that starts and stops them. Change: pools behind the holder's lock, permit desk, probes and group calls, spans, main loop and command line. Not yet run against upstreams.

--- a/packages/daemon/bramleyrill_daemon/__init__.py
+++ b/packages/daemon/bramleyrill_daemon/__init__.py
@@ -3,4 +3,10 @@
 
 def main() -> None:
     """Run the daemon."""
-    raise SystemExit("not built yet")
+    # Blocking calls of libraries must yield, so the patch comes before any other import.
+    from gevent import monkey
+
+    monkey.patch_all()
+    from bramleyrill_daemon._main import run
+
+    run()
--- a/packages/daemon/bramleyrill_daemon/_control.py
+++ b/packages/daemon/bramleyrill_daemon/_control.py
@@ -17,11 +17,16 @@
 
 
 class ControlError(Exception):
-    """A group call failed; `refused` tells that the member's address refused the connection."""
+    """A group call failed.
 
-    def __init__(self, detail: str, refused: bool = False) -> None:
+    `refused` tells that the connection was refused or reset, `answered` that the member itself
+    answered with an error.
+    """
+
+    def __init__(self, detail: str, refused: bool = False, answered: bool = False) -> None:
         super().__init__(detail)
         self.refused = refused
+        self.answered = answered
 
 
 class ControlLine:
@@ -92,7 +97,7 @@
                 sent_at = self._clock.monotonic()
                 return self._connection.query(sql, CALL_TIMEOUT), sent_at
         except UpstreamError as error:
-            raise ControlError(str(error)) from error
+            raise ControlError(str(error), answered=True) from error
         except KeyError as error:
             raise ControlError(f"text or credentials lack {error}") from error
         except OSError as error:
--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from bramleyrill_daemon._answers import STATUS_SQL, AnswerScanner
-from bramleyrill_daemon._exchange import Chunk, ExchangeClosedError, Outcome, Request
+from bramleyrill_daemon._exchange import Chunk, ExchangeClosed, Outcome, Request
 from bramleyrill_daemon._member import CANCELED, MemberDesk, Ticket
 from bramleyrill_daemon._permits import PermitDesk, Refusal
 from bramleyrill_daemon._pool import PoolShell
@@ -89,7 +89,7 @@
         """Return the next part of the answer."""
         while self._refusal is None:
             if self._closed or self._connection is None:
-                raise ExchangeClosedError
+                raise ExchangeClosed
             try:
                 data = self._connection.sock.recv(READ_BYTES)
                 if not data:
@@ -103,7 +103,7 @@
             if free:
                 return Chunk(free)
         if self._closed:
-            raise ExchangeClosedError
+            raise ExchangeClosed
         return Outcome(problem=self._refusal.problem, redirect=self._refusal.redirect)
 
     def cancel(self) -> None:
@@ -227,6 +227,10 @@
             refused = self._fenced_outcome(scanner, status, was_in_transaction)
             if refused is not None:
                 return refused
+        if self._may_commit and not scanner.failed:
+            problem = self._permits.wait_for_second_member(self._route.member, self._request, status)
+            if problem is not None:
+                return Outcome(problem=problem)
         permit = self._permits.of(self._route.member)
         age = length = timedelta()
         if permit is not None and permit.term == status.term:
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_permits.py
@@ -0,0 +1,128 @@
+"""What a holder may answer: permits, redirects, writes that wait for a second member."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import gevent
+from attrs import frozen
+from bramleyrill_base import ErrorKind, Problem
+from bramleyrill_core import DatabaseId, MemberId, MemberStatus, VmId, World, database_of
+from bramleyrill_core.membership import holder_of
+from bramleyrill_core.routing import RoutingTables
+from bramleyrill_core.succession import (
+    Permit,
+    holds_writes,
+    needs_second_member,
+    permit_for,
+    second_member_has,
+)
+
+from bramleyrill_daemon._exchange import Request
+
+# A request that waits for a permit looks again after this long; failovers take seconds.
+LOOK_AGAIN = timedelta(milliseconds=20)
+# Replication takes a few milliseconds at best; probes of the replicas follow each other as fast
+# as they are answered while a write waits.
+SECOND_MEMBER_POLL = timedelta(milliseconds=4)
+# Without a second member for so long, the write is reported as unknown: it may yet be lost.
+SECOND_MEMBER_LIMIT = timedelta(seconds=3)
+_HINT = timedelta(milliseconds=200)
+
+
+@frozen
+class Refusal:
+    """A request that did not run, and the VM to ask instead, if one is known."""
+
+    problem: Problem
+    redirect: VmId | None = None
+
+
+class PermitDesk:
+    """Answer what the exchanges of this VM ask about permits and primaries."""
+
+    def __init__(
+        self, world: World, probe_replicas: Callable[[DatabaseId], None] = lambda database: None
+    ) -> None:
+        self.world = world
+        self.now = world.clock.monotonic
+        self.draining = False
+        self._probe_replicas = probe_replicas
+        self._fenced_terms: dict[MemberId, int] = {}
+        self._polled: set[DatabaseId] = set()
+
+    def of(self, member: MemberId) -> Permit | None:
+        """Return the valid permit of a member that is primary, or None."""
+        database = database_of(member)
+        permit = permit_for(self.world, database)
+        if permit is None or permit.term < self._fenced_terms.get(member, 0):
+            return None
+        known = self.world.tables(RoutingTables).primaries.get(database)
+        return permit if known is not None and known.member == member else None
+
+    def note_fenced(self, member: MemberId, status: MemberStatus) -> None:
+        """Remember that a member reported a term in which it is not the primary."""
+        earlier = self._fenced_terms.get(member, 0)
+        self._fenced_terms[member] = max(earlier, status.term)
+
+    def wait_for(self, member: MemberId, deadline: timedelta) -> Refusal | None:
+        """Wait until the member may answer as primary, or return why the request did not run."""
+        database = database_of(member)
+        while True:
+            if self.of(member) is not None and not holds_writes(self.world, database):
+                return None
+            redirect = self._other_holder(database, member)
+            if redirect is not None or self.now() >= deadline:
+                return self._no_primary(database, redirect)
+            gevent.sleep(LOOK_AGAIN.total_seconds())
+
+    def refusal(self, member: MemberId) -> Refusal:
+        """Return the refusal of a member that turned out not to be the primary."""
+        database = database_of(member)
+        return self._no_primary(database, self._other_holder(database, member))
+
+    def not_holder(self, member: MemberId) -> Refusal:
+        """Return the refusal of a member that this VM does not hold."""
+        kind = ErrorKind.NOT_RUN_DRAINING if self.draining else ErrorKind.NOT_RUN_UNREACHABLE
+        try:
+            holder = holder_of(self.world, member)
+        except KeyError:
+            return Refusal(Problem(ErrorKind.UNKNOWN_DATABASE, database_of(member)))
+        redirect = holder if holder != self.world.identity.id else None
+        return Refusal(Problem(kind, f"not the holder of {member}", _HINT), redirect)
+
+    def wait_for_second_member(
+        self, member: MemberId, request: Request, status: MemberStatus
+    ) -> Problem | None:
+        """Wait until a write is on a second member if the text wants it for the rank."""
+        world, database = self.world, database_of(member)
+        if not needs_second_member(world, database, request.rank):
+            return None
+        until = self.now() + SECOND_MEMBER_LIMIT
+        while not second_member_has(world, database, status.mark):
+            if self.now() >= until:
+                return Problem(ErrorKind.OUTCOME_UNKNOWN, "no second member has the write")
+            if database not in self._polled:
+                self._polled.add(database)
+                gevent.spawn(self._poll, database)
+            gevent.sleep(SECOND_MEMBER_POLL.total_seconds())
+        return None
+
+    def _poll(self, database: DatabaseId) -> None:
+        try:
+            self._probe_replicas(database)
+            gevent.sleep(SECOND_MEMBER_POLL.total_seconds())
+        finally:
+            self._polled.discard(database)
+
+    def _other_holder(self, database: DatabaseId, member: MemberId) -> VmId | None:
+        known = self.world.tables(RoutingTables).primaries.get(database)
+        if known is None or known.member == member:
+            return None
+        try:
+            return holder_of(self.world, known.member)
+        except KeyError:
+            return None
+
+    @staticmethod
+    def _no_primary(database: DatabaseId, redirect: VmId | None) -> Refusal:
+        return Refusal(Problem(ErrorKind.NOT_RUN_NO_PRIMARY, database, _HINT), redirect)
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_process.py
@@ -0,0 +1,170 @@
+"""One VM's process: its parts, their start, the graceful stop."""
+
+import gc
+import random
+import signal
+from datetime import timedelta
+
+import gevent
+from absl import logging
+from bramleyrill_base import SystemClock, log_event
+from bramleyrill_core import VmId, World
+from bramleyrill_core.membership import ListedVm, VmsListed, announce_leaving, announce_left
+from bramleyrill_core.succession import probe_replicas
+from bramleyrill_wire.peers import frames
+from gevent.event import Event
+
+from bramleyrill_daemon import _membership, _succession  # noqa: F401 (their actions register)
+from bramleyrill_daemon._configuration import poll_list, poll_secrets, watch_text
+from bramleyrill_daemon._control import ControlLines
+from bramleyrill_daemon._credentials import Credentials
+from bramleyrill_daemon._frames import frame_taker, takes
+from bramleyrill_daemon._holder import HolderExecutor
+from bramleyrill_daemon._members import HeldMembers
+from bramleyrill_daemon._peer_hello import HelloError
+from bramleyrill_daemon._peer_link import PeerLink
+from bramleyrill_daemon._peer_net import PeerNet
+from bramleyrill_daemon._permits import PermitDesk
+from bramleyrill_daemon._platform import PlatformClient
+from bramleyrill_daemon._pool import PoolShell
+from bramleyrill_daemon._remote import Executors, RemoteExecutor
+from bramleyrill_daemon._served import serve_stream
+from bramleyrill_daemon._settings import Settings, client_context, server_context
+from bramleyrill_daemon._shell import Shell
+from bramleyrill_daemon._spans import SpanStore
+from bramleyrill_daemon.front import Front
+
+DRAIN_LOOK = timedelta(milliseconds=50)
+SEED_INTERVAL = timedelta(seconds=2)
+# Collections of the oldest generation walk every session; most garbage here is freed by counts.
+GC_THRESHOLDS = (20_000, 50, 100)
+
+
+class Process:
+    """All parts of one VM.
+
+    Example: `Process(load_settings(path)).run()` serves until SIGTERM and returns the exit code.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self._stop = Event()
+        self._greenlets: list[gevent.Greenlet] = []
+        clock = SystemClock()
+        # The port is bound first, since the identity tells it to the peers.
+        self._world = World(settings.identity(0), clock, random.Random())
+        self._shell = Shell(self._world)
+        shell = self._shell
+        shell.add(PlatformClient(settings.platform))
+        credentials = shell.add(Credentials(self._world, settings.upstream_authority))
+        pools = shell.add(PoolShell())
+        shell.add(ControlLines(credentials.login, clock))
+        self._members = shell.add(HeldMembers(self._world, pools, credentials))
+        self._permits = shell.add(
+            PermitDesk(
+                self._world,
+                lambda database: shell.carry_out(probe_replicas(self._world, database)),
+            )
+        )
+        self._spans = shell.add(SpanStore(shell))
+        local = HolderExecutor(self._members.desk, pools, self._permits)
+        takes(frames.Execute)(_execute_taker(local))
+        self._net = shell.add(
+            PeerNet(
+                self._world.identity,
+                settings.shared_key,
+                clock,
+                lambda vm: _membership.address_of(shell, vm),
+                frame_taker(shell),
+                server_tls=server_context(settings.peer_tls),
+                client_tls=client_context(settings.peer_tls),
+            )
+        )
+        remote = RemoteExecutor(self._net.link, clock)
+        executors = Executors(self._world.identity.id, local, remote)
+        tls = server_context(settings.caller_tls)
+        self._front = shell.add(Front(self._world, executors, tls=tls))
+
+    def start(self) -> None:
+        """Listen and start every loop; raise OSError if an address cannot be had."""
+        settings = self.settings
+        port = self._net.listen(*settings.peer_listen)
+        self._world.identity = self._net.identity = settings.identity(port)
+        host, caller_port = self._front.start(*settings.caller_listen)
+        shell = self._shell
+        shell.after_tick(self._members.tick)
+        shell.after_tick(self._net.close_surplus)
+        for loop in (watch_text, poll_list, poll_secrets):
+            self._greenlets.append(gevent.spawn(loop, shell))
+        self._greenlets.append(gevent.spawn(self._spans.run))
+        self._greenlets.append(gevent.spawn(self._greet_seeds))
+        self._greenlets.append(gevent.spawn(shell.run))
+        log_event("started", vm=settings.id, callers=f"{host}:{caller_port}", peer_port=port)
+
+    def run(self) -> int:
+        """Serve until a signal or `stop`, then stop gracefully; return the exit code."""
+        gevent.signal_handler(signal.SIGTERM, self._stop.set)
+        gevent.signal_handler(signal.SIGINT, self._stop.set)
+        self.start()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        self._stop.wait()
+        clean = self.drain()
+        log_event("stopped", clean=clean)
+        return 0
+
+    def stop(self) -> None:
+        """Begin the graceful stop."""
+        self._stop.set()
+
+    def drain(self) -> bool:
+        """Leave without cutting off a request; tell whether all ended within the drain timeout."""
+        log_event("draining", sessions=len(self._front.sessions))
+        until = self._world.clock.monotonic() + self._world.text.drain_timeout
+        self._permits.draining = True
+        self._shell.carry_out(announce_leaving(self._world))
+        self._members.release_all()
+        self._front.drain()
+        clean = False
+        while not clean and self._world.clock.monotonic() < until:
+            gevent.sleep(DRAIN_LOOK.total_seconds())
+            streams = sum(len(link.streams) for link in self._net.links.values())
+            clean = not self._front.sessions and not streams and self._members.is_empty
+        if not clean:
+            log_event("drain_timeout", level=logging.WARNING, sessions=len(self._front.sessions))
+        self._shell.carry_out(announce_left(self._world))
+        gevent.sleep(DRAIN_LOOK.total_seconds())
+        self.close()
+        return clean
+
+    def close(self) -> None:
+        """Cut off everything that is left."""
+        gevent.killall(self._greenlets, block=False)
+        self._front.stop()
+        self._shell.part(PoolShell).close()
+        self._shell.part(ControlLines).close()
+        self._net.close()
+
+    def _greet_seeds(self) -> None:
+        """Dial the seed peers until one answers, so that a VM can join during an outage."""
+        seeds = list(self.settings.seed_peers)
+        while seeds and len(self._net.links) == 0:
+            for host, port in seeds:
+                try:
+                    link = self._net.dial(host, port)
+                except (OSError, HelloError) as error:
+                    log_event("seed_failed", address=f"{host}:{port}", error=error)
+                    continue
+                listed = ListedVm(VmId(link.vm), "", "", host, port)
+                self._shell.feed(VmsListed((listed,)))
+            gevent.sleep(SEED_INTERVAL.total_seconds())
+
+
+def _execute_taker(executor: HolderExecutor):
+    serve = serve_stream(executor)
+
+    def take(shell: Shell, link: PeerLink, frame) -> None:
+        serve(link, frame)
+
+    return take
--- a/packages/daemon/bramleyrill_daemon/_remote.py
+++ b/packages/daemon/bramleyrill_daemon/_remote.py
@@ -13,7 +13,7 @@
 from bramleyrill_daemon._exchange import (
     Chunk,
     Exchange,
-    ExchangeClosedError,
+    ExchangeClosed,
     Executor,
     Outcome,
     Request,
@@ -99,7 +99,7 @@
                 return Outcome(problem=self._problem)
             frame = self._inbox.get()
             if frame is _CLOSED:
-                raise ExchangeClosedError
+                raise ExchangeClosed
             if frame is _LOST:
                 self._problem = self._lost_problem()
                 continue
--- a/packages/daemon/bramleyrill_daemon/_served.py
+++ b/packages/daemon/bramleyrill_daemon/_served.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 from gevent.queue import SimpleQueue
 
-from bramleyrill_daemon._exchange import Chunk, Exchange, ExchangeClosedError, Executor, Outcome
+from bramleyrill_daemon._exchange import Chunk, Exchange, ExchangeClosed, Executor, Outcome
 from bramleyrill_daemon._peer_link import PeerLink, PeerLostError
 from bramleyrill_daemon._stream_codec import (
     MAY_COMMIT,
@@ -58,7 +58,7 @@
                 frame = self._inbox.get()
                 if frame is None:
                     return
-        except (ExchangeClosedError, PeerLostError):
+        except (ExchangeClosed, PeerLostError):
             pass
         except ValueError as error:
             self._fail(Problem(ErrorKind.PROTOCOL_VIOLATION, str(error)))
@@ -134,7 +134,7 @@
     def _send_chunk(self, data: bytes) -> None:
         while self._credit <= 0:
             if self._ended:
-                raise ExchangeClosedError
+                raise ExchangeClosed
             self._credit_came = self._credit_came or Event()
             self._credit_came.clear()
             self._credit_came.wait()
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_spans.py
@@ -0,0 +1,100 @@
+"""The succession objects of the platform: which member may lead which term."""
+
+from datetime import timedelta
+from typing import Any
+
+import gevent
+from absl import logging
+from bramleyrill_base import log_event
+from bramleyrill_core import DatabaseId
+from bramleyrill_core.succession import Span, SpansChanged, SuccessionTables
+
+from bramleyrill_daemon._platform import Conflict, PlatformClient, PlatformError
+from bramleyrill_daemon._shell import Shell
+
+KIND = "succession"
+# Spans change with the text's member lists only, and an older list stays safe: a supervisor
+# without the newest span leaves its terms alone.
+REREAD_AFTER = timedelta(seconds=60)
+LOOK_INTERVAL = timedelta(milliseconds=500)
+
+
+def object_name(database: DatabaseId) -> str:
+    """Return the object name `fleet.service.database`."""
+    return database.replace("/", ".")
+
+
+def encode_spans(spans: tuple[Span, ...]) -> dict[str, Any]:
+    """Return the platform's value."""
+    return {"spans": [{"first_term": s.first_term, "members": list(s.members)} for s in spans]}
+
+
+def decode_spans(value: Any) -> tuple[Span, ...]:
+    """Return the spans in a value; raise ValueError if it is malformed."""
+    try:
+        return tuple(
+            Span(int(entry["first_term"]), tuple(str(name) for name in entry["members"]))
+            for entry in value["spans"]
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"malformed spans: {error!r}") from error
+
+
+class SpanStore:
+    """Read and append spans of the databases whose control this VM takes part in."""
+
+    def __init__(self, shell: Shell) -> None:
+        self._shell = shell
+        self._platform: PlatformClient = shell.part(PlatformClient)
+        self._read_at: dict[DatabaseId, timedelta] = {}
+
+    def append(self, database: DatabaseId, after: int, span: Span) -> None:
+        """Add a span if the object still has `after` spans; feed what it holds then."""
+        name = object_name(database)
+        try:
+            stored = self._platform.get(KIND, name)
+            spans = decode_spans(stored.value) if stored is not None else ()
+            if len(spans) == after:
+                wanted = (*spans, span)
+                version = stored.version if stored is not None else 0
+                result = self._platform.put(KIND, name, encode_spans(wanted), version)
+                if not isinstance(result, Conflict):
+                    spans = wanted
+                elif result.current is not None:
+                    spans = decode_spans(result.current.value)
+        except (PlatformError, ValueError) as error:
+            # An answer that was lost is read back by the next look.
+            log_event("span_append_failed", database=database, error=error)
+            self._read_at.pop(database, None)
+            return
+        log_event("spans", database=database, count=len(spans))
+        self._feed(database, spans)
+
+    def run(self) -> None:
+        """Read the spans of this VM's databases for ever."""
+        while True:
+            tables = self._shell.world.tables(SuccessionTables)
+            now = self._shell.world.clock.monotonic()
+            for database in list(tables.groups.by_id):
+                known = bool(tables.spans.get(database))
+                read_at = self._read_at.get(database)
+                if read_at is None or (not known or now - read_at >= REREAD_AFTER):
+                    self._read(database, now)
+            gevent.sleep(LOOK_INTERVAL.total_seconds())
+
+    def _read(self, database: DatabaseId, now: timedelta) -> None:
+        try:
+            stored = self._platform.get(KIND, object_name(database))
+            spans = decode_spans(stored.value) if stored is not None else ()
+        except PlatformError as error:
+            log_event("platform_down", during="spans", error=error)
+            return
+        except ValueError as error:
+            log_event("spans_malformed", level=logging.ERROR, database=database, error=error)
+            return
+        self._read_at[database] = now
+        self._feed(database, spans)
+
+    def _feed(self, database: DatabaseId, spans: tuple[Span, ...]) -> None:
+        if spans:
+            self._shell.feed(SpansChanged(database, spans))
