Count sub-tests by their own result

Cause: the test runner counted each passed sub-test as failed, since their outcome has a name of its own.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -4,9 +4,11 @@
 
 from nose2.events import Plugin, TestOutcomeEvent
 
+SUBTEST = "subtest"
+
 
 class Outcomes(Plugin):
-    """Count outcomes and keep the ids of failed tests."""
+    """Count outcomes and keep the ids of failed tests and sub-tests."""
 
     alwaysOn = True  # noqa: N815 (the name is nose2's)
     configSection = "outcomes"  # noqa: N815
@@ -16,9 +18,16 @@
 
     def testOutcome(self, event: TestOutcomeEvent) -> None:  # noqa: N802
         """Record one outcome; an unexpected success counts as failed."""
-        ok = event.expected and event.outcome in ("passed", "skipped")
-        if event.outcome == "failed" and event.expected:
-            ok = True
-        Outcomes.counts["skipped" if event.outcome == "skipped" else "run"] += 1
-        if not ok:
+        if not is_good(event):
             Outcomes.failed_ids.add(event.test.id())
+        if event.outcome != SUBTEST:
+            Outcomes.counts["skipped" if event.outcome == "skipped" else "run"] += 1
+
+
+def is_good(event: TestOutcomeEvent) -> bool:
+    """Tell whether the outcome is as it should be; sub-tests have one event each."""
+    if event.outcome == SUBTEST:
+        return event.exc_info is None
+    if event.outcome in ("passed", "failed"):
+        return event.expected
+    return event.outcome == "skipped"
