Refuse a permit longer than the wait after a fence

Cause: the wait after a fence is a constant of 1 s, since a supervisor cannot know which text a holder has; a text with a longer permit would let a replaced primary acknowledge. Measured: a text with 1500ms was accepted before and is refused now.

--- a/packages/core/bramleyrill_core/text/_parse.py
+++ b/packages/core/bramleyrill_core/text/_parse.py
@@ -33,6 +33,8 @@
 # One connection for the holder's locks and one for the probes of each of three holders.
 RESERVED_CONNECTIONS = 4
 MOST_MEMBERS = 7
+# A supervisor waits for this long whatever text it has, so no text may grant more.
+LONGEST_PERMIT = timedelta(seconds=1)
 
 _DEFAULT_RANKS = {
     Rank.URGENT: RankPolicy(timedelta(milliseconds=250), 0.99, 0.4, timedelta(seconds=3)),
@@ -94,6 +96,8 @@
         permit=section.duration("permit", default.permit, least=floor),
     )
     section.close()
+    if policy.permit > LONGEST_PERMIT:
+        section.fail("permit", "a permit longer than the wait after a fence", "write at most 1s")
     if policy.permit < 2 * policy.probe_interval:
         section.fail(
             "permit", "a permit must outlast two probes", "write at least twice `probe_interval`"
--- a/tests/configuration/test_text.py
+++ b/tests/configuration/test_text.py
@@ -58,6 +58,10 @@
         (found,) = self.errors(("permit: 1s", "permit: 300ms"))
         self.assertIn("permit", found.path)
 
+    def test_permit_longer_than_the_wait_is_refused(self):
+        (found,) = self.errors(("permit: 1s", "permit: 1500ms"))
+        self.assertIn("at most 1s", found.advice)
+
     def test_broken_yaml_is_reported_with_its_line(self):
         (found,) = parse_text("fleets:\n  a: [1\n  b: 2\n").failure()
         self.assertGreaterEqual(found.line, 2)
