Serve one statement end to end, here or over a peer

Cause: the thin path needs the holder, its process and its watch of the text. Change: loops run again after a failure; the hash of the watchers gets bytes, as xxhash 4 refuses text (this had ended the watch of the platform); tests of the holder against a scripted upstream.

--- a/packages/core/bramleyrill_core/configuration/_watchers.py
+++ b/packages/core/bramleyrill_core/configuration/_watchers.py
@@ -15,7 +15,9 @@
     from bramleyrill_core.membership import live_vms
 
     ids = {*live_vms(world, world.identity.domain), world.identity.id}
-    return sorted(ids, key=lambda vm: xxhash.xxh64_intdigest(f"text:{vm}"))[:WATCHERS_PER_DOMAIN]
+    return sorted(ids, key=lambda vm: xxhash.xxh64_intdigest(f"text:{vm}".encode()))[
+        :WATCHERS_PER_DOMAIN
+    ]
 
 
 def is_watcher(world: World) -> bool:
--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -228,7 +228,9 @@
             if refused is not None:
                 return refused
         if self._may_commit and not scanner.failed:
-            problem = self._permits.wait_for_second_member(self._route.member, self._request, status)
+            problem = self._permits.wait_for_second_member(
+                self._route.member, self._request, status
+            )
             if problem is not None:
                 return Outcome(problem=problem)
         permit = self._permits.of(self._route.member)
--- a/packages/daemon/bramleyrill_daemon/_process.py
+++ b/packages/daemon/bramleyrill_daemon/_process.py
@@ -4,6 +4,7 @@
 import random
 import signal
 from datetime import timedelta
+from typing import Any
 
 import gevent
 from absl import logging
@@ -30,7 +31,7 @@
 from bramleyrill_daemon._remote import Executors, RemoteExecutor
 from bramleyrill_daemon._served import serve_stream
 from bramleyrill_daemon._settings import Settings, client_context, server_context
-from bramleyrill_daemon._shell import Shell
+from bramleyrill_daemon._shell import Shell, run_for_ever
 from bramleyrill_daemon._spans import SpanStore
 from bramleyrill_daemon.front import Front
 
@@ -67,8 +68,7 @@
             )
         )
         self._spans = shell.add(SpanStore(shell))
-        local = HolderExecutor(self._members.desk, pools, self._permits)
-        takes(frames.Execute)(_execute_taker(local))
+        local = shell.add(HolderExecutor(self._members.desk, pools, self._permits))
         self._net = shell.add(
             PeerNet(
                 self._world.identity,
@@ -95,8 +95,8 @@
         shell.after_tick(self._members.tick)
         shell.after_tick(self._net.close_surplus)
         for loop in (watch_text, poll_list, poll_secrets):
-            self._greenlets.append(gevent.spawn(loop, shell))
-        self._greenlets.append(gevent.spawn(self._spans.run))
+            self._greenlets.append(gevent.spawn(run_for_ever, loop, shell))
+        self._greenlets.append(gevent.spawn(run_for_ever, SpanStore.run, self._spans))
         self._greenlets.append(gevent.spawn(self._greet_seeds))
         self._greenlets.append(gevent.spawn(shell.run))
         log_event("started", vm=settings.id, callers=f"{host}:{caller_port}", peer_port=port)
@@ -161,10 +161,7 @@
             gevent.sleep(SEED_INTERVAL.total_seconds())
 
 
-def _execute_taker(executor: HolderExecutor):
-    serve = serve_stream(executor)
-
-    def take(shell: Shell, link: PeerLink, frame) -> None:
-        serve(link, frame)
-
-    return take
+@takes(frames.Execute)
+def serve_execute(shell: Shell, link: PeerLink, frame: Any) -> None:
+    """Serve a stream that a peer opens."""
+    serve_stream(shell.part(HolderExecutor), link, frame)
--- a/packages/daemon/bramleyrill_daemon/_served.py
+++ b/packages/daemon/bramleyrill_daemon/_served.py
@@ -1,6 +1,5 @@
 """Holder side of a stream: run an exchange for another VM and send back what it gives."""
 
-from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -158,16 +157,12 @@
             self._exchange.close()
 
 
-def serve_stream(executor: Executor) -> Callable[[PeerLink, Any], None]:
-    """Return the function that serves each Execute frame in a greenlet of its own."""
-
-    def serve(link: PeerLink, frame: Any) -> None:
-        number = frame.stream
-        if number is None or number in link.streams or number % 2 == link.dialed:
-            log_event("stream_refused", vm=link.vm, stream=number)
-            return
-        stream = ServedStream(link, number)
-        link.streams[number] = stream
-        gevent.spawn(stream.run, executor, frame)
-
-    return serve
+def serve_stream(executor: Executor, link: PeerLink, frame: Any) -> None:
+    """Serve the stream of an Execute frame in a greenlet of its own."""
+    number = frame.stream
+    if number is None or number in link.streams or number % 2 == link.dialed:
+        log_event("stream_refused", vm=link.vm, stream=number)
+        return
+    stream = ServedStream(link, number)
+    link.streams[number] = stream
+    gevent.spawn(stream.run, executor, frame)
--- a/packages/daemon/bramleyrill_daemon/_shell.py
+++ b/packages/daemon/bramleyrill_daemon/_shell.py
@@ -13,6 +13,9 @@
 # A tick this late means that the process was paused or starved; worth a line in the log.
 LATE_TICK = timedelta(milliseconds=500)
 
+# Pause before a loop that failed unexpectedly runs again.
+LOOP_RETRY = timedelta(seconds=1)
+
 Action = Callable[["Shell", Any], None]
 
 actions: Registry[Action] = Registry("effect")
@@ -94,3 +97,14 @@
                 log_event("tick_late", level=logging.WARNING, by=now - next_tick)
             next_tick = max(next_tick, now)
             gevent.sleep(max((next_tick - now).total_seconds(), 0.001))
+
+
+def run_for_ever(loop: Callable[[Any], None], part: Any) -> None:
+    """Run a loop of a part again after an unexpected failure, which is logged."""
+    while True:
+        try:
+            loop(part)
+        except Exception as error:
+            name = getattr(loop, "__name__", "loop")
+            logging.exception("event=loop_failed loop=%s error=%s", name, error)
+            gevent.sleep(LOOP_RETRY.total_seconds())
--- a/packages/daemon/bramleyrill_daemon/_succession.py
+++ b/packages/daemon/bramleyrill_daemon/_succession.py
@@ -130,9 +130,7 @@
 def tell_primary(shell: Shell, effect: PrimaryChanged) -> None:
     """Tell the peers that are connected; others learn it from redirects."""
     log_event("primary_changed", database=effect.database, term=effect.term, member=effect.member)
-    frame = frames.PrimaryChanged(
-        database=effect.database, term=effect.term, member=effect.member
-    )
+    frame = frames.PrimaryChanged(database=effect.database, term=effect.term, member=effect.member)
     net = shell.part(PeerNet)
     for vm in list(net.links):
         net.post(vm, frame)
@@ -142,9 +140,7 @@
 def take_primary(shell: Shell, link: PeerLink, frame: Any) -> None:
     """Remember a primary that a peer learned of."""
     if frame.database in shell.world.text.databases and frame.term and frame.member:
-        note_primary(
-            shell.world, DatabaseId(frame.database), frame.term, MemberId(frame.member)
-        )
+        note_primary(shell.world, DatabaseId(frame.database), frame.term, MemberId(frame.member))
 
 
 @carries_out(AppendSpan)
--- /dev/null
+++ b/tests/holder/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the holder side and of the process."""
--- /dev/null
+++ b/tests/holder/test_holder.py
@@ -0,0 +1,174 @@
+"""Tests of the holder side of an exchange against a scripted upstream."""
+
+import unittest
+from datetime import timedelta
+
+import gevent
+from bramleyrill_base import ErrorKind, SystemClock
+from bramleyrill_core import NO_MARK, Mark, Rank, StatementClass
+from bramleyrill_core.routing import KnownPrimary, Route, RoutingTables
+from bramleyrill_core.succession import Permit, SuccessionTables
+from bramleyrill_core.succession._tables import Group
+from bramleyrill_daemon._answers import STATUS_SQL
+from bramleyrill_daemon._exchange import Chunk, ExchangeClosed, Request
+from bramleyrill_daemon._holder import HolderExecutor
+from bramleyrill_daemon._member import MemberDesk
+from bramleyrill_daemon._permits import PermitDesk
+from bramleyrill_daemon._pool import MemberPool, PoolLimits, PoolShell
+from bramleyrill_daemon._upstream import UpstreamLogin
+from bramleyrill_wire import postgres as pg
+
+from tests.holder.fakes import FakeUpstream, answer, status_answer
+from tests.worlds import DATABASE, MEMBERS, build_world, ms
+
+LONG = ms(60_000)
+PRIMARY = Route(MEMBERS[0], "vm-a", True, NO_MARK, ms(0))
+
+
+def request(kind=StatementClass.WRITE, **fields):
+    fields = {"may_commit": True, "alters_session": False, "deadline_left": ms(2000)} | fields
+    return Request(1, "kintsugi", "pieces", DATABASE, Rank.URGENT, kind, **fields)
+
+
+class HolderTest(unittest.TestCase):
+    def start(self, run, connections=2):
+        self.world = build_world()
+        self.world.clock = SystemClock()
+        self.upstream = FakeUpstream(run)
+        self.addCleanup(self.upstream.close)
+        login = UpstreamLogin("127.0.0.1", self.upstream.port, "main", "proxy", "")
+        self.pools = PoolShell()
+        pool = MemberPool(MEMBERS[0], lambda: login, PoolLimits(connections, 0), self.world.clock)
+        self.pools.by_member[MEMBERS[0]] = pool
+        pool.hold()
+        self.addCleanup(self.pools.close)
+        self.desk = MemberDesk(self.world, MEMBERS[0], DATABASE)
+        self.permits = PermitDesk(self.world)
+        self.grant()
+        return HolderExecutor(lambda member: self.desk, self.pools, self.permits)
+
+    def grant(self, length=LONG):
+        spec = self.world.text.databases[DATABASE]
+        group = Group(spec, ms(0), {}, {})
+        group.permit = Permit(1, self.world.clock.monotonic(), length)
+        self.world.tables(SuccessionTables).groups.add(DATABASE, group)
+        known = KnownPrimary(1, MEMBERS[0])
+        self.world.tables(RoutingTables).primaries.add(DATABASE, known)
+
+    def run_one(self, executor, sql, wanted=None, **options):
+        exchange = executor.open(PRIMARY, wanted or request(**options))
+        with gevent.Timeout(10):
+            exchange.send(pg.query(sql))
+            return self.finish(exchange)
+
+    def finish(self, exchange):
+        chunks = []
+        while isinstance(part := exchange.receive(), Chunk):
+            chunks.append(part.frames)
+        return b"".join(chunks), part
+
+    def test_commit_is_acknowledged_with_mark_and_permit(self):
+        """Guards against an acknowledgement that leaves before the status behind it is known."""
+        executor = self.start(lambda sql: None if sql == STATUS_SQL else answer("INSERT 0 1"))
+        chunks, outcome = self.run_one(executor, "insert")
+        self.assertEqual((chunks, outcome.tail), (b"", answer("INSERT 0 1")))
+        self.assertEqual(outcome.mark, Mark(1, 7))
+        self.assertEqual(outcome.permit_length, LONG)
+        self.assertEqual([sql for _, sql in self.upstream.statements], ["insert", STATUS_SQL])
+
+    def test_permit_of_another_term_acknowledges_nothing(self):
+        """Guards against a write of a new term that is confirmed by the permit of an old one."""
+        executor = self.start(
+            lambda sql: status_answer(term=2) if sql == STATUS_SQL else answer("INSERT 0 1")
+        )
+        _, outcome = self.run_one(executor, "insert")
+        self.assertFalse(outcome.permit_length)
+
+    def test_write_refused_by_a_fenced_member_did_not_run(self):
+        """Guards against an outcome unknown where the member proves that nothing was written."""
+        fenced = status_answer(term=2, role="fenced")
+        error = pg.error_response("25006", "fenced") + pg.ready_for_query(b"I")
+        executor = self.start(lambda sql: fenced if sql == STATUS_SQL else error)
+        _, outcome = self.run_one(executor, "insert")
+        self.assertIs(outcome.problem.kind, ErrorKind.NOT_RUN_NO_PRIMARY)
+        self.assertIsNone(self.permits.of(MEMBERS[0]))
+
+    def test_commit_on_a_member_fenced_meanwhile_is_unknown(self):
+        """Guards against an acknowledgement by a primary that was replaced."""
+        fenced = status_answer(term=2, role="fenced")
+        executor = self.start(lambda sql: fenced if sql == STATUS_SQL else answer("INSERT 0 1"))
+        _, outcome = self.run_one(executor, "insert")
+        self.assertIs(outcome.problem.kind, ErrorKind.OUTCOME_UNKNOWN)
+
+    def test_connection_lost_after_sending_is_unknown_and_frees_the_slot(self):
+        """Guards against "not run" for what may have run, and against a slot that is lost."""
+        executor = self.start(lambda sql: None)
+        for _ in range(5):
+            _, outcome = self.run_one(executor, "insert")
+            self.assertIs(outcome.problem.kind, ErrorKind.OUTCOME_UNKNOWN)
+        self.assertFalse(self.desk.in_use)
+
+    def test_transaction_keeps_its_connection_and_gives_its_slot_back(self):
+        """Guards against statements of two transactions on one connection, and idle slots."""
+        replies = {"begin": answer("BEGIN", b"T"), "commit": answer("COMMIT"), STATUS_SQL: None}
+        executor = self.start(lambda sql: replies.get(sql, answer("UPDATE 1", b"T")))
+        begin = request(StatementClass.BEGIN, may_commit=False, alters_session=True)
+        exchange = executor.open(PRIMARY, begin)
+        exchange.send(pg.query("begin"), False)
+        self.finish(exchange)
+        self.assertFalse(self.desk.in_use)
+        self.run_one(executor, "other")
+        exchange.send(pg.query("update"), False)
+        self.finish(exchange)
+        exchange.send(pg.query("commit"), True)
+        _, outcome = self.finish(exchange)
+        self.assertEqual(outcome.mark, Mark(1, 7))
+        gevent.sleep(0.05)
+        ran = [n for n, sql in self.upstream.statements if sql in ("begin", "update", "commit")]
+        other = [n for n, sql in self.upstream.statements if sql == "other"]
+        self.assertEqual(len(set(ran)), 1)
+        self.assertNotIn(other[0], ran)
+        self.assertIn((ran[0], "DISCARD ALL"), self.upstream.statements)
+
+    def test_close_rolls_an_idle_transaction_back(self):
+        """Guards against an open transaction that the next session would join."""
+        executor = self.start(lambda sql: answer("BEGIN", b"T"))
+        exchange = executor.open(PRIMARY, request(StatementClass.BEGIN, may_commit=False))
+        exchange.send(pg.query("begin"), False)
+        self.finish(exchange)
+        exchange.close()
+        gevent.sleep(0.05)
+        self.assertEqual(
+            [sql for _, sql in self.upstream.statements], ["begin", "ROLLBACK", "DISCARD ALL"]
+        )
+
+    def test_close_during_a_statement_ends_its_connection(self):
+        """Guards against the rest of an answer that reaches the next session."""
+        executor = self.start(lambda sql: gevent.sleep(0.2) or answer("SELECT 1"))
+        exchange = executor.open(PRIMARY, request(StatementClass.READ, may_commit=False))
+        exchange.send(pg.query("slow"), False)
+        gevent.spawn_later(0.01, exchange.close)
+        with self.assertRaises(ExchangeClosed):
+            exchange.receive()
+        self.assertFalse(self.pools.by_member[MEMBERS[0]].leased)
+        self.assertFalse(self.desk.in_use)
+
+    def test_connections_never_exceed_their_number(self):
+        """Guards against a member that gets more connections than the text allows."""
+        executor = self.start(lambda sql: gevent.sleep(0.01) or answer("INSERT 0 1"))
+        jobs = [gevent.spawn(self.run_one, executor, "insert") for _ in range(20)]
+        peak = 0
+        while not all(job.ready() for job in jobs):
+            peak = max(peak, self.upstream.open)
+            gevent.sleep(0.002)
+        gevent.joinall(jobs, raise_error=True)
+        self.assertTrue(all(job.value[1].problem is None for job in jobs))
+        self.assertLessEqual(peak, 3)
+
+    def test_wait_for_a_permit_ends_with_the_deadline(self):
+        """Guards against a write that waits for ever, or is sent, while there is no primary."""
+        executor = self.start(lambda sql: answer("INSERT 0 1"))
+        self.grant(length=timedelta())
+        _, outcome = self.run_one(executor, "insert", deadline_left=ms(50))
+        self.assertIs(outcome.problem.kind, ErrorKind.NOT_RUN_NO_PRIMARY)
+        self.assertEqual(self.upstream.statements, [])
--- /dev/null
+++ b/tests/holder/test_watchers.py
@@ -0,0 +1,14 @@
+"""Tests of the choice of the VMs that watch the platform."""
+
+import unittest
+
+from bramleyrill_core.configuration import watchers
+
+from tests.worlds import build_world
+
+
+class WatchersTest(unittest.TestCase):
+    def test_every_vm_can_tell_who_watches(self):
+        """Guards against ids that the hash refuses, which ended the watch of the text."""
+        world = build_world()
+        self.assertEqual(watchers(world), [world.identity.id])
