Look for a new primary while a request waits for a connection

Cause: after the primary died, requests waited their whole deadline of 5 s for a connection of the old one, although another had been promoted after 2.2 s. Change: the wait is cut into slices of 100 ms with a check of the primary; the lock of a dead member is tried less and less often.

--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -18,6 +18,8 @@
 
 STATUS_QUERY = query_frame(STATUS_SQL)
 CANCEL_TIMEOUT = timedelta(seconds=2)
+# A wait for a connection is interrupted to see whether another member has become primary.
+LEASE_SLICE = timedelta(milliseconds=100)
 
 
 class HolderExchange:
@@ -186,11 +188,17 @@
         return None
 
     def _get_connection(self, deadline: timedelta) -> Refusal | None:
-        found = self._pools.lease(self._route.member, deadline)
-        if isinstance(found, Problem):
-            return Refusal(found)
-        self._connection = found
-        return self._check(deadline)
+        while True:
+            until = min(deadline, self._permits.now() + LEASE_SLICE)
+            found = self._pools.lease(self._route.member, until)
+            if not isinstance(found, Problem):
+                self._connection = found
+                return self._check(deadline)
+            if self._closed or self._permits.now() >= deadline:
+                return Refusal(found)
+            refusal = self._check(deadline)
+            if refusal is not None:
+                return refusal
 
     def _end_request(self) -> Outcome:
         """Give back what the request held and tell the entry side how it ended."""
--- a/packages/daemon/bramleyrill_daemon/_pool.py
+++ b/packages/daemon/bramleyrill_daemon/_pool.py
@@ -62,6 +62,7 @@
         self._waiters: deque[AsyncResult] = deque()
         self._dialing = 0
         self._resetting = 0
+        self._lock_pause = LOCK_RETRY
         self._backoff = timedelta()
         self._not_before = timedelta()
         self._keeper: gevent.Greenlet | None = None
@@ -244,7 +245,8 @@
                     refused_since = None
                     continue
                 refused_since = refused_since or now
-                gevent.sleep(LOCK_RETRY.total_seconds() * random.uniform(0.75, 1.25))
+                self._lock_pause = min(self._lock_pause * 1.5, BACKOFF_LAST)
+                gevent.sleep(self._lock_pause.total_seconds() * random.uniform(0.75, 1.25))
                 continue
             if not self.wanted and not self.leased and not self._resetting:
                 self._drop_all("released")
@@ -263,6 +265,7 @@
             log_event("holder_lock_refused", member=self.member, reason=error)
             return False
         self._control = control
+        self._lock_pause = LOCK_RETRY
         log_event("holder_lock_taken", member=self.member, pid=control.pid)
         self._dial_if_needed()
         return True
