Keep floors and early refusal in floods, with a simulation

A class with an empty queue was built anew at each request, since an object with a length of 0 is false; it keeps its averages now.

--- a/packages/core/bramleyrill_core/admission/__init__.py
+++ b/packages/core/bramleyrill_core/admission/__init__.py
@@ -2,6 +2,13 @@
 
 from bramleyrill_core.admission._policies import policy_for_member, policy_for_vm
 from bramleyrill_core.admission._queue import AdmissionQueue
+from bramleyrill_core.admission._simulation import (
+    FloodPlan,
+    FloodResult,
+    RankResult,
+    simulate_flood,
+    to_lines,
+)
 from bramleyrill_core.admission._values import (
     AdmissionPolicy,
     ClassPolicy,
@@ -16,6 +23,9 @@
     "AdmissionPolicy",
     "AdmissionQueue",
     "ClassPolicy",
+    "FloodPlan",
+    "FloodResult",
+    "RankResult",
     "Queued",
     "Refused",
     "Request",
@@ -23,4 +33,6 @@
     "WorkClass",
     "policy_for_member",
     "policy_for_vm",
+    "simulate_flood",
+    "to_lines",
 ]
--- a/packages/core/bramleyrill_core/admission/_floors.py
+++ b/packages/core/bramleyrill_core/admission/_floors.py
@@ -1,11 +1,17 @@
 """Accounts of slot time, which tell who is below its floor."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 # Credit beyond this much backlogged time is forgotten, so that a class cannot save up.
 WINDOW_S = timedelta(seconds=2).total_seconds()
-# Slot time is charged in whole statements; the margin keeps every 10 s window at the floor.
-MARGIN = 1.05
+# What a class got beyond its floor counts for this long, and what it is owed is only served
+# ahead of higher ranks once it amounts to this much backlogged time: short bursts of urgent
+# work pass in one piece.
+SURPLUS_S = timedelta(seconds=1).total_seconds()
+DEFERRED_S = timedelta(milliseconds=500).total_seconds()
+# Both together take up to 1.5 s out of a 10 s window, which the margin gives back.
+MARGIN = 1.2
 
 
 class FloorAccount:
@@ -18,8 +24,8 @@
 
     __slots__ = ("balance", "floor", "since", "waiting")
 
-    def __init__(self, floor: float) -> None:
-        self.floor = floor * MARGIN
+    def __init__(self, floor: float, margin: float) -> None:
+        self.floor = floor * margin
         self.balance = 0.0
         self.waiting = 0
         self.since = 0.0
@@ -31,11 +37,18 @@
             self.balance = min(owed, self.floor * slots * WINDOW_S)
         self.since = now
 
-    def charge(self, slot_time: float, keep: float) -> None:
-        """Take off slot time; the balance does not fall below minus `keep`."""
-        self.balance = max(self.balance - slot_time, -keep)
+    def charge(self, slot_time: float, slots: float) -> None:
+        """Take off slot time, and forget a surplus beyond a second of the floor."""
+        self.balance = max(self.balance - slot_time, -self.floor * slots * SURPLUS_S)
 
-    @property
-    def is_owed(self) -> bool:
-        """Tell whether the account is below its floor and has work waiting."""
-        return self.waiting > 0 and self.balance > 0.0
+    def owed_s(self, slots: float) -> float:
+        """Return the backlogged time for which the floor is owed beyond what may be deferred."""
+        if not self.waiting or not self.floor:
+            return 0.0
+        return self.balance / (self.floor * slots) - DEFERRED_S
+
+
+def margin_for(floors: Iterable[float]) -> float:
+    """Return the margin on floors that share a whole; it shrinks when they nearly fill it."""
+    total = sum(floors)
+    return min(MARGIN, 1.0 / total) if total > 0 else MARGIN
--- a/packages/core/bramleyrill_core/admission/_policies.py
+++ b/packages/core/bramleyrill_core/admission/_policies.py
@@ -41,7 +41,7 @@
 ) -> dict[WorkClass, ClassPolicy]:
     return {
         WorkClass(service.fleet, service.name, Rank(rank)): ClassPolicy(
-            share * policy.floor, queue_limit
+            share * policy.floor, queue_limit, policy.target
         )
         for rank, policy in service.ranks.items()
     }
--- a/packages/core/bramleyrill_core/admission/_queue.py
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -9,10 +9,11 @@
 from bramleyrill_base import Clock, ErrorKind, Problem
 
 from bramleyrill_core._values import Rank
-from bramleyrill_core.admission._floors import FloorAccount
+from bramleyrill_core.admission._floors import FloorAccount, margin_for
 from bramleyrill_core.admission._limit import InFlightLimit
 from bramleyrill_core.admission._values import (
     AdmissionPolicy,
+    ClassPolicy,
     Queued,
     Refused,
     Request,
@@ -22,10 +23,15 @@
 
 _US = timedelta(microseconds=1)
 _RANKS = len(Rank)
-# Weight of a statement in the average service time of its class: about the last 20 count.
-_AVERAGE_WEIGHT = 0.05
+# Weight of a statement in the average service time of its class: about the last 50 count.
+_AVERAGE_WEIGHT = 0.02
 # Use by higher ranks is averaged over this long when a wait is predicted.
 _USE_DECAY_S = 1.0
+# A queue whose waits exceed the target for this long is a standing one; it ends when waits are
+# below the target and nothing was refused for as long, so that it does not flap in a flood.
+_STANDING_AFTER = timedelta(seconds=1)
+# Predicted waits that are admitted then, as a share of the target: statements vary in length.
+_STANDING_SHARE = 0.6
 # Hints below make callers spin, hints above outlast most floods.
 _MIN_HINT_S = 0.010
 _MAX_HINT_S = 10.0
@@ -34,22 +40,56 @@
 class _Class:
     """One class: its queue, service time and floor accounts."""
 
-    __slots__ = ("accounts", "floor", "limit", "mean", "queue", "rank", "resumed", "used", "key")
-
-    def __init__(self, key: WorkClass, accounts: tuple, floor: float, limit: int, mean: float):
+    __slots__ = (
+        "accounts",
+        "key",
+        "late_since",
+        "mean",
+        "policy",
+        "queue",
+        "rank",
+        "refused_at",
+        "resumed",
+    )
+
+    def __init__(self, key: WorkClass, accounts: tuple, policy: ClassPolicy, mean: float) -> None:
         self.key = key
         self.rank = int(key.rank)
         self.accounts: tuple[FloorAccount, ...] = accounts
-        self.floor = floor
-        self.limit = limit
+        self.policy = policy
         self.mean = mean
         self.queue: deque[Request] = deque()
         self.resumed: deque[Request] = deque()
-        self.used = 0.0
+        self.late_since: timedelta | None = None
+        self.refused_at = timedelta(days=-1)
 
     def __len__(self) -> int:
         return len(self.queue) + len(self.resumed)
 
+    def __bool__(self) -> bool:
+        return True
+
+    def note_wait(self, wait: timedelta, now: timedelta) -> None:
+        """Note how long a request waited that starts now."""
+        target = self.policy.target
+        if target is None:
+            return
+        if wait >= target:
+            self.late_since = self.late_since or now
+        elif now - self.refused_at > _STANDING_AFTER:
+            self.late_since = None
+
+    def longest_wait(self, now: timedelta) -> float:
+        """Return the longest wait to admit, in seconds, besides the request's own deadline.
+
+        A burst may fill the queue up to the deadline. When waits have exceeded the target for a
+        while, the queue is cut to the target: otherwise every request of a long flood is served,
+        but too late.
+        """
+        if self.late_since is None or now - self.late_since < _STANDING_AFTER:
+            return math.inf
+        return self.policy.target / _US * 1e-6 * _STANDING_SHARE
+
 
 class AdmissionQueue:
     """Decide which request gets a slot, which waits and which is refused at once.
@@ -74,13 +114,19 @@
         self._classes: dict[WorkClass, _Class] = {}
         self._groups: dict[tuple[str, ...], FloorAccount] = {}
         self._waiting: dict[WorkClass, _Class] = {}
-        self._queued: dict[Hashable, _Class] = {}
+        self._queued: dict[Hashable, tuple[_Class, timedelta]] = {}
         self._deadlines: list[tuple[timedelta, int, Hashable]] = []
         self._running: dict[Hashable, tuple[_Class, timedelta, float]] = {}
         self._paused: dict[Hashable, _Class] = {}
         self._use_by_rank = [0.0] * _RANKS
         self._use_at = 0.0
         self._sequence = 0
+        floors = [item.floor for item in policy.classes.values()]
+        fleets = [floor for key, floor in policy.group_floors.items() if len(key) == 1]
+        self._margin = min(margin_for(floors), margin_for(fleets))
+        self._floor_by_rank = [0.0] * _RANKS
+        for key, item in policy.classes.items():
+            self._floor_by_rank[key.rank] += item.floor * self._margin
 
     @property
     def in_flight(self) -> int:
@@ -102,16 +148,20 @@
         if request.id in self._running or request.id in self._queued:
             raise ValueError(f"request {request.id!r} is already known")
         now = self._clock.monotonic()
-        row = self._classes.get(request.work_class) or self._add_class(request.work_class)
+        row = self._classes.get(request.work_class)
+        if row is None:
+            row = self._add_class(request.work_class)
         if not self._queued and len(self._running) < int(self._limit.value):
             if request.deadline <= now:
                 return self._refuse(request.id, row, ErrorKind.NOT_RUN_DEADLINE, now)
             return self._start(request, row, now)
-        if len(row.queue) >= row.limit:
+        if len(row.queue) >= row.policy.queue_limit:
             return self._refuse(request.id, row, ErrorKind.NOT_RUN_OVERLOADED, now)
         if self.policy.predict:
             wait = self._predict(row, now)
-            if now + timedelta(seconds=wait) > request.deadline:
+            left = (request.deadline - now) / _US * 1e-6
+            is_standing = len(row) >= 2 * self.limit and wait > row.longest_wait(now)
+            if wait > left or is_standing:
                 return self._refuse(request.id, row, ErrorKind.NOT_RUN_OVERLOADED, now, wait)
         self._enqueue(row.queue, request, row, now)
         return self._start_if_free(request, now)
@@ -160,7 +210,7 @@
 
     def withdraw(self, request_id: Hashable) -> list[Started | Refused]:
         """Forget a request in any state, for instance when its caller is gone."""
-        row = self._queued.pop(request_id, None)
+        row, _ = self._queued.pop(request_id, (None, None))
         if row is None:
             return self.finish(request_id)
         for queue in (row.queue, row.resumed):
@@ -177,7 +227,7 @@
         refused = []
         while self._deadlines and self._deadlines[0][0] <= now:
             _, _, request_id = heapq.heappop(self._deadlines)
-            row = self._queued.get(request_id)
+            row, _ = self._queued.get(request_id, (None, None))
             if row is not None and self._take_expired(row, request_id, now):
                 refused.append(self._refuse(request_id, row, ErrorKind.NOT_RUN_DEADLINE, now))
         if len(self._deadlines) > 64 + 4 * len(self._queued):
@@ -190,18 +240,18 @@
         accounts = []
         for group in ((key.fleet,), (key.fleet, key.service)):
             if group in self.policy.group_floors and group not in self._groups:
-                self._groups[group] = FloorAccount(self.policy.group_floors[group])
+                self._groups[group] = FloorAccount(self.policy.group_floors[group], self._margin)
             if group in self._groups:
                 accounts.append(self._groups[group])
-        accounts.append(FloorAccount(policy.floor))
+        accounts.append(FloorAccount(policy.floor, self._margin))
         mean = self.policy.expected / _US * 1e-6
-        row = _Class(key, tuple(accounts), policy.floor, policy.queue_limit, mean)
+        row = _Class(key, tuple(accounts), policy, mean)
         self._classes[key] = row
         return row
 
     def _enqueue(self, queue: deque, request: Request, row: _Class, now: timedelta) -> None:
         queue.append(request)
-        self._queued[request.id] = row
+        self._queued[request.id] = (row, now)
         self._sequence += 1
         heapq.heappush(self._deadlines, (request.deadline, self._sequence, request.id))
         self._note_waiting(row, 1, now)
@@ -231,7 +281,7 @@
     def _start_if_free(self, request: Request, now: timedelta) -> Started | Queued:
         """Start the request itself if a slot is free; the limit may have grown since."""
         if len(self._running) < int(self._limit.value) and len(self._queued) == 1:
-            row = self._queued[request.id]
+            row, _ = self._queued[request.id]
             (row.resumed or row.queue).pop()
             del self._queued[request.id]
             self._note_waiting(row, -1, now)
@@ -248,7 +298,7 @@
         seconds = now / _US * 1e-6
         for account in row.accounts:
             account.accrue(seconds, self._limit.value)
-            account.charge(slot_time, row.mean)
+            account.charge(slot_time, self._limit.value)
         self._decay_use(seconds)
         self._use_by_rank[row.rank] += slot_time
 
@@ -264,8 +314,9 @@
         while self._waiting and len(self._running) < int(self._limit.value):
             row = self._choose(now)
             request = (row.resumed or row.queue).popleft()
-            del self._queued[request.id]
+            _, arrived_at = self._queued.pop(request.id)
             self._note_waiting(row, -1, now)
+            row.note_wait(now - arrived_at, now)
             if request.deadline <= now:
                 outcomes.append(self._refuse(request.id, row, ErrorKind.NOT_RUN_DEADLINE, now))
             else:
@@ -288,41 +339,50 @@
             rows = [row for row in rows if row.rank == best]
         if len(rows) == 1:
             return rows[0]
-        return min(rows, key=_oldest)
+        return min(rows, key=self._first_arrival)
 
     def _narrow(self, rows: list[_Class]) -> list[_Class]:
         """Keep the classes of the fleet, then the service, then the rank that is owed most."""
         for level in range(max(len(row.accounts) for row in rows)):
-            owed = [
-                row for row in rows if level < len(row.accounts) and row.accounts[level].is_owed
-            ]
-            if owed:
-                most = max(row.accounts[level].balance for row in owed)
-                rows = [row for row in owed if row.accounts[level].balance == most]
-                if len(rows) == 1:
-                    break
+            most, owed = 0.0, []
+            for row in rows:
+                if level < len(row.accounts):
+                    seconds = row.accounts[level].owed_s(self._limit.value)
+                    if seconds > most:
+                        most, owed = seconds, [row]
+                    elif owed and seconds == most:
+                        owed.append(row)
+            rows = owed or rows
+            if len(rows) == 1:
+                break
         return rows
 
     def _predict(self, row: _Class, now: timedelta) -> float:
         """Return the expected wait in seconds of one more request of the class.
 
-        Its rate is what higher ranks leave, by their recent use, and at least its floor.
+        Its rate is what higher ranks and the floors of lower ones leave, by their recent use, and
+        at least its own floor.
         """
         self._decay_use(now / _US * 1e-6)
         limit = int(self._limit.value)
-        higher = sum(self._use_by_rank[: row.rank]) / (_USE_DECAY_S * limit)
-        share = max(1.0 - higher, row.floor, 0.001)
-        ahead = len(row.queue) + len(row.resumed)
-        return (ahead + 1) * row.mean / (limit * share)
+        share = 1.0
+        for rank, use in enumerate(self._use_by_rank):
+            used = use / (_USE_DECAY_S * limit)
+            if rank < row.rank:
+                share -= used
+            elif rank > row.rank:
+                share -= min(used, self._floor_by_rank[rank])
+        share = max(share, row.policy.floor, 0.001)
+        return (len(row) + 1) * row.mean / (limit * share)
 
     def _refuse(
         self, request_id: Hashable, row: _Class, kind: ErrorKind, now: timedelta, wait: float = -1.0
     ) -> Refused:
+        row.refused_at = now
         if wait < 0:
             wait = self._predict(row, now)
         hint = timedelta(seconds=min(max(wait, _MIN_HINT_S), _MAX_HINT_S))
         return Refused(request_id, Problem(kind, f"rank {row.key.rank.name.lower()}", hint))
 
-
-def _oldest(row: _Class) -> timedelta:
-    return (row.resumed or row.queue)[0].deadline
+    def _first_arrival(self, row: _Class) -> timedelta:
+        return self._queued[(row.resumed or row.queue)[0].id][1]
--- /dev/null
+++ b/packages/core/bramleyrill_core/admission/_simulation.py
@@ -0,0 +1,365 @@
+"""Simulated floods in front of one member, on a clock set by hand."""
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from random import Random
+
+from attrs import define, field, frozen
+from bramleyrill_base import ErrorKind, ManualClock, Problem
+
+from bramleyrill_core._values import Rank
+from bramleyrill_core.admission._queue import AdmissionQueue
+from bramleyrill_core.admission._values import (
+    AdmissionPolicy,
+    ClassPolicy,
+    Queued,
+    Refused,
+    Request,
+    Started,
+    WorkClass,
+)
+
+FLEET, SERVICE = "kintsugi", "onarim-defteri"
+WINDOW_S = 10
+# Slot time is booked in steps of this length; windows of 10 s start at each step.
+STEP_S = 0.1
+# Work may be done this much later than by a server of the floor's size that the rank has alone.
+_SLACK_S = 1.0
+_TICK_S = 0.05
+
+
+@frozen
+class RankLoad:
+    """Promise to a rank and its usual work, as a share of what the slots can take."""
+
+    floor: float
+    target_s: float
+    deadline_s: float
+    usual_load: float
+
+
+LOADS = {
+    Rank.URGENT: RankLoad(0.4, 0.25, 3.0, 0.25),
+    Rank.EVERYDAY: RankLoad(0.2, 1.0, 5.0, 0.25),
+    Rank.LEAST_URGENT: RankLoad(0.1, 5.0, 10.0, 0.15),
+}
+
+
+@frozen
+class FloodPlan:
+    """One run: the flood offers `multiple` times what the slots can take, in one rank.
+
+    From `slow_from_s` to `slow_to_s` statements take `slow_factor` times as long. Statements
+    also take longer when more than `contended_above` run at a time, in proportion to the square
+    of the excess, as at a member that thrashes. `load_scale` scales the usual work.
+    """
+
+    multiple: float = 50.0
+    flooded: Rank = Rank.LEAST_URGENT
+    slots: int = 2
+    mean_service_s: float = 0.020
+    flood_from_s: float = 5.0
+    flood_to_s: float = 35.0
+    end_s: float = 50.0
+    slow_from_s: float = 0.0
+    slow_to_s: float = 0.0
+    slow_factor: float = 1.0
+    contended_above: int = 0
+    load_scale: float = 1.0
+    seed: int = 1
+
+
+@define
+class RankResult:
+    """What one rank got: counts of the flood, and its least share of a 10 s window.
+
+    `least_share` is slot time over what the slots can take, in the worst window; `least_kept` is
+    the same over what a server of the floor's size would do for the rank alone: the floor, or
+    its demand where that is less.
+    """
+
+    offered: int = 0
+    served: int = 0
+    within_target: int = 0
+    refused_at_once: int = 0
+    expired: int = 0
+    least_share: float = 1.0
+    least_kept: float = 1.0
+    within_target_after: float = 1.0
+
+    @property
+    def share_within_target(self) -> float:
+        """Return the share of offered requests that were served within the target."""
+        return self.within_target / self.offered if self.offered else 1.0
+
+
+@define
+class FloodResult:
+    """Outcome of one queue: by rank, the share of slot time used, statements per second."""
+
+    ranks: dict[Rank, RankResult]
+    used: float
+    statements_per_s: float
+    most_in_flight: int
+
+
+class FirstComeQueue:
+    """First come, first served, with one bounded queue: the baseline."""
+
+    def __init__(self, slots: int, clock: ManualClock, limit: int = 768) -> None:
+        self._slots, self._clock, self._limit = slots, clock, limit
+        self._running: set = set()
+        self._queue: deque[Request] = deque()
+
+    def offer(self, request: Request) -> Started | Queued | Refused:
+        """Start, queue, or refuse when the queue is full."""
+        if len(self._running) < self._slots:
+            self._running.add(request.id)
+            return Started(request.id)
+        if len(self._queue) >= self._limit:
+            return Refused(request.id, Problem(ErrorKind.NOT_RUN_OVERLOADED))
+        self._queue.append(request)
+        return Queued(request.id)
+
+    def finish(self, request_id: int) -> list[Started | Refused]:
+        """Start the oldest request whose deadline has not passed."""
+        self._running.discard(request_id)
+        outcomes: list[Started | Refused] = []
+        while self._queue and len(self._running) < self._slots:
+            request = self._queue.popleft()
+            if request.deadline <= self._clock.monotonic():
+                outcomes.append(Refused(request.id, Problem(ErrorKind.NOT_RUN_DEADLINE)))
+            else:
+                self._running.add(request.id)
+                outcomes.append(Started(request.id))
+        return outcomes
+
+    def tick(self) -> list[Refused]:
+        """Do nothing: expired requests leave when their turn comes."""
+        return []
+
+
+def ranked_policy(plan: FloodPlan, **options: bool) -> AdmissionPolicy:
+    """Return the policy of the simulated member; `options` switch its rules off."""
+    classes = {
+        WorkClass(FLEET, SERVICE, rank): ClassPolicy(
+            load.floor, target=timedelta(seconds=load.target_s)
+        )
+        for rank, load in LOADS.items()
+    }
+    return AdmissionPolicy(plan.slots, classes, **options)
+
+
+def simulate_flood(plan: FloodPlan = FloodPlan(), **options: bool) -> dict[str, FloodResult]:
+    """Run one flood against the queue by rank and against first come, first served.
+
+    Both see the same arrivals and service times, drawn from `plan.seed`, so the result is the
+    same in each run. `options` are flags of `AdmissionPolicy`, such as `floors=False`.
+
+    Example: `simulate_flood(FloodPlan(multiple=10))["by_rank"].ranks[Rank.URGENT]`.
+    """
+    policy = ranked_policy(plan, **options)
+    return {
+        "by_rank": _Run(plan, lambda clock: AdmissionQueue(policy, clock)).run(),
+        "first_come": _Run(plan, lambda clock: FirstComeQueue(plan.slots, clock)).run(),
+    }
+
+
+@define
+class _Statement:
+    rank: Rank
+    arrived_s: float
+    needs_s: float
+    started_s: float = 0.0
+
+
+def _arrivals(plan: FloodPlan, rank: Rank) -> Iterator[tuple[float, Rank, float]]:
+    """Yield (time, rank, service time) of one rank, as a Poisson process."""
+    random = Random(plan.seed * 16 + rank)
+    capacity = plan.slots / plan.mean_service_s
+    usual = LOADS[rank].usual_load * capacity * plan.load_scale
+    now = 0.0
+    while True:
+        in_flood = rank is plan.flooded and plan.flood_from_s <= now < plan.flood_to_s
+        rate = plan.multiple * capacity if in_flood else usual
+        step = random.expovariate(rate)
+        if not in_flood and rank is plan.flooded and now < plan.flood_from_s <= now + step:
+            now = plan.flood_from_s
+            continue
+        now += step
+        if now >= plan.end_s:
+            return
+        yield now, rank, random.expovariate(1.0 / plan.mean_service_s)
+
+
+@define(eq=False)
+class _Run:
+    """One queue under one plan."""
+
+    plan: FloodPlan
+    build: Callable[[ManualClock], AdmissionQueue | FirstComeQueue]
+    clock: ManualClock = field(factory=ManualClock)
+    statements: dict[int, _Statement] = field(factory=dict)
+    ends: list[tuple[float, int]] = field(factory=list)
+    running: int = 0
+    most_in_flight: int = 0
+    served_in_flood: int = 0
+    used: dict[Rank, list[float]] = field(init=False)
+    demand: dict[Rank, list[float]] = field(init=False)
+    results: dict[Rank, RankResult] = field(init=False)
+    queue: AdmissionQueue | FirstComeQueue = field(init=False)
+    after: dict[Rank, list[int]] = field(factory=lambda: {rank: [0, 0] for rank in Rank})
+
+    def run(self) -> FloodResult:
+        """Run to the end and return what came of it."""
+        plan = self.plan
+        steps = int(plan.end_s / STEP_S) + 1
+        self.used = {rank: [0.0] * steps for rank in Rank}
+        self.demand = {rank: [0.0] * steps for rank in Rank}
+        self.results = {rank: RankResult() for rank in Rank}
+        self.queue = self.build(self.clock)
+        streams = heapq.merge(*(_arrivals(plan, rank) for rank in Rank))
+        next_tick = 0.0
+        for number, (at, rank, needs) in enumerate(streams):
+            while (self.ends and self.ends[0][0] <= at) or next_tick <= at:
+                if self.ends and self.ends[0][0] <= next_tick:
+                    self._end(*heapq.heappop(self.ends))
+                else:
+                    self._move(next_tick)
+                    self._note(self.queue.tick(), next_tick)
+                    next_tick += _TICK_S
+            self._arrive(number, at, rank, needs)
+        return self._report()
+
+    def _move(self, now_s: float) -> None:
+        self.clock.advance_to(max(timedelta(seconds=now_s), self.clock.monotonic()))
+
+    def _arrive(self, number: int, at: float, rank: Rank, needs: float) -> None:
+        self._move(at)
+        load = LOADS[rank]
+        self.statements[number] = _Statement(rank, at, needs)
+        if self._in_flood(at):
+            self.results[rank].offered += 1
+        elif at >= self.plan.flood_to_s:
+            self.after[rank][0] += 1
+        deadline = self.clock.monotonic() + timedelta(seconds=load.deadline_s)
+        outcome = self.queue.offer(Request(number, WorkClass(FLEET, SERVICE, rank), deadline))
+        if not isinstance(outcome, Queued):
+            self._note([outcome], at)
+
+    def _in_flood(self, at: float) -> bool:
+        return self.plan.flood_from_s <= at < self.plan.flood_to_s
+
+    def _slowness(self, at: float) -> float:
+        plan = self.plan
+        return plan.slow_factor if plan.slow_from_s <= at < plan.slow_to_s else 1.0
+
+    def _note(self, outcomes: list, now: float) -> None:
+        for outcome in outcomes:
+            if isinstance(outcome, Started):
+                self._start(outcome.id, now)
+                continue
+            statement = self.statements.pop(outcome.id)
+            wanted = statement.needs_s * self._slowness(now)
+            self.demand[statement.rank][int(statement.arrived_s / STEP_S)] += wanted
+            if self._in_flood(statement.arrived_s):
+                result = self.results[statement.rank]
+                if outcome.problem.kind is ErrorKind.NOT_RUN_DEADLINE:
+                    result.expired += 1
+                else:
+                    result.refused_at_once += 1
+
+    def _start(self, number: int, now: float) -> None:
+        statement = self.statements[number]
+        statement.started_s = now
+        self.running += 1
+        self.most_in_flight = max(self.most_in_flight, self.running)
+        takes = statement.needs_s * self._slowness(now)
+        if self.plan.contended_above and self.running > self.plan.contended_above:
+            takes *= (self.running / self.plan.contended_above) ** 2
+        heapq.heappush(self.ends, (now + takes, number))
+
+    def _end(self, at: float, number: int) -> None:
+        self._move(at)
+        self.running -= 1
+        statement = self.statements.pop(number)
+        self._book(statement, at)
+        wanted = at - statement.started_s
+        self.demand[statement.rank][int(statement.arrived_s / STEP_S)] += wanted
+        in_time = at - statement.arrived_s <= LOADS[statement.rank].target_s
+        if self._in_flood(at):
+            self.served_in_flood += 1
+        if self._in_flood(statement.arrived_s):
+            self.results[statement.rank].served += 1
+            self.results[statement.rank].within_target += in_time
+        elif statement.arrived_s >= self.plan.flood_to_s:
+            self.after[statement.rank][1] += in_time
+        self._note(self.queue.finish(number), at)
+
+    def _book(self, statement: _Statement, end: float) -> None:
+        used = self.used[statement.rank]
+        start = statement.started_s
+        while start < end:
+            step = int(start / STEP_S + 1e-9)
+            stop = min(end, (step + 1) * STEP_S)
+            if step >= len(used):
+                return
+            used[step] += stop - start
+            start = stop
+
+    def _report(self) -> FloodResult:
+        plan = self.plan
+        first, last = round(plan.flood_from_s / STEP_S), round(plan.flood_to_s / STEP_S)
+        for rank, result in self.results.items():
+            self._report_windows(rank, result, first, last)
+            offered, in_time = self.after[rank]
+            result.within_target_after = in_time / offered if offered else 1.0
+        can_take = plan.slots * (last - first) * STEP_S
+        used = sum(sum(used[first:last]) for used in self.used.values()) / can_take
+        per_s = self.served_in_flood / (plan.flood_to_s - plan.flood_from_s)
+        return FloodResult(self.results, used, per_s, self.most_in_flight)
+
+    def _report_windows(self, rank: Rank, result: RankResult, first: int, last: int) -> None:
+        width = round(WINDOW_S / STEP_S)
+        can_take = self.plan.slots * WINDOW_S
+        used = [0.0, *itertools.accumulate(self.used[rank])]
+        slack = round(_SLACK_S / STEP_S)
+        reserved = [0.0, *itertools.accumulate(self._reserved(rank))]
+        for start in range(first, last - width + 1):
+            share = (used[start + width] - used[start]) / can_take
+            owed = (reserved[start + width - slack] - reserved[start]) / can_take
+            result.least_share = min(result.least_share, share)
+            result.least_kept = min(result.least_kept, share / owed if owed else 1.0)
+
+    def _reserved(self, rank: Rank) -> Iterator[float]:
+        """Yield the work per step that the rank would get done if its floor were its own server."""
+        per_step = LOADS[rank].floor * self.plan.slots * STEP_S
+        backlog = 0.0
+        for demand in self.demand[rank]:
+            backlog += demand
+            done = min(per_step, backlog)
+            yield done
+            # What cannot be served within the slack is refused there too.
+            backlog = min(backlog - done, per_step * _SLACK_S / STEP_S)
+
+
+def to_lines(plan: FloodPlan, results: dict[str, FloodResult]) -> list[str]:
+    """Return a table of one run, one line per queue and rank."""
+    lines = [f"flood={plan.flooded.name.lower()} multiple={plan.multiple:g} seed={plan.seed}"]
+    for name, outcome in results.items():
+        used = f"slot time used {outcome.used:.1%}, {outcome.statements_per_s:.1f} statements/s"
+        lines.append(f"  {name}: {used}, at most {outcome.most_in_flight} in flight")
+        for rank, result in outcome.ranks.items():
+            in_time = result.within_target / max(result.served, 1)
+            lines.append(
+                f"    {rank.name.lower():<13} offered {result.offered:>7}"
+                f"  within target {result.share_within_target:7.2%}"
+                f" (of served {in_time:6.1%})"
+                f"  worst 10 s share {result.least_share:6.1%} (kept {result.least_kept:.2f})"
+                f"  refused at once {result.refused_at_once:>7}  expired {result.expired:>5}"
+                f"  after the flood {result.within_target_after:7.2%}"
+            )
+    return lines
--- a/packages/core/bramleyrill_core/admission/_values.py
+++ b/packages/core/bramleyrill_core/admission/_values.py
@@ -47,10 +47,14 @@
 
 @frozen
 class ClassPolicy:
-    """What a class keeps: `floor` is its share of all slot time, `queue_limit` bounds its queue."""
+    """What a class keeps: `floor` is its share of all slot time, `queue_limit` bounds its queue.
+
+    A queue in which requests keep waiting longer than `target` is cut to it.
+    """
 
     floor: float = 0.0
     queue_limit: int = 256
+    target: timedelta | None = None
 
 
 @frozen
