--- /dev/null
+++ b/packages/core/bramleyrill_core/drain/__init__.py
@@ -0,0 +1,28 @@
+"""Planned stops of a VM, and members that are leaving."""
+
+from bramleyrill_core.drain._drain import DrainTables, is_draining
+from bramleyrill_core.drain._messages import (
+    CloseSession,
+    EndIdleTransactions,
+    Exit,
+    ReleaseHolders,
+    RequestsInFlight,
+    SessionIdle,
+    StopAccepting,
+    StopRequested,
+)
+from bramleyrill_core.pools._leaving import takes_new_work
+
+__all__ = [
+    "CloseSession",
+    "DrainTables",
+    "EndIdleTransactions",
+    "Exit",
+    "ReleaseHolders",
+    "RequestsInFlight",
+    "SessionIdle",
+    "StopAccepting",
+    "StopRequested",
+    "is_draining",
+    "takes_new_work",
+]
--- a/packages/core/bramleyrill_core/membership/_holders.py
+++ b/packages/core/bramleyrill_core/membership/_holders.py
@@ -1,6 +1,7 @@
 """Choice of holders by rendezvous hashing over the live VMs."""
 
 import xxhash
+from attrs import define
 
 from bramleyrill_core._values import DatabaseId, MemberId, VmId
 from bramleyrill_core._world import World
@@ -39,12 +40,45 @@
     live = tables.live_by_domain.get(domain)
     version = tables.versions_by_domain.get(domain, 0) if live else -1 - tables.version
     known = tables.holders.get(member)
-    if known is not None and known[0] == domain and known[1] == version:
-        return known[2]
+    if known is not None and known.domain == domain:
+        if known.version == version:
+            return known.vm
+        if live and known.version >= 0 and _catch_up(tables, known, member, version):
+            return known.vm
     vms = live or [vm for others in tables.live_by_domain.values() for vm in others]
-    holder = max(vms, key=lambda vm: (_weight(vm, member), vm), default=None)
-    _remember(tables, member, (domain, version, holder))
-    return holder
+    weight, vm = max(((_weight(vm, member), vm) for vm in vms), default=(0, None))
+    _remember(tables, member, _Choice(domain, version, weight, vm))
+    return vm
+
+
+@define
+class _Choice:
+    """A remembered holder; a negative version is one of the whole view, not of the domain."""
+
+    domain: str
+    version: int
+    weight: int
+    vm: VmId | None
+
+
+def _catch_up(tables: MembershipTables, known: _Choice, member: MemberId, version: int) -> bool:
+    """Follow the domain's changes since the choice; tell whether that was possible.
+
+    The holder's own death needs a new choice; any other change at most one hash.
+    """
+    changes = tables.changes_by_domain[known.domain]
+    if changes[0][0] > known.version + 1:
+        return False
+    for changed_at, vm, added in reversed(changes):
+        if changed_at <= known.version:
+            break
+        if vm == known.vm:
+            return False
+        live = tables.live_by_domain[known.domain]
+        if added and vm in live and (_weight(vm, member), vm) > (known.weight, known.vm):
+            known.weight, known.vm = _weight(vm, member), vm
+    known.version = version
+    return True
 
 
 def holders_of(world: World, database: DatabaseId) -> dict[MemberId, VmId | None]:
@@ -66,7 +100,7 @@
 _HOLDERS_LIMIT = 16_384
 
 
-def _remember(tables: MembershipTables, member: MemberId, entry: tuple) -> None:
+def _remember(tables: MembershipTables, member: MemberId, entry: _Choice) -> None:
     if len(tables.holders) >= _HOLDERS_LIMIT:
         tables.holders.clear()
     tables.holders[member] = entry
--- a/packages/core/bramleyrill_core/membership/_view.py
+++ b/packages/core/bramleyrill_core/membership/_view.py
@@ -19,6 +19,8 @@
 # Members of a domain that returns move to it over this long for each VM that was away.
 RETURN_JITTER_PER_VM = timedelta(milliseconds=50)
 RETURN_JITTER_MAX = timedelta(seconds=10)
+# Changes of a domain that a remembered holder can catch up with, without hashing every VM.
+CHANGES_KEPT = 32
 
 _LIVE = frozenset({VmState.ALIVE, VmState.SUSPECT})
 GONE = frozenset({VmState.DEAD, VmState.LEFT})
@@ -66,6 +68,7 @@
     away_by_domain: dict[str, int] = field(factory=dict)
     version: int = 0
     versions_by_domain: dict[str, int] = field(factory=dict)
+    changes_by_domain: dict[str, deque[tuple[int, VmId, bool]]] = field(factory=dict)
     holders: dict = field(factory=dict)
     sent_by_vm: dict[VmId, int] = field(factory=dict)
     ping_order: list[VmId] = field(factory=list)
@@ -92,7 +95,10 @@
     if tables.started_at is None:
         me = world.identity
         tables.started_at = tables.next_ping = world.clock.monotonic()
-        row = Vm(me.id, me.domain, me.region, me.host, me.port, heard=True)
+        # A restarted VM must outdo what is known of its earlier life. The time of day does that
+        # at once; where it is wrong, the refutation of what peers say does it later.
+        incarnation = int(world.clock.now().timestamp())
+        row = Vm(me.id, me.domain, me.region, me.host, me.port, incarnation=incarnation, heard=True)
         tables.vms.add(me.id, row)
         tables.away_by_domain[me.domain] = 1
     return tables
@@ -115,7 +121,10 @@
         else:
             live.pop(row.id, None)
         tables.version += 1
-        tables.versions_by_domain[row.domain] = tables.versions_by_domain.get(row.domain, 0) + 1
+        version = tables.versions_by_domain.get(row.domain, 0) + 1
+        tables.versions_by_domain[row.domain] = version
+        changes = tables.changes_by_domain.setdefault(row.domain, deque(maxlen=CHANGES_KEPT))
+        changes.append((version, row.id, is_live))
     if row.state in GONE and was not in GONE:
         tables.gone.append(row.id)
 
@@ -193,6 +202,11 @@
             row.heard = True
             row.host, row.port = update.host, update.port
             effects += set_state(world, row, update.state, update.incarnation)
+        elif row.state in GONE and update.state not in GONE:
+            # The sender missed the news. Without a reminder a VM that is wrongly called dead
+            # would learn of it, and refute it, only when it meets this VM by chance.
+            tables.sent_by_vm[row.id] = 0
+            tables.news = True
     return effects
 
 
@@ -220,15 +234,15 @@
 def return_jitter(world: World) -> timedelta:
     """Return how long this VM waits before it takes back its members.
 
-    The wait is random, and grows with the number of VMs of its domain that are away, so that
-    one VM returns at once and a whole domain over several seconds.
+    The wait is random, and grows with the number of other VMs of its domain that are away, so
+    that one VM returns at once and a whole domain over several seconds.
     """
     tables = view_of(world)
     domain = world.identity.domain
-    if not tables.live_by_domain.get(domain) or not world.rules.on("return_jitter"):
+    if not world.rules.on("return_jitter"):
         return timedelta()
-    away = tables.away_by_domain.get(domain, 0)
-    return world.random.random() * min(RETURN_JITTER_MAX, away * RETURN_JITTER_PER_VM)
+    others_away = max(0, tables.away_by_domain.get(domain, 0) - 1)
+    return world.random.random() * min(RETURN_JITTER_MAX, others_away * RETURN_JITTER_PER_VM)
 
 
 def updates_for(world: World, about: VmId | None = None) -> tuple[VmUpdate, ...]:
--- /dev/null
+++ b/packages/core/bramleyrill_core/pools/__init__.py
@@ -0,0 +1,51 @@
+"""Pools of connections to the members that this VM holds."""
+
+from bramleyrill_core.pools._leases import (
+    RESERVED_CONNECTIONS,
+    give_back,
+    lease,
+    note_transaction_idle,
+    pooled_limit,
+)
+from bramleyrill_core.pools._messages import (
+    CloseConnection,
+    ConnectionId,
+    ConnectionLost,
+    ConnectionReturned,
+    ControlLost,
+    Dial,
+    DialFailed,
+    DialSucceeded,
+    LockRefused,
+    LockTaken,
+    ReleaseLock,
+    TakeLock,
+)
+from bramleyrill_core.pools._tables import Connection, Pool, PoolState, PoolTables
+from bramleyrill_core.pools._upkeep import previous_holder, run_pools
+
+__all__ = [
+    "RESERVED_CONNECTIONS",
+    "CloseConnection",
+    "Connection",
+    "ConnectionId",
+    "ConnectionLost",
+    "ConnectionReturned",
+    "ControlLost",
+    "Dial",
+    "DialFailed",
+    "DialSucceeded",
+    "LockRefused",
+    "LockTaken",
+    "Pool",
+    "PoolState",
+    "PoolTables",
+    "ReleaseLock",
+    "TakeLock",
+    "give_back",
+    "lease",
+    "note_transaction_idle",
+    "pooled_limit",
+    "previous_holder",
+    "run_pools",
+]
--- a/tests/base/test_known_red.py
+++ b/tests/base/test_known_red.py
@@ -10,9 +10,7 @@
     """Guards against a failed sub-test that counts as passed, and the other way round."""
 
     def good(self, outcome, expected=True, exc_info=None):
-        return is_good(
-            types.SimpleNamespace(outcome=outcome, expected=expected, exc_info=exc_info)
-        )
+        return is_good(types.SimpleNamespace(outcome=outcome, expected=expected, exc_info=exc_info))
 
     def test_each_outcome(self):
         self.assertTrue(self.good("passed"))
--- /dev/null
+++ b/tests/membership/test_heartbeats.py
@@ -0,0 +1,245 @@
+"""Tests of heartbeats between simulated VMs."""
+
+import unittest
+from datetime import timedelta
+
+from bramleyrill_base import ManualClock
+from bramleyrill_core import VmId
+from bramleyrill_core.drain import StopRequested
+from bramleyrill_core.membership import (
+    HeartbeatAcked,
+    HeartbeatArrived,
+    IndirectAcked,
+    IndirectAsked,
+    ListedVm,
+    MembershipTables,
+    SendHeartbeat,
+    SendHeartbeatAck,
+    SendIndirect,
+    SendIndirectAck,
+    VmsListed,
+    VmState,
+    announce_left,
+    live_vms,
+)
+
+from tests.load_worlds import MS, S, build_core, update
+
+
+class Net:
+    """VMs on one clock whose frames arrive at once, unless a side is cut off."""
+
+    def __init__(self, count, domains="abc"):
+        self.clock = ManualClock()
+        self.cores = {}
+        self.cut = set()
+        self.split = set()
+        self.frames = 0
+        self.names = [f"vm{n}" for n in range(count)]
+        self.domain = {name: domains[n % len(domains)] for n, name in enumerate(self.names)}
+        for number, name in enumerate(self.names):
+            self.boot(name, number)
+
+    def boot(self, name, seed):
+        core = build_core(name, self.domain[name], seed, self.clock)
+        listed = tuple(
+            ListedVm(VmId(vm), self.domain[vm], "r", "127.0.0.1", 1) for vm in self.names
+        )
+        self.cores[name] = core
+        self.carry(name, core.handle(VmsListed(listed)))
+
+    def carry(self, sender, effects):
+        for effect in effects:
+            self.carry_one(sender, effect)
+
+    def carry_one(self, sender, effect):
+        if isinstance(effect, SendHeartbeat):
+            to, message = effect.vm, HeartbeatArrived(sender, effect.updates)
+        elif isinstance(effect, SendHeartbeatAck):
+            to, message = effect.vm, HeartbeatAcked(sender, effect.updates)
+        elif isinstance(effect, SendIndirect):
+            to, message = effect.via, IndirectAsked(sender, effect.vm)
+        elif isinstance(effect, SendIndirectAck):
+            to, message = effect.origin, IndirectAcked(sender, effect.vm)
+        else:
+            return
+        self.frames += 1
+        crosses = (sender in self.split) != (to in self.split)
+        if to in self.cores and not crosses and not {sender, to} & self.cut:
+            self.carry(to, self.cores[to].handle(message))
+
+    def run(self, seconds):
+        for _ in range(round(seconds * 20)):
+            self.clock.advance(50 * MS)
+            for name, core in list(self.cores.items()):
+                self.carry(name, core.tick())
+
+    def state(self, seen_by, vm):
+        return self.cores[seen_by].world.tables(MembershipTables).vms.by_id[vm].state
+
+    def states(self, vm):
+        return {self.state(name, vm) for name in self.cores if name not in {vm} | self.cut}
+
+
+class HeartbeatTest(unittest.TestCase):
+    def test_all_vms_see_each_other_alive(self):
+        """Guards against a start after which some VM is not used."""
+        net = Net(9)
+        net.run(8)
+        for core in net.cores.values():
+            self.assertEqual(len(live_vms(core.world)), 9)
+
+    def test_vanished_vm_is_dead_and_leaving_one_is_left(self):
+        """Guards against the eviction of a VM that is still finishing its work."""
+        net = Net(9)
+        net.run(8)
+        net.cut.add("vm1")
+        net.carry("vm2", net.cores["vm2"].handle(StopRequested()))
+        net.run(1)
+        self.assertEqual(net.states("vm2"), {VmState.LEAVING})
+        net.run(15)
+        self.assertEqual(net.states("vm1"), {VmState.DEAD})
+        self.assertEqual(net.states("vm2"), {VmState.LEAVING})
+        net.carry("vm2", announce_left(net.cores["vm2"].world))
+        del net.cores["vm2"]
+        net.run(1)
+        self.assertEqual(net.states("vm2"), {VmState.LEFT})
+
+    def test_leaving_vm_that_vanishes_is_dead(self):
+        """Guards against locks that are never evicted because their VM had said it would leave."""
+        net = Net(6)
+        net.run(8)
+        net.carry("vm2", net.cores["vm2"].handle(StopRequested()))
+        net.run(1)
+        del net.cores["vm2"]
+        net.run(20)
+        self.assertEqual(net.states("vm2"), {VmState.DEAD})
+
+    def test_short_silence_is_refuted(self):
+        """Guards against a pause of 2 s that costs a VM its members."""
+        net = Net(6)
+        net.run(8)
+        paused = net.cores.pop("vm1")
+        net.run(2)
+        net.cores["vm1"] = paused
+        net.run(10)
+        self.assertEqual(net.states("vm1"), {VmState.ALIVE})
+
+    def test_lost_link_is_bridged_by_helpers(self):
+        """Guards against one broken path that makes a VM look dead to all."""
+        net = Net(6)
+        net.run(8)
+        carry_one = net.carry_one
+
+        def without_link(sender, effect):
+            pair = {sender, getattr(effect, "vm", None)}
+            if pair != {"vm1", "vm2"} or not isinstance(effect, SendHeartbeat | SendHeartbeatAck):
+                carry_one(sender, effect)
+
+        net.carry_one = without_link
+        net.run(60)
+        self.assertEqual(net.state("vm1", "vm2"), VmState.ALIVE)
+
+    def test_sides_of_a_partition_meet_again(self):
+        """Guards against two halves that call each other dead for good."""
+        net = Net(9)
+        net.run(8)
+        net.split = {"vm0", "vm3", "vm6"}
+        net.run(30)
+        self.assertEqual(net.state("vm1", "vm0"), VmState.DEAD)
+        net.split = set()
+        net.run(40)
+        for core in net.cores.values():
+            self.assertEqual(len(live_vms(core.world)), 9)
+
+    def test_restart_with_a_clock_set_back_is_seen(self):
+        """Guards against a restarted VM that one peer goes on calling dead."""
+        net = Net(30, domains="a")
+        net.run(15)
+        net.cut = {"vm5"}
+        net.run(40)
+        net.cut = set()
+        net.boot("vm5", 77)
+        row = net.cores["vm5"].world.tables(MembershipTables).vms.by_id["vm5"]
+        row.incarnation = 0
+        net.run(15)
+        self.assertEqual(net.states("vm5"), {VmState.ALIVE})
+
+    def test_returning_domain_comes_back_spread_over_time(self):
+        """Guards against all members of a domain that dial at the same moment."""
+        for jitter in (True, False):
+            net = Net(40, domains="a")
+            net.run(15)
+            net.split = set(net.names[1:])
+            for name in net.names[1:]:
+                net.cores.pop(name)
+            net.run(90)
+            self.assertEqual(len(live_vms(net.cores["vm0"].world)), 1)
+            net.split = set()
+            for number, name in enumerate(net.names[1:], 1):
+                net.boot(name, 100 + number)
+                if not jitter:
+                    net.cores[name].world.rules.switch_off("return_jitter")
+            at_once = []
+            for _ in range(100):
+                before = len(live_vms(net.cores["vm0"].world))
+                net.run(0.25)
+                at_once.append(len(live_vms(net.cores["vm0"].world)) - before)
+            self.assertEqual(sum(at_once), 39)
+            if jitter:
+                self.assertLess(max(at_once), 13)
+            else:
+                self.assertGreaterEqual(max(at_once), 20)
+
+
+class ListTest(unittest.TestCase):
+    def test_list_is_only_a_hint(self):
+        """Guards against a lagging list that removes a VM that answers."""
+        core = build_core()
+        core.handle(HeartbeatAcked(VmId("b1"), (update("b1", "b"),)))
+        core.handle(VmsListed((ListedVm(VmId("c1"), "c", "r", "127.0.0.1", 1),)))
+        self.assertIn("b1", live_vms(core.world))
+        self.assertNotIn("c1", live_vms(core.world))
+        core.handle(VmsListed(()))
+        self.assertNotIn("c1", core.world.tables(MembershipTables).vms)
+
+    def test_single_vm_serves_alone(self):
+        """Guards against a demo of one VM that waits for peers without end."""
+        core = build_core()
+        core.handle(VmsListed((ListedVm(VmId("me"), "a", "r", "127.0.0.1", 1),)))
+        self.assertEqual(live_vms(core.world), ["me"])
+        other = build_core("other")
+        other.tick()
+        other.world.clock.advance(2 * S)
+        other.tick()
+        self.assertEqual(live_vms(other.world), ["other"])
+
+
+class CostTest(unittest.TestCase):
+    def test_frames_per_vm_do_not_grow_with_the_vms(self):
+        """Guards against heartbeats of each VM to each other."""
+        per_vm = []
+        for count in (10, 40):
+            net = Net(count)
+            net.run(20)
+            net.frames = 0
+            net.run(10)
+            per_vm.append(net.frames / count / 10)
+        self.assertLess(per_vm[1], 1.2 * per_vm[0])
+        self.assertLess(per_vm[1], 3)
+
+    def test_frames_are_bounded(self):
+        """Guards against a frame that carries the whole view to a VM that has it."""
+        core = build_core()
+        core.handle(HeartbeatAcked(VmId("b1"), tuple(update(f"b{n}", "b") for n in range(100))))
+        changes = tuple(update(f"b{n}", "b", VmState.DEAD) for n in range(2, 60))
+        core.handle(HeartbeatAcked(VmId("b1"), changes))
+        for _ in range(5):
+            core.world.clock.advance(timedelta(seconds=1))
+            for effect in core.tick():
+                if isinstance(effect, SendHeartbeat):
+                    self.assertLessEqual(len(effect.updates), 8)
+
+
+if __name__ == "__main__":
+    unittest.main()
