Test callers with drivers and answer DEALLOCATE in the proxy

psycopg sends DEALLOCATE for statements that it prepared by Parse; upstream connections do not have them any more, so the proxy answers it and closes the statement on a connection that still has it. The close of a session no longer fails when it is cut off during its linger.

--- a/packages/daemon/bramleyrill_daemon/front/_batch.py
+++ b/packages/daemon/bramleyrill_daemon/front/_batch.py
@@ -165,8 +165,11 @@
         self._note(prepared)
         if name:
             # The upstream refuses a name that is in use, so it must know of it.
-            self._bring(name)
+            known = self._bring(name)
             self.watched = True
+            if known is None and name in self._parsed:
+                # Dropped by DEALLOCATE, but the connection still has it.
+                self._append(pg.close(_STATEMENT, name), ("add", name, None))
         self.new[name] = prepared
         if prepared.local is None:
             self._parsed.add(name)
--- a/packages/daemon/bramleyrill_daemon/front/_caller.py
+++ b/packages/daemon/bramleyrill_daemon/front/_caller.py
@@ -7,6 +7,7 @@
 import gevent.socket
 
 from bramleyrill_daemon.front._limits import Pulse
+from bramleyrill_daemon.front._replies import SessionEndError
 
 READ_SIZE = 16 << 10
 _POLL_RDHUP = getattr(select, "POLLRDHUP", 0x2000)
@@ -116,7 +117,7 @@
                     self._sock.shutdown(gevent.socket.SHUT_WR)
                     while self._sock.recv(READ_SIZE):
                         pass
-        except OSError:
+        except (OSError, SessionEndError):
             pass
 
     def close(self) -> None:
--- a/packages/daemon/bramleyrill_daemon/front/_local.py
+++ b/packages/daemon/bramleyrill_daemon/front/_local.py
@@ -13,6 +13,7 @@
 _MAY_SHOW = "bramleyrill"
 
 _SHOW = re.compile(r"\s*SHOW\s+(bramleyrill\.\w+)\s*;?\s*$", re.IGNORECASE)
+_DEALLOCATE = re.compile(r'\s*DEALLOCATE\s+(?:PREPARE\s+)?("[^"]+"|\w+)\s*;?\s*$', re.IGNORECASE)
 # Clients send these by themselves; the values are the only ones that the proxy offers anyway.
 _ACCEPTED = {
     "application_name": lambda _: True,
@@ -22,14 +23,20 @@
 
 @frozen
 class LocalStatement:
-    """A SET (with a value) or SHOW (without) of a setting that the proxy keeps."""
+    """A SET (with a value) or SHOW (without) of a setting that the proxy keeps, or DEALLOCATE.
 
-    name: str
+    `drops` is the prepared statement that DEALLOCATE names, or "" for all.
+    """
+
+    name: str = ""
     value: str | None = None
+    drops: str | None = None
 
     @property
     def tag(self) -> str:
         """Return the tag of CommandComplete."""
+        if self.drops is not None:
+            return "DEALLOCATE" if self.drops else "DEALLOCATE ALL"
         return "SHOW" if self.value is None else "SET"
 
 
@@ -45,6 +52,11 @@
         and (match := _SHOW.match(sql))
     ):
         return LocalStatement(match[1].lower())
+    elif statement.kind is StatementClass.WRITE and (match := _DEALLOCATE.match(sql)):
+        word = match[1]
+        if word.upper() == "ALL":
+            return LocalStatement(drops="")
+        return LocalStatement(drops=word[1:-1] if word[0] == '"' else word.lower())
     return None
 
 
@@ -59,6 +71,8 @@
 
 def run_local(world: World, session: Session, local: LocalStatement) -> bytes | Problem:
     """Carry the statement out; return the frames of its result, without CommandComplete."""
+    if local.drops is not None:
+        return b""
     if local.value is None:
         value = _read_setting(world, session, local.name)
         if value is None:
@@ -72,7 +86,7 @@
 
 def describe_local(local: LocalStatement) -> bytes:
     """Return the description of the statement's result."""
-    if local.value is None:
+    if local.value is None and local.drops is None:
         return pg.row_description([(local.name, pg.TEXT_OID)])
     return pg.NO_DATA
 
--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -17,7 +17,12 @@
     refuse,
 )
 from bramleyrill_daemon.front._caller import CallerSocket
-from bramleyrill_daemon.front._local import describe_local, read_local, run_local
+from bramleyrill_daemon.front._local import (
+    LocalStatement,
+    describe_local,
+    read_local,
+    run_local,
+)
 from bramleyrill_daemon.front._replies import SessionEndError, error_frame, violation
 from bramleyrill_daemon.front._request import RequestRunner, Work
 
@@ -170,7 +175,7 @@
         if problem is not None:
             self._refuse(problem)
         elif local is not None:
-            result = run_local(self.front.world, self.row, local)
+            result = self._run_local(local)
             if isinstance(result, Problem):
                 self._refuse(result)
                 return
@@ -342,8 +347,16 @@
         self._end_failed()
         return pg.command_complete("ROLLBACK")
 
+    def _run_local(self, local: LocalStatement) -> bytes | Problem:
+        if local.drops is not None and self.prepared:
+            # Drivers name in DEALLOCATE what they have prepared by Parse.
+            names = [local.drops] if local.drops else [name for name in self.prepared if name]
+            for name in names:
+                self.prepared.pop(name, None)
+        return run_local(self.front.world, self.row, local)
+
     def _run_prepared(self, prepared: Prepared | None) -> bytes | Problem:
-        result = run_local(self.front.world, self.row, prepared.local)
+        result = self._run_local(prepared.local)
         if isinstance(result, Problem):
             return result
         return result + pg.command_complete(prepared.local.tag)
--- a/tests/front/fakes.py
+++ b/tests/front/fakes.py
@@ -3,12 +3,12 @@
 import random
 import re
 import threading
-from collections import defaultdict
+import time
 from datetime import timedelta
 
 import gevent
 from bramleyrill_base import ErrorKind, Problem, SystemClock
-from bramleyrill_core import Mark, Rank, VmId, VmIdentity, World
+from bramleyrill_core import Mark, Rank, TermStart, VmId, VmIdentity, World
 from bramleyrill_core.membership import VmState
 from bramleyrill_core.membership._view import set_state, view_of
 from bramleyrill_core.routing import note_primary
@@ -73,6 +73,8 @@
 
     def __init__(self):
         self.position = 0
+        self.term = 1
+        self.history = ()
         self.log = []
         self.script = []
         self.opened = []
@@ -81,7 +83,12 @@
         self.hanging = 0
         self.permit = timedelta(seconds=1)
         self.permit_age = timedelta()
-        self.answers = defaultdict(bytes)
+
+    def lose_entries(self):
+        """Start a new term before the last entry."""
+        self.term += 1
+        self.position -= 1
+        self.history = (TermStart(1, 0), TermStart(self.term, self.position))
 
     def open(self, route, request):
         """Return an exchange."""
@@ -140,10 +147,10 @@
 
     def _outcome(self, tail):
         member = self._member
-        mark = Mark(1, member.position)
+        mark = Mark(member.term, member.position)
         permit = member.permit
         age = member.permit_age
-        return Outcome(None, tail, self._status, mark, (), True, age, permit)
+        return Outcome(None, tail, self._status, mark, member.history, True, age, permit)
 
     def cancel(self):
         """Cancel."""
@@ -165,6 +172,7 @@
             for sql in pg.read_query(frame).split(";"):
                 if sql.strip():
                     self._execute(sql.strip(), describe=True)
+            self._skip = False
             self._out.append("end")
         elif kind == "S":
             self._skip = False
@@ -213,7 +221,6 @@
             return
         if sql == "SELECT wrong":
             self._fail("42703", "no such column")
-            self._skip = False
             return
         if word == "SELECT":
             big = re.fullmatch(r"SELECT big (\d+)", sql)
@@ -239,9 +246,18 @@
     return pg.NO_DATA
 
 
-def refused(kind, **fields):
+def refused(kind, retry_after=None):
     """Return an outcome with a problem."""
-    return Outcome(problem=Problem(ErrorKind[kind], "scripted"), **fields)
+    return Outcome(problem=Problem(ErrorKind[kind], "scripted", retry_after))
+
+
+def wait_for(condition, seconds=20):
+    """Wait until `condition()` holds; fail after `seconds`."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("condition did not come to hold")
+        time.sleep(0.005)
 
 
 class FrontThread:
@@ -269,6 +285,15 @@
         """Run a function in the front's thread."""
         self._hub.loop.run_callback_threadsafe(function)
 
+    def later(self, condition, function):
+        """Call `function` in another thread once `condition()` holds."""
+
+        def run():
+            wait_for(condition)
+            function()
+
+        threading.Thread(target=run, daemon=True).start()
+
     def _run(self):
         self._hub = gevent.get_hub()
         self._stopped = gevent.event.Event()
--- a/tests/front/test_callers.py
+++ b/tests/front/test_callers.py
@@ -1,33 +1,51 @@
 """Tests of callers with real drivers."""
 
+import ssl
 import unittest
+from datetime import timedelta
 
 import pg8000.native
 import psycopg
+import trustme
+from bramleyrill_core import Mark, StatementClass
+from bramleyrill_daemon.front import FrontLimits
 
-from tests.front.fakes import FrontThread
+from tests.front.fakes import FrontThread, refused, wait_for
 
 
 class DriverCase(unittest.TestCase):
     """Starts a front for each test."""
 
+    limits = FrontLimits(sweep=timedelta(milliseconds=20))
+    tls = None
+
     def setUp(self):
-        self.thread = FrontThread()
+        self.thread = FrontThread(self.limits, self.tls)
         self.enterContext(self.thread)
         self.member = self.thread.member
 
-    def connect(self, user="aylin", database="pieces", options="", **more):
-        return psycopg.connect(
+    def connect(self, user="aylin", database="pieces", options="", password="pencil", **more):
+        connection = psycopg.connect(
             host=self.thread.host,
             port=self.thread.port,
             user=user,
-            password="pencil",
+            password=password,
             dbname=database,
             options=options,
             autocommit=True,
             connect_timeout=10,
             **more,
         )
+        self.addCleanup(connection.close)
+        return connection
+
+    def assert_state(self, sqlstate, function, *arguments):
+        with self.assertRaises(psycopg.Error) as caught:
+            function(*arguments)
+        error = caught.exception
+        found = error.sqlstate or (error.pgconn and error.pgconn.error_message.decode())
+        self.assertEqual(found, sqlstate, error)
+        return error
 
 
 class StatementTest(DriverCase):
@@ -49,26 +67,318 @@
             database="pieces",
             password="pencil",
         )
+        self.addCleanup(connection.close)
         self.assertEqual(connection.run("SELECT a"), [["1"]])
         self.assertEqual(connection.run("SELECT a, :b", b="c"), [["1"]])
         prepared = connection.prepare("SELECT a, :b")
         self.assertEqual([prepared.run(b="c"), prepared.run(b="d")], [[["1"]], [["1"]]])
         prepared.close()
-        connection.close()
 
     def test_sql_error_leaves_the_session_usable(self):
-        with self.connect() as connection:
-            with self.assertRaises(psycopg.errors.UndefinedColumn):
-                connection.execute("SELECT wrong")
+        connection = self.connect()
+        for prepare in (False, True):
             with self.assertRaises(psycopg.errors.UndefinedColumn):
-                connection.execute("SELECT wrong", prepare=True)
-            self.assertEqual(connection.execute("SELECT a").fetchone(), ("1",))
+                connection.execute("SELECT wrong", prepare=prepare)
+        self.assertEqual(connection.execute("SELECT a").fetchone(), ("1",))
 
     def test_long_answer_is_complete(self):
-        with self.connect() as connection:
-            rows = connection.execute("SELECT big 3000").fetchall()
+        rows = self.connect().execute("SELECT big 3000").fetchall()
         self.assertEqual(len(rows), 3000)
 
+    def test_prepared_statement_is_parsed_again_on_each_connection(self):
+        connection = self.connect()
+        for _ in range(3):
+            row = connection.execute("SELECT a, %s", ["b"], prepare=True).fetchone()
+            self.assertEqual(row, ("1",))
+        with connection.transaction():
+            for _ in range(2):
+                connection.execute("SELECT a, %s", ["b"], prepare=True)
+        self.assertTrue(all(r.alters_session for _, r in self.member.opened))
+
+    def test_statement_prepared_again_after_deallocate(self):
+        connection = self.connect()
+        with connection.transaction():
+            for drop in ("DEALLOCATE ALL", 'DEALLOCATE "s"', "DEALLOCATE PREPARE s"):
+                self.assertEqual(connection.pgconn.prepare(b"s", b"SELECT a").status, 1)
+                self.assertEqual(connection.pgconn.exec_prepared(b"s", None).status, 2)
+                connection.execute(drop)
+        self.assertEqual(self.member.log.count("SELECT a"), 3)
+        self.assertEqual(connection.pgconn.exec_prepared(b"s", None).status, 7)
+
+    def test_pipeline_with_flushes_and_an_error(self):
+        connection = self.connect()
+        with connection.pipeline() as pipeline:
+            first = connection.execute("INSERT INTO t VALUES (%s)", ["b"])
+            pipeline.sync()
+            self.assertEqual(first.rowcount, 1)
+            cursor = connection.execute("SELECT a, %s", ["b"])
+            self.assertEqual(cursor.fetchone(), ("1",))
+        with self.assertRaises(psycopg.Error), connection.pipeline():
+            connection.execute("SELECT wrong", prepare=True)
+            connection.execute("SELECT a")
+        self.assertEqual(connection.execute("SELECT a").fetchone(), ("1",))
+
+    def test_batch_longer_than_its_limit(self):
+        connection = self.connect()
+        with connection.pipeline():
+            cursors = [connection.execute("SELECT a, %s", ["b" * 999]) for _ in range(300)]
+        self.assertEqual({cursor.fetchone() for cursor in cursors}, {("1",)})
+
+
+class RefusalTest(DriverCase):
+    """Guards against refusals that end the session, lose their kind or reach an upstream."""
+
+    def test_unsupported_features_keep_the_session(self):
+        connection = self.connect()
+        for sql in ("COPY t FROM STDIN", "LISTEN x", "SET search_path = x"):
+            error = self.assert_state("0A000", connection.execute, sql)
+            self.assertTrue(error.diag.message_detail)
+        self.assert_state("0A000", connection.execute, "NOTIFY x, %s", ["a"])
+        self.assertEqual(connection.execute("SELECT a").fetchone(), ("1",))
+        self.assertEqual(self.member.log, ["SELECT a"])
+
+    def test_not_run_has_its_state_and_retry_hint(self):
+        connection = self.connect()
+        retry = timedelta(milliseconds=250)
+        self.member.script = [refused("NOT_RUN_OVERLOADED", retry_after=retry)]
+        error = self.assert_state("NR001", connection.execute, "INSERT 1")
+        self.assertEqual(error.diag.message_hint, "retry after 250 ms")
+        connection.execute("INSERT 1")
+        self.assertEqual(self.member.log, ["INSERT 1"])
+
+    def test_write_without_answer_is_sent_once_and_a_read_again(self):
+        connection = self.connect()
+        self.member.script = [refused("OUTCOME_UNKNOWN")]
+        self.assert_state("08007", connection.execute, "INSERT 1")
+        self.assertEqual((len(self.member.opened), self.member.log), (1, []))
+        self.member.script = [refused("OUTCOME_UNKNOWN")]
+        self.assertEqual(connection.execute("SELECT a").fetchone(), ("1",))
+
+    def test_not_run_after_an_unknown_attempt_is_not_claimed(self):
+        connection = self.connect(options="-c bramleyrill.repeatable=on")
+        self.member.script = [refused("OUTCOME_UNKNOWN"), refused("NOT_RUN_DEADLINE")]
+        self.assert_state("08007", connection.execute, "INSERT 1")
+
+    def test_unreachable_holder_is_asked_again(self):
+        connection = self.connect()
+        self.member.script = [refused("NOT_RUN_UNREACHABLE"), refused("NOT_RUN_NO_PRIMARY")]
+        connection.execute("INSERT 1")
+        self.assertEqual((len(self.member.opened), self.member.log), (3, ["INSERT 1"]))
+
+    def test_reader_may_not_write(self):
+        connection = self.connect(user="reader@kintsugi")
+        self.assert_state("25006", connection.execute, "INSERT 1")
+        self.assert_state("25006", connection.execute, "INSERT %s", ["1"])
+        self.assertEqual(self.member.log, [])
+
+
+class PermitTest(DriverCase):
+    """Guards against acknowledging a commit after the permit has run out."""
+
+    def test_expired_permit_gives_unknown_outcome(self):
+        connection = self.connect()
+        connection.execute("INSERT 1")
+        for age, length in ((1.5, 1), (0, 0)):
+            self.member.permit_age = timedelta(seconds=age)
+            self.member.permit = timedelta(seconds=length)
+            self.assert_state("08007", connection.execute, "INSERT 2")
+            self.assert_state("08007", connection.execute, "INSERT %s", ["2"])
+            connection.execute("BEGIN")
+            connection.execute("INSERT 3")
+            self.assert_state("08007", connection.execute, "COMMIT")
+            self.assertEqual(connection.info.transaction_status.name, "IDLE")
+
+    def test_answer_of_inner_commit_is_held(self):
+        self.member.permit = timedelta()
+        error = self.assert_state(
+            "08007", self.connect().execute, "BEGIN; INSERT 1; COMMIT; SELECT a"
+        )
+        self.assertIsNone(error.diag.statement_position)
+
+    def test_session_knows_nothing_after_unknown_outcome(self):
+        connection = self.connect(options="-c bramleyrill.age=1000")
+        connection.execute("INSERT 1")
+        self.member.permit = timedelta()
+        self.assert_state("08007", connection.execute, "INSERT 2")
+        self.member.permit = timedelta(seconds=1)
+        connection.execute("SELECT a")
+        self.assertTrue(self.member.opened[-1][0].at_primary)
+
+    def test_token_roams(self):
+        connection = self.connect()
+        connection.execute("INSERT 1")
+        token = connection.pgconn.parameter_status(b"bramleyrill.token").decode()
+        self.assertTrue(token)
+        other = self.connect(
+            options=f"-c bramleyrill.token={token} -c bramleyrill.age=1000",
+        )
+        other.execute("SELECT a")
+        route = self.member.opened[-1][0]
+        self.assertEqual((route.at_primary, route.floor), (False, Mark(1, 1)))
+
+    def test_lost_entry_fails_one_read(self):
+        connection = self.connect()
+        connection.execute("INSERT 1")
+        self.member.lose_entries()
+        self.assert_state("LE001", connection.execute, "SELECT a")
+        self.assertEqual(connection.execute("SELECT a").fetchone(), ("1",))
+
+
+class SettingTest(DriverCase):
+    """Guards against settings that do not arrive or are read from the wrong place."""
+
+    def test_options_and_set_in_both_protocols(self):
+        connection = self.connect(options="-c bramleyrill.rank=urgent")
+        self.assertEqual(connection.execute("SHOW bramleyrill.rank").fetchone(), ("urgent",))
+        connection.execute("SET bramleyrill.rank = 'least_urgent'")
+        connection.execute("SET bramleyrill.age TO 500", prepare=True)
+        shown = connection.execute("SHOW bramleyrill.age", prepare=True)
+        self.assertEqual(shown.fetchone(), ("500",))
+        connection.execute("SELECT a")
+        self.assertEqual(self.member.opened[-1][1].rank.name, "LEAST_URGENT")
+        self.assert_state("22023", connection.execute, "SET bramleyrill.rank = 'x'")
+        self.assertEqual(self.member.log, ["SELECT a"])
+
+    def test_bad_startup_setting_ends_the_login(self):
+        for options in ("-c bramleyrill.age=x", "-x", "-c work_mem=1"):
+            with self.assertRaises(psycopg.OperationalError):
+                self.connect(options=options)
+
+
+class LoginTest(DriverCase):
+    """Guards against callers that get in as someone else, or learn who exists."""
+
+    def assert_refused(self, text, **arguments):
+        with self.assertRaises(psycopg.OperationalError) as caught:
+            self.connect(**arguments)
+        self.assertIn(text, str(caught.exception))
+
+    def test_refusals(self):
+        self.assert_refused("password authentication failed", password="x")
+        self.assert_refused("password authentication failed", user="nobody")
+        self.assert_refused("password authentication failed", user="aylin@gatecare")
+        self.assert_refused("write office@kintsugi or office@gatecare", user="office")
+        self.assert_refused("no fleet 'x'", user="aylin@x")
+        self.assert_refused("has no database 'gates'", database="gates")
+        self.assert_refused("password authentication failed", user="plain@gatecare")
+        self.assert_refused("server does not support SSL", sslmode="require")
+
+    def test_qualified_names(self):
+        self.connect(user="office@gatecare", database="gatebook.gates").execute("SELECT a")
+        self.assertEqual(self.member.opened[-1][1].database, "gatecare/gatebook/gates")
+
+    def test_clear_text_where_the_text_allows_it(self):
+        self.connect(user="plain@kintsugi").execute("SELECT a")
+        self.assert_refused("failed", user="plain@kintsugi", password="x")
+
+
+class TlsTest(DriverCase):
+    """Guards against a TLS handshake or a TLS write that differs from the plain one."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        trustme.CA().issue_cert("localhost").configure_cert(cls.tls)
+
+    def test_statements_over_tls(self):
+        connection = self.connect(sslmode="require")
+        self.assertTrue(connection.pgconn.ssl_in_use)
+        connection.execute("INSERT 1")
+        self.assertEqual(len(connection.execute("SELECT big 3000").fetchall()), 3000)
+
+
+class TransactionTest(DriverCase):
+    """Guards against statements of a lost transaction that run outside of it."""
+
+    limits = FrontLimits(
+        sweep=timedelta(milliseconds=20), idle_in_transaction=timedelta(milliseconds=100)
+    )
+
+    def test_transaction_keeps_its_connection(self):
+        connection = self.connect()
+        with connection.transaction():
+            connection.execute("INSERT 1")
+            connection.execute("SELECT a, %s", ["b"])
+        self.assertEqual(len(self.member.opened), 1)
+        self.assertEqual(self.member.opened[0][1].kind, StatementClass.BEGIN)
+        self.assertEqual((self.member.log[-1], self.member.open_count), ("COMMIT", 0))
+
+    def test_lost_transaction_refuses_until_it_is_ended(self):
+        connection = self.connect()
+        for end, prepare in (("ROLLBACK", False), ("COMMIT", True)):
+            connection.execute("BEGIN")
+            self.member.script = [refused("NOT_RUN_ROLLED_BACK")]
+            self.assert_state("40001", connection.execute, "INSERT 1")
+            self.assert_state("40001", connection.execute, "INSERT 2")
+            self.assert_state("40001", connection.execute, "INSERT %s", ["2"])
+            cursor = connection.execute(end, prepare=prepare)
+            self.assertEqual(cursor.statusmessage, "ROLLBACK")
+            self.assertEqual(connection.info.transaction_status.name, "IDLE")
+        self.assertEqual(self.member.log, ["BEGIN", "rolled back"] * 2)
+
+    def test_refusal_inside_a_transaction_fails_it(self):
+        connection = self.connect()
+        connection.execute("BEGIN")
+        self.assert_state("0A000", connection.execute, "LISTEN x")
+        self.assertEqual(connection.info.transaction_status.name, "INERROR")
+        connection.execute("ROLLBACK")
+
+    def test_idle_transaction_is_rolled_back_and_the_session_kept(self):
+        connection = self.connect()
+        connection.execute("BEGIN")
+        wait_for(lambda: self.member.log[-1] == "rolled back")
+        self.assert_state("40001", connection.execute, "INSERT 1")
+        connection.execute("ROLLBACK")
+        connection.execute("SELECT a")
+
+
+class EndTest(DriverCase):
+    """Guards against requests cut off by a drain, and against work that goes on for nobody."""
+
+    def test_cancel_reaches_the_exchange(self):
+        connection = self.connect()
+        # PQcancel would block the front, which runs in this process, by holding the interpreter.
+        self.thread.later(lambda: self.member.hanging, connection.cancel_safe)
+        self.assert_state("57014", connection.execute, "SELECT hang")
+        self.assertEqual(connection.execute("SELECT a").fetchone(), ("1",))
+
+    def test_caller_that_leaves_has_its_request_canceled(self):
+        connection = self.connect()
+        connection.pgconn.send_query(b"SELECT hang")
+        wait_for(lambda: self.member.hanging)
+        connection.pgconn.finish()
+        wait_for(lambda: self.member.canceled)
+        wait_for(lambda: not self.thread.front.sessions)
+        self.assertEqual(self.member.open_count, 0)
+        self.assertEqual([served for _, _, served in self.thread.records], [False])
+
+    def test_drain_ends_idle_sessions_and_lets_transactions_finish(self):
+        idle, busy = self.connect(), self.connect()
+        ends = []
+        busy.add_notice_handler(lambda diagnostic: ends.append(diagnostic.sqlstate))
+        busy.execute("BEGIN")
+        self.thread.call(self.thread.front.drain)
+        wait_for(lambda: len(self.thread.front.sessions) == 1)
+        self.assert_state("57P01", idle.execute, "SELECT a")
+        busy.execute("INSERT 1")
+        busy.execute("COMMIT")
+        wait_for(lambda: not self.thread.front.sessions)
+        # libpq takes an error that arrives between requests for a notice.
+        with self.assertRaises(psycopg.OperationalError):
+            busy.execute("SELECT a")
+        self.assertEqual(ends, ["57P01"])
+        self.assertEqual(self.member.log, ["BEGIN", "INSERT 1", "COMMIT"])
+
+    def test_caller_that_leaves_a_transaction_has_it_rolled_back(self):
+        connection = self.connect()
+        connection.execute("BEGIN")
+        connection.close()
+        wait_for(lambda: self.member.log[-1] == "rolled back")
 
-if __name__ == "__main__":
-    unittest.main()
+    def test_outcomes_are_recorded(self):
+        connection = self.connect()
+        connection.execute("SELECT a")
+        self.member.script = [refused("NOT_RUN_OVERLOADED")]
+        self.assert_state("NR001", connection.execute, "INSERT 1")
+        served = [(row.user, served) for row, _, served in self.thread.records]
+        self.assertEqual(served, [("aylin", True), ("aylin", False)])
