--- a/packages/standins/bramleyrill_standins/upstream/_backend.py
+++ b/packages/standins/bramleyrill_standins/upstream/_backend.py
@@ -16,7 +16,7 @@
 from bramleyrill_standins.upstream._extended import EXTENDED_KINDS, ExtendedQuery
 from bramleyrill_standins.upstream._link import serve_link
 from bramleyrill_standins.upstream._session import DEFAULTS, Session
-from bramleyrill_standins.upstream._sql import parse, split
+from bramleyrill_standins.upstream._sql import parse_all
 from bramleyrill_standins.upstream._store import Result
 from bramleyrill_standins.upstream._values import encode_row
 
@@ -24,6 +24,9 @@
     from bramleyrill_standins.upstream._member import Member
 
 FLUSH_BYTES = 65536
+IDLE_IN_TRANSACTION = SqlError(
+    "25P03", "terminating connection due to idle-in-transaction timeout", fatal=True
+)
 REPORTED = ("server_version", "server_encoding", "client_encoding", "DateStyle", "TimeZone")
 REPORTED += ("integer_datetimes", "standard_conforming_strings", "application_name")
 
@@ -42,7 +45,7 @@
         self.session: Session | None = None
         self._sock = sock
         self._names: tuple[str, ...] = (address,)
-        self._reader = frames.FrameReader(sock, self._after_receive)
+        self._reader = frames.FrameReader(sock, self._delay)
         self._output = bytearray()
         self._interrupt: SqlError | None = None
         self._interrupted = Event()
@@ -188,9 +191,10 @@
     def _serve_messages(self) -> None:
         while True:
             limit = self.member.settings.idle_in_transaction
-            idle = limit if limit and self.session.explicit else None
-            problem = SqlError("25P03", "terminating connection due to idle-in-transaction timeout")
-            with gevent.Timeout(idle, problem):
+            if limit and self.session.explicit:
+                with gevent.Timeout(limit, IDLE_IN_TRANSACTION):
+                    kind, body = self._reader.message()
+            else:
                 kind, body = self._reader.message()
             if self.silent:
                 continue
@@ -230,12 +234,12 @@
             raise SqlError("08P01", f"invalid frontend message type {kind[0]}")
 
     def _query(self, source: str) -> None:
-        statements = [parse(sql) for sql in split(source)]
+        statements = parse_all(source)
         if not statements:
             self._output += postgres.EMPTY_QUERY
         try:
-            for statement in statements:
-                result = self.session.run(statement, {}, alone=statement is statements[-1])
+            for number, statement in enumerate(statements, 1):
+                result = self.session.run(statement, {}, alone=number == len(statements))
                 if result.columns:
                     self._output += frames.row_description(result.columns)
                 self._send_rows(result, result.rows, (0,))
@@ -281,15 +285,15 @@
     def _flush(self) -> None:
         data = bytes(self._output)
         self._output.clear()
-        if self.member.settings.latency:
-            gevent.sleep(self.member.settings.latency)
+        self._delay()
         self.member.wait_until_reachable(self._names)
         if not self.silent and data:
             self._sock.sendall(data)
 
-    def _after_receive(self) -> None:
-        if self.member.settings.latency:
-            gevent.sleep(self.member.settings.latency)
+    def _delay(self) -> None:
+        latency = self.member.settings.latency_of(self._names)
+        if latency:
+            gevent.sleep(latency)
 
     def _pause(self, seconds: float) -> None:
         if seconds > 0:
