Pace the demo's callers

Cause: callers that wait a fixed time after each answer lose rate by latency alone, so the share that a rank keeps in a flood said nothing about its service.

Change: requests start at a fixed interval; a member's capacity is given in statements a second, and the flood fills more of it than an urgent target.

--- a/packages/standins/bramleyrill_standins/callers/_caller.py
+++ b/packages/standins/bramleyrill_standins/callers/_caller.py
@@ -71,7 +71,8 @@
 class Caller(threading.Thread):
     """Write and read under one key until stopped, and record everything.
 
-    `age_ms` is the staleness its reads accept. With probability `roam` it moves to another
+    Requests start every `interval` seconds, or later if the one before takes longer. `age_ms` is
+    the staleness that reads accept. With probability `roam` it moves to another
     endpoint before a request, with its token. A write that failed is never sent again.
     """
 
@@ -87,7 +88,7 @@
         writes: float = 0.5,
         roam: float = 0.1,
         age_ms: int = 0,
-        pause: float = 0.01,
+        interval: float = 0.01,
     ) -> None:
         super().__init__(name=name, daemon=True)
         self.endpoints = endpoints
@@ -99,14 +100,17 @@
         self._writes = writes
         self._roam = roam
         self._age_ms = age_ms
-        self._pause = pause
+        self._interval = interval
         self._connection: psycopg.Connection | None = None
         self._stopping = threading.Event()
         self._serial = 0
 
     def run(self) -> None:
         """Send requests until `stop`."""
-        while not self._stopping.wait(self._pause):
+        due = time.monotonic()
+        while not self._stopping.wait(max(0.0, due - time.monotonic())):
+            # A request that took longer than the interval is not followed by a burst.
+            due = max(due + self._interval, time.monotonic())
             if self._random.random() < self._roam:
                 self._disconnect()
             if not self._connect():
--- a/packages/standins/bramleyrill_standins/demo/__main__.py
+++ b/packages/standins/bramleyrill_standins/demo/__main__.py
@@ -8,8 +8,9 @@
 from bramleyrill_standins.demo._roles import FLEETS
 from bramleyrill_standins.processes import Behaviour, Estate, ProcessError
 
-# Two slots at 4 ms serve 500 statements a second, which the flood's callers exceed.
-BEHAVIOUR = Behaviour(service_ms=4.0, latency_ms=0.5, lag_ms=20.0)
+# The flood's callers alone fill 0.3 s of a member's time, which is over the urgent targets: an
+# urgent request that waits behind them is late.
+BEHAVIOUR = Behaviour(capacity=200.0, latency_ms=0.5, lag_ms=20.0)
 
 
 def main() -> int:
--- a/packages/standins/bramleyrill_standins/demo/_steps.py
+++ b/packages/standins/bramleyrill_standins/demo/_steps.py
@@ -33,7 +33,10 @@
 READ_S = 4.0
 QUIET_S = 4.0
 FLOOD_S = 6.0
-FLOOD_CALLERS = 24
+FLOOD_CALLERS = 60
+# Sparse requests keep their rate for as long as each is answered within the interval.
+PACED_CALLERS = 6
+PACED_INTERVAL_S = 0.25
 RESUME_LIMIT_S = 20.0
 AFTER_FAILOVER_S = 2.0
 
@@ -115,7 +118,7 @@
     """Kill the primary under writes and wait until writes succeed again."""
     group = estate.groups[fleet.key]
     writer = next(role for role in fleet.roles if role.user == fleet.writer)
-    load = start_load(estate, fleet, writer, callers=3, pause=0.02)
+    load = start_load(estate, fleet, writer, callers=3, interval=0.02)
     _wait_for_writes(load, 20)
     primary = group.primary()
     killed = time.monotonic()
@@ -168,8 +171,8 @@
             estate,
             fleet,
             role,
-            callers=flood if last and flood else 2,
-            pause=0.0 if last and flood else 0.03,
+            callers=flood if last and flood else PACED_CALLERS,
+            interval=0.0 if last and flood else PACED_INTERVAL_S,
             roam=0.0,
             label=phase,
         )
--- a/packages/standins/bramleyrill_standins/processes/_estate.py
+++ b/packages/standins/bramleyrill_standins/processes/_estate.py
@@ -22,9 +22,12 @@
 
 @frozen
 class Behaviour:
-    """How the members of a service behave; times are in milliseconds."""
+    """How members behave; times are in milliseconds.
 
-    service_ms: float = 0.0
+    `capacity` is the statements a second that a member's slots serve; 0 means without delay.
+    """
+
+    capacity: float = 0.0
     latency_ms: float = 0.0
     lag_ms: float = 20.0
 
@@ -35,7 +38,7 @@
             "connections": limits["connections"],
             "slots": limits["slots"],
             "dial-ms": dial,
-            "service-ms": self.service_ms,
+            "service-ms": 1000 * limits["slots"] / self.capacity if self.capacity else 0,
             "latency-ms": self.latency_ms,
             "lag-ms": self.lag_ms,
             "user": f"{UPSTREAM_USER}:{password}",
