Cut the work per statement on the caller side

Profiling showed the costs: a failing read before each wait, six clock reads and a poll per write, and repeated parsing of frames that callers repeat. The session now waits before it reads, the clock is read once right before an acknowledgement leaves, and plans of short frames are cached for all sessions. The expiry of a permit comes from the succession subsystem.

--- a/packages/daemon/bramleyrill_daemon/front/_batch.py
+++ b/packages/daemon/bramleyrill_daemon/front/_batch.py
@@ -3,8 +3,9 @@
 import re
 from collections import deque
 from collections.abc import Callable
+from functools import lru_cache
 
-from attrs import frozen
+from attrs import field, frozen
 from bramleyrill_base import ErrorKind, Problem
 from bramleyrill_core import StatementClass
 from bramleyrill_core.sessions import Statement, classify
@@ -12,6 +13,10 @@
 
 from bramleyrill_daemon.front._local import LocalStatement, read_local, refused_setting
 
+# Frames that callers repeat are short; the caches hold at most 2 MB of them each.
+CACHED_FRAMES = 2048
+MAX_CACHED_FRAME = 1024
+
 _PARSE, _BIND, _DESCRIBE, _EXECUTE, _CLOSE = b"PBDEC"
 _STATEMENT = b"S"
 # Frames that end the answer to one frame of a batch. RowDescription and NoData end a Describe.
@@ -35,9 +40,25 @@
 class Prepared:
     """A statement that a caller has parsed: its frame, class, and whether the proxy answers it."""
 
-    frame: bytes
+    frame: bytes = field(repr=False)
+    statement: Statement
+    ends: bool
+    local: LocalStatement | None = None
+
+
+@frozen
+class QueryPlan:
+    """What a Query frame needs, whichever session sends it.
+
+    `ends` tells whether it may end a transaction that it runs in, `hold` whether it may commit
+    before its last statement, and `is_restricted` whether `refuse` has to be asked.
+    """
+
     statement: Statement
     ends: bool
+    alters: bool
+    hold: bool
+    is_restricted: bool
     local: LocalStatement | None = None
 
 
@@ -134,8 +155,7 @@
         action, name = "", ""
         prepared: Prepared | None = None
         if kind == _PARSE:
-            name, sql = pg.read_parse(frame)
-            prepared = _prepare(frame, sql)
+            name, prepared = prepare(frame)
             problem = refuse(prepared.statement, prepared.local, self.in_transaction)
             if problem is not None:
                 return problem
@@ -271,10 +291,39 @@
         return b"".join(answers)
 
 
-def _prepare(frame: bytes, sql: str) -> Prepared:
+def _prepare(frame: bytes) -> tuple[str, Prepared]:
+    name, sql = pg.read_parse(frame)
     statement = classify(sql)
     ends = may_end_transaction(sql, statement.kind)
-    return Prepared(frame, statement, ends, read_local(sql, statement))
+    return name, Prepared(frame, statement, ends, read_local(sql, statement))
+
+
+def _plan_query(frame: bytes) -> QueryPlan:
+    sql = pg.read_query(frame)
+    statement = classify(sql)
+    kind = statement.kind
+    return QueryPlan(
+        statement,
+        may_end_transaction(sql, kind),
+        statement.alters_session or kind is StatementClass.BEGIN,
+        kind is StatementClass.WRITE and ";" in sql.rstrip("; \t\r\n"),
+        kind in (StatementClass.UNSUPPORTED, StatementClass.SET),
+        read_local(sql, statement),
+    )
+
+
+_cached_plan = lru_cache(CACHED_FRAMES)(_plan_query)
+_cached_prepare = lru_cache(CACHED_FRAMES)(_prepare)
+
+
+def plan_query(frame: bytes) -> QueryPlan:
+    """Return the plan of a Query frame; raise FrameError if it is malformed."""
+    return _cached_plan(frame) if len(frame) <= MAX_CACHED_FRAME else _plan_query(frame)
+
+
+def prepare(frame: bytes) -> tuple[str, Prepared]:
+    """Return name and statement of a Parse frame; sessions share those of the same frame."""
+    return _cached_prepare(frame) if len(frame) <= MAX_CACHED_FRAME else _prepare(frame)
 
 
 def refuse(
--- a/packages/daemon/bramleyrill_daemon/front/_caller.py
+++ b/packages/daemon/bramleyrill_daemon/front/_caller.py
@@ -2,9 +2,11 @@
 
 import select
 import ssl
-from collections.abc import Callable
+from datetime import timedelta
 
+import gevent
 import gevent.socket
+from bramleyrill_base import Clock
 
 from bramleyrill_daemon.front._limits import Pulse
 from bramleyrill_daemon.front._replies import SessionEndError
@@ -19,13 +21,15 @@
     `blocked_since` is the pulse at which a write began that the caller does not take, or None.
     """
 
-    __slots__ = ("_pulse", "_sock", "blocked_since", "is_tls")
+    __slots__ = ("_hub", "_pulse", "_readable", "_sock", "blocked_since", "is_tls")
 
     def __init__(self, sock: gevent.socket.socket, pulse: Pulse) -> None:
         self._sock = sock
         self._pulse = pulse
         self.blocked_since: float | None = None
         self.is_tls = False
+        self._hub = gevent.get_hub()
+        self._readable = self._hub.loop.io(sock.fileno(), 1)
 
     def start_tls(self, context: ssl.SSLContext) -> None:
         """Do the server's side of a TLS handshake."""
@@ -38,6 +42,10 @@
 
     def receive(self) -> bytes:
         """Return the next bytes, or b"" at the end."""
+        if not self.is_tls:
+            # A caller that has just got its answer has not sent the next request yet: to wait
+            # first saves a read that fails. With TLS, bytes may wait in the library's buffer.
+            self._hub.wait(self._readable)
         return self._sock.recv(READ_SIZE)
 
     def receive_exactly(self, size: int) -> bytes:
@@ -56,21 +64,24 @@
         if sent < len(data):
             self._send_blocking(data[sent:])
 
-    def send_if(self, data: bytes, allowed: Callable[[], bool]) -> bool:
-        """Send `data` if `allowed()` holds right before its bytes leave.
+    def send_before(self, data: bytes, clock: Clock, expiry: timedelta) -> bool:
+        """Send `data` if `clock` is before `expiry` right before its bytes leave.
 
-        Returns False with nothing sent if it does not hold. Raises ConnectionError if it ceases
-        to hold when a part has left, since the rest must not follow.
+        Returns False with nothing sent if it is not. Raises ConnectionError if the time comes
+        when a part has left, since the rest must not follow.
         """
         sent = 0
-        while sent < len(data):
+        if self.is_tls:
             self._wait_writable()
-            if not allowed():
+        while True:
+            if clock.monotonic() >= expiry:
                 if sent:
                     raise ConnectionError("an acknowledgement was cut short")
                 return False
             sent += self._try_send(data[sent:] if sent else data)
-        return True
+            if sent >= len(data):
+                return True
+            self._wait_writable()
 
     def _try_send(self, data: bytes) -> int:
         if self.is_tls:
@@ -122,6 +133,8 @@
 
     def close(self) -> None:
         """Close the socket."""
+        self._readable.stop()
+        self._readable.close()
         try:
             self._sock.close()
         except OSError:
--- a/packages/daemon/bramleyrill_daemon/front/_request.py
+++ b/packages/daemon/bramleyrill_daemon/front/_request.py
@@ -7,17 +7,17 @@
 import gevent
 from attrs import define
 from bramleyrill_base import ErrorKind, Problem, is_not_run
-from bramleyrill_core import NO_MARK, StatementClass
+from bramleyrill_core import NO_MARK, Mark, StatementClass
 from bramleyrill_core.membership import holder_of
 from bramleyrill_core.retries import may_retry, note_request
 from bramleyrill_core.routing import Route, next_route, note_primary, route
 from bramleyrill_core.sessions import issue_token, note_answer
+from bramleyrill_core.succession import entry_expiry
 from bramleyrill_wire import postgres as pg
 from returns.result import Failure
 
 from bramleyrill_daemon._exchange import Exchange, Outcome, Request
 from bramleyrill_daemon.front._batch import Prepared, Tracker
-from bramleyrill_daemon.front._permit import entry_expiry
 
 # A VM that does not know the primary asks again after this long; failovers take seconds.
 REROUTE_DELAY = timedelta(milliseconds=25)
@@ -120,12 +120,15 @@
         repeatable = row.repeatable or work.kind in _HARMLESS
         may_have_run = False
         redirects = 0
+        first = True
         path: Route | None = None
         for _ in range(_MAX_ATTEMPTS):
             path = path or self._route(session, work, deadline)
             if isinstance(path, Problem):
                 return _proved(path, may_have_run)
-            problem, redirect = self._run_once(session, work, path, deadline)
+            sent_at = started if first else self._clock.monotonic()
+            first = False
+            problem, redirect = self._run_once(session, work, path, sent_at, deadline - sent_at)
             if problem is None:
                 return None
             not_run = is_not_run(problem.kind)
@@ -163,11 +166,10 @@
             gevent.sleep(REROUTE_DELAY.total_seconds())
 
     def _run_once(
-        self, session, work: Work, path: Route, deadline: timedelta
+        self, session, work: Work, path: Route, sent_at: timedelta, deadline_left: timedelta
     ) -> tuple[Problem | None, str | None]:
         """Make one attempt; return its problem and the VM to ask instead."""
-        sent_at = self._clock.monotonic()
-        request = self._request(session.row, work, deadline - sent_at)
+        request = self._request(session.row, work, deadline_left)
         work.begin()
         exchange = session.exchange = self._executor.open(path, request)
         outcome = self._attempt(session, exchange, work)
@@ -248,11 +250,10 @@
             if not session.gone:
                 session.caller.send(tail)
             return None
-        length = outcome.permit_length
-        expiry = entry_expiry(sent_at, outcome.permit_age, length) if length else None
-        clock = self._clock
-        if expiry is None or clock.monotonic() >= expiry:
-            return _unconfirmed(row, work)
+        if not outcome.permit_length:
+            return _unconfirmed(row, work, row.mark)
+        expiry = entry_expiry(sent_at, outcome.permit_age, outcome.permit_length)
+        earlier_mark = row.mark
         if outcome.mark is not None:
             noted = note_answer(self._world, row, outcome.mark, outcome.history, work.may_commit)
             if isinstance(noted, Failure):
@@ -264,10 +265,8 @@
                 if token:
                     status = pg.parameter_status("bramleyrill.token", token)
                     tail = tail[:-_READY_SIZE] + status + tail[-_READY_SIZE:]
-        if not session.gone and not session.caller.send_if(
-            tail, lambda: clock.monotonic() < expiry
-        ):
-            return _unconfirmed(row, work)
+        if not (session.gone or session.caller.send_before(tail, self._clock, expiry)):
+            return _unconfirmed(row, work, earlier_mark)
         session.status = outcome.tx_status
         return None
 
@@ -295,9 +294,10 @@
     return problem
 
 
-def _unconfirmed(row, work: Work) -> Problem:
+def _unconfirmed(row, work: Work, earlier: Mark | None) -> Problem:
     """Forget what the session knows, so that a check by the caller reads at the primary."""
-    if work.may_commit and row.mark is not None and row.mark != NO_MARK:
-        row.unchecked = (*row.unchecked, row.mark)
+    if work.may_commit and earlier != NO_MARK:
+        if earlier is not None and earlier not in row.unchecked:
+            row.unchecked = (*row.unchecked, earlier)
         row.mark = None
     return Problem(ErrorKind.OUTCOME_UNKNOWN, "the primary may have been replaced")
--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 from bramleyrill_base import ErrorKind, Problem
 from bramleyrill_core import StatementClass
-from bramleyrill_core.sessions import Session, classify
+from bramleyrill_core.sessions import Session
 from bramleyrill_wire import postgres as pg
 
 from bramleyrill_daemon._exchange import Exchange
@@ -13,14 +13,13 @@
     Batch,
     Prepared,
     Tracker,
-    may_end_transaction,
+    plan_query,
     refuse,
 )
 from bramleyrill_daemon.front._caller import CallerSocket
 from bramleyrill_daemon.front._local import (
     LocalStatement,
     describe_local,
-    read_local,
     run_local,
 )
 from bramleyrill_daemon.front._replies import SessionEndError, error_frame, violation
@@ -30,6 +29,7 @@
 _IGNORED = frozenset(b"dcf")  # COPY data, which may still arrive after COPY was refused
 _QUERY, _SYNC, _FLUSH, _TERMINATE, _FUNCTION_CALL = b"QSHXF"
 _ENDS_TRANSACTION = (StatementClass.COMMIT, StatementClass.ROLLBACK)
+_WRITES = (StatementClass.WRITE, StatementClass.COMMIT)
 _IDLE = b"I"
 _FAILED = b"E"
 
@@ -145,14 +145,15 @@
     def _run(self, work: Work) -> bool:
         """Run a request; tell whether it was answered without a problem."""
         self.canceled = False
-        self.front.begin_request(self)
+        front = self.front
+        front.begin_request(self)
         try:
             problem = self.runner.run(self, work)
         finally:
-            self.front.end_request(self)
+            front.end_request(self)
         if problem is None:
             if self.exchange is not None:
-                self.idle_since = self.front.pulse.now
+                self.idle_since = front.pulse.now
             else:
                 self.portals = None
             return True
@@ -163,16 +164,14 @@
     def _query(self, frame: bytes) -> None:
         if self.skipping or self.batch is not None or self.flow is not None:
             raise violation("a simple query inside an extended batch")
-        sql = pg.read_query(frame)
-        statement = classify(sql)
-        kind = statement.kind
+        plan = plan_query(frame)
+        kind = plan.statement.kind
         if self.failed is not None:
             self._query_after_failure(kind)
             return
-        local = read_local(sql, statement)
         in_transaction = self.status != _IDLE
-        problem = refuse(statement, local, in_transaction)
-        if problem is not None:
+        local = plan.local
+        if plan.is_restricted and (problem := refuse(plan.statement, local, in_transaction)):
             self._refuse(problem)
         elif local is not None:
             result = self._run_local(local)
@@ -182,12 +181,8 @@
             described = describe_local(local) if result else b""
             self._answer(described + result + pg.command_complete(local.tag))
         else:
-            may_commit = kind is StatementClass.WRITE or kind is StatementClass.COMMIT
-            if in_transaction:
-                may_commit = may_end_transaction(sql, kind)
-            alters = statement.alters_session or kind is StatementClass.BEGIN
-            hold = kind is StatementClass.WRITE and ";" in sql.rstrip("; \t\r\n")
-            self._run(Work(frame, kind, may_commit, alters, hold))
+            may_commit = plan.ends if in_transaction else kind in _WRITES
+            self._run(Work(frame, kind, may_commit, plan.alters, plan.hold))
 
     def _query_after_failure(self, kind: StatementClass) -> None:
         if kind not in _ENDS_TRANSACTION:
@@ -362,8 +357,5 @@
         return result + pg.command_complete(prepared.local.tag)
 
 
-_WRITES = (StatementClass.WRITE, StatementClass.COMMIT)
-
-
 def _describe_prepared(prepared: Prepared | None) -> bytes:
     return describe_local(prepared.local) if prepared and prepared.local else pg.NO_DATA
