--- a/packages/standins/bramleyrill_standins/processes/_estate.py
+++ b/packages/standins/bramleyrill_standins/processes/_estate.py
@@ -51,7 +51,8 @@
 
     `groups` is keyed by `fleet/service/database`; `passwords` holds the proxy's password at the
     members of each `fleet/service`. `together` runs all members of a group in one process;
-    otherwise each has its own, which a test can kill or stop alone.
+    otherwise each has its own, which a test can kill or stop alone. `limits` replaces settings
+    of every service, such as its slots.
 
     Example: `with Estate(databases=1) as estate: connect(estate.proxies[0].port)`.
     """
@@ -65,9 +66,12 @@
         behaviour: Behaviour | None = None,
         together: bool = False,
         journal: str = "",
+        limits: dict[str, Any] | None = None,
     ) -> None:
         self._stack = contextlib.ExitStack()
         self.text = example_fleets(databases, fleets)
+        for _, _, service in services_of(self.text):
+            service.update(limits or {})
         self.groups: dict[str, Group] = {}
         self.passwords: dict[str, str] = {}
         self.proxies: list[Proxy] = []
