Take the usual one-statement batch without collecting it

A driver's Parse, Bind, Describe, Execute, Sync for one unnamed statement was taken apart frame by frame. It is now recognized and sent on as it came. Requests and outcomes are no longer frozen: making a class of ten fields takes 1.7 instead of 3.5 us, and there are three of them per statement.

--- a/packages/daemon/bramleyrill_daemon/_exchange.py
+++ b/packages/daemon/bramleyrill_daemon/_exchange.py
@@ -8,14 +8,16 @@
 from datetime import timedelta
 from typing import Protocol
 
-from attrs import field, frozen
+from attrs import define, field
 from bramleyrill_base import Problem
 from bramleyrill_core import DatabaseId, Mark, Rank, StatementClass, TermStart, VmId
 
 NO_TIME = timedelta()
 
 
-@frozen
+# Request, Chunk and Outcome are made for every statement. They are not changed once they are made;
+# `frozen` would double the time that making one takes.
+@define(eq=False)
 class Request:
     """What the holder needs to know of a request besides its frames.
 
@@ -37,14 +39,14 @@
     alters_session: bool = True
 
 
-@frozen
+@define(eq=False)
 class Chunk:
     """Frames of an answer, to be forwarded at once; they may end in the middle of a frame."""
 
     frames: bytes = field(repr=False)
 
 
-@frozen
+@define(eq=False)
 class Outcome:
     """The end of the answer to one request.
 
--- a/packages/daemon/bramleyrill_daemon/front/_batch.py
+++ b/packages/daemon/bramleyrill_daemon/front/_batch.py
@@ -24,6 +24,8 @@
 _WATCHED = _ENDS | frozenset(b"E")
 _ERROR = ord("E")
 _ENDING_WORDS = re.compile(r"\s*(COMMIT|END|PREPARE\s+TRANSACTION|CALL|DO)\b", re.IGNORECASE)
+# Classes of statements that `refuse` may refuse.
+RESTRICTED = (StatementClass.UNSUPPORTED, StatementClass.SET)
 _ENDS_TRANSACTION = (StatementClass.COMMIT, StatementClass.ROLLBACK)
 
 
@@ -307,7 +309,7 @@
         may_end_transaction(sql, kind),
         statement.alters_session or kind is StatementClass.BEGIN,
         kind is StatementClass.WRITE and ";" in sql.rstrip("; \t\r\n"),
-        kind in (StatementClass.UNSUPPORTED, StatementClass.SET),
+        kind in RESTRICTED,
         read_local(sql, statement),
     )
 
--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -77,7 +77,6 @@
         self._tls = tls
         self._runner = RequestRunner(self)
         self._handshakes: dict[gevent.Greenlet, float] = {}
-        self._busy: dict[int, CallerSession] = {}
         self._session_ids = itertools.count(1)
         self._request_ids = itertools.count(1)
         self._mock_secret = os.urandom(32)
@@ -131,21 +130,16 @@
         """Return the id of a new request."""
         return next(self._request_ids)
 
-    def deadline_of(self, session: Session) -> timedelta:
-        """Return how long a request of the session may take to get its connection."""
-        service = self.world.text.services.get(session.database)
-        policy = service.ranks.get(session.rank) if service else None
-        return policy.deadline if policy else self.limits.deadline
-
-    def begin_request(self, session: CallerSession) -> None:
-        """Watch a session for a caller that leaves, while its request runs."""
-        session.busy_since = self.pulse.now
-        self._busy[session.row.id] = session
-
-    def end_request(self, session: CallerSession) -> None:
-        """Stop watching a session."""
-        session.busy_since = None
-        self._busy.pop(session.row.id, None)
+    def deadline_of(self, session: CallerSession) -> timedelta:
+        """Return how long a request of the session may wait in all."""
+        row, text = session.row, self.world.text
+        cached = session.deadline
+        if cached is None or cached[0] is not text or cached[1] is not row.rank:
+            service = text.services.get(row.database)
+            policy = service.ranks.get(row.rank) if service else None
+            deadline = policy.deadline if policy else self.limits.deadline
+            cached = session.deadline = (text, row.rank, deadline)
+        return cached[2]
 
     def _serve(self, sock: gevent.socket.socket, _address: object) -> None:
         caller = CallerSocket(sock, self.pulse)
@@ -179,7 +173,6 @@
 
     def _forget(self, session: CallerSession) -> None:
         session.close_exchange()
-        self._busy.pop(session.row.id, None)
         self.sessions.pop(session.row.id, None)
         self.world.tables(SessionTables).sessions.remove(session.row.id)
 
@@ -267,8 +260,8 @@
         before = self.pulse.now - self.limits.sweep.total_seconds() / 2
         watched = {
             session.caller.fileno(): session
-            for session in self._busy.values()
-            if not session.gone and session.busy_since <= before
+            for session in self.sessions.values()
+            if session.busy_since is not None and session.busy_since <= before and not session.gone
         }
         watched.pop(-1, None)
         for session in gone_callers(watched) if watched else ():
--- a/packages/daemon/bramleyrill_daemon/front/_request.py
+++ b/packages/daemon/bramleyrill_daemon/front/_request.py
@@ -14,7 +14,7 @@
 from bramleyrill_core.sessions import issue_token, note_answer
 from bramleyrill_core.succession import entry_expiry
 from bramleyrill_wire import postgres as pg
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from bramleyrill_daemon._exchange import Exchange, Outcome, Request
 from bramleyrill_daemon.front._batch import Prepared, Tracker
@@ -116,16 +116,20 @@
         world, row = self._world, session.row
         service = f"{row.fleet}/{row.service}"
         note_request(world, service)
-        deadline = started + self._front.deadline_of(row)
+        deadline = started + self._front.deadline_of(session)
         repeatable = row.repeatable or work.kind in _HARMLESS
         may_have_run = False
         redirects = 0
         first = True
         path: Route | None = None
         for _ in range(_MAX_ATTEMPTS):
-            path = path or self._route(session, work, deadline)
-            if isinstance(path, Problem):
-                return _proved(path, may_have_run)
+            if path is None:
+                found = route(world, row, work.kind, False)
+                if type(found) is Failure:
+                    found = self._wait_for_route(session, work, deadline, found.failure())
+                    if type(found) is Failure:
+                        return _proved(found.failure(), may_have_run)
+                path = found.unwrap()
             sent_at = started if first else self._clock.monotonic()
             first = False
             problem, redirect = self._run_once(session, work, path, sent_at, deadline - sent_at)
@@ -151,19 +155,21 @@
                 gevent.sleep(REROUTE_DELAY.total_seconds())
         return _proved(problem, may_have_run)
 
-    def _route(self, session, work: Work, deadline: timedelta) -> Route | Problem:
-        """Choose a member; wait for a primary until the deadline."""
-        while True:
-            found = route(self._world, session.row, work.kind, False)
-            if not isinstance(found, Failure):
-                return found.unwrap()
-            problem = found.failure()
+    def _wait_for_route(
+        self, session, work: Work, deadline: timedelta, problem: Problem
+    ) -> Result[Route, Problem]:
+        """Ask again until a primary is known or the deadline is near."""
+        while problem.kind is ErrorKind.NOT_RUN_NO_PRIMARY:
             if session.canceled:
-                return Problem(ErrorKind.CANCELED)
-            left = deadline - self._clock.monotonic()
-            if problem.kind is not ErrorKind.NOT_RUN_NO_PRIMARY or left <= REROUTE_DELAY:
-                return problem
+                return Failure(Problem(ErrorKind.CANCELED))
+            if deadline - self._clock.monotonic() <= REROUTE_DELAY:
+                break
             gevent.sleep(REROUTE_DELAY.total_seconds())
+            found = route(self._world, session.row, work.kind, False)
+            if type(found) is not Failure:
+                return found
+            problem = found.failure()
+        return Failure(problem)
 
     def _run_once(
         self, session, work: Work, path: Route, sent_at: timedelta, deadline_left: timedelta
@@ -216,13 +222,15 @@
 
         What follows the first part is not known, so that the batch may turn out to write.
         """
-        deadline = self._clock.monotonic() + self._front.deadline_of(session.row)
+        deadline = self._clock.monotonic() + self._front.deadline_of(session)
         work = Work(b"", StatementClass.BEGIN, may_commit=True, alters_session=True)
-        path = self._route(session, work, deadline)
-        if isinstance(path, Problem):
-            return path
+        found = route(self._world, session.row, work.kind, False)
+        if type(found) is Failure:
+            found = self._wait_for_route(session, work, deadline, found.failure())
+            if type(found) is Failure:
+                return found.failure()
         request = self._request(session.row, work, deadline - self._clock.monotonic())
-        session.exchange = self._executor.open(path, request)
+        session.exchange = self._executor.open(found.unwrap(), request)
         return None
 
     def flush(self, session, frames: bytes, tracker: Tracker) -> Problem | None:
--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -24,6 +24,7 @@
 )
 from bramleyrill_daemon.front._replies import SessionEndError, error_frame, violation
 from bramleyrill_daemon.front._request import RequestRunner, Work
+from bramleyrill_daemon.front._single import PARSE, read_single
 
 _BATCHED = frozenset(b"PBDEC")
 _IGNORED = frozenset(b"dcf")  # COPY data, which may still arrive after COPY was refused
@@ -43,6 +44,7 @@
     a batch after an error up to its Sync. `flow` follows a batch that is sent in parts, and
     `flow_started` is when its first part was sent. `busy_since` is the pulse at which the
     request in progress started, `idle_since` that at which the open transaction became idle.
+    `deadline` caches that of the session's requests with the text and rank that it follows from.
     """
 
     front: object
@@ -67,6 +69,7 @@
     waiting: bool = False
     busy_since: float | None = None
     idle_since: float | None = None
+    deadline: tuple | None = None
     greenlet: object = field(default=None, repr=False)
 
     def run(self) -> None:
@@ -79,7 +82,10 @@
             data = self._wait(receive)
             if not data:
                 return
-            for kind, frame in feed(data):
+            pieces = feed(data)
+            if pieces and pieces[0][0] == PARSE and self._run_single(pieces):
+                continue
+            for kind, frame in pieces:
                 if kind == _QUERY:
                     self._query(frame)
                 elif kind == _TERMINATE:
@@ -146,11 +152,11 @@
         """Run a request; tell whether it was answered without a problem."""
         self.canceled = False
         front = self.front
-        front.begin_request(self)
+        self.busy_since = front.pulse.now
         try:
             problem = self.runner.run(self, work)
         finally:
-            front.end_request(self)
+            self.busy_since = None
         if problem is None:
             if self.exchange is not None:
                 self.idle_since = front.pulse.now
@@ -209,6 +215,26 @@
         elif kind not in _IGNORED:
             raise violation(f"unexpected message {chr(kind)!a}")
 
+    def _run_single(self, pieces: list[tuple[int, bytes]]) -> bool:
+        """Run a batch of one statement; return False with nothing done for any other."""
+        if self.batch is not None or self.skipping or self.failed is not None:
+            return False
+        prepared = read_single(pieces)
+        if prepared is None:
+            return False
+        if self.prepared is None:
+            self.prepared = {}
+        self.prepared[""] = prepared
+        kind = prepared.statement.kind
+        may_commit = prepared.ends if self.status != _IDLE else kind in _WRITES
+        alters = prepared.statement.alters_session or kind is StatementClass.BEGIN
+        self._run(Work(b"".join([frame for _, frame in pieces]), kind, may_commit, alters))
+        if self.exchange is not None:
+            if self.parsed is None:
+                self.parsed = set()
+            self.parsed.add("")
+        return True
+
     def _add(self, kind: int, frame: bytes) -> None:
         batch = self.batch
         if batch is None:
@@ -251,11 +277,11 @@
             return
         problem = self._flush_refused(batch)
         if problem is None and batch.frames:
-            self.front.begin_request(self)
+            self.busy_since = self.front.pulse.now
             try:
                 problem = self._send_part(batch)
             finally:
-                self.front.end_request(self)
+                self.busy_since = None
                 self.idle_since = self.front.pulse.now
         if problem is not None:
             self._fail_batch(problem)
