--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -227,6 +227,12 @@
             refused = self._fenced_outcome(scanner, status, was_in_transaction)
             if refused is not None:
                 return refused
+        if self._may_commit and not scanner.failed:
+            problem = self._permits.wait_for_second_member(
+                self._route.member, self._request, status
+            )
+            if problem is not None:
+                return Outcome(problem=problem)
         permit = self._permits.of(self._route.member)
         age = length = timedelta()
         if permit is not None and permit.term == status.term:
--- a/packages/daemon/bramleyrill_daemon/_served.py
+++ b/packages/daemon/bramleyrill_daemon/_served.py
@@ -1,6 +1,5 @@
 """Holder side of a stream: run an exchange for another VM and send back what it gives."""
 
-from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -10,7 +9,7 @@
 from gevent.queue import SimpleQueue
 
 from bramleyrill_daemon._exchange import Chunk, Exchange, ExchangeClosed, Executor, Outcome
-from bramleyrill_daemon._peer_link import PeerLink, PeerLost
+from bramleyrill_daemon._peer_link import PeerLink, PeerLostError
 from bramleyrill_daemon._stream_codec import (
     MAY_COMMIT,
     MORE,
@@ -58,7 +57,7 @@
                 frame = self._inbox.get()
                 if frame is None:
                     return
-        except (ExchangeClosed, PeerLost):
+        except (ExchangeClosed, PeerLostError):
             pass
         except ValueError as error:
             self._fail(Problem(ErrorKind.PROTOCOL_VIOLATION, str(error)))
@@ -114,7 +113,7 @@
                 return
             try:
                 self._feed_piece(frame)
-            except PeerLost:
+            except PeerLostError:
                 return
             if not (frame.flags or 0) & MORE:
                 return
@@ -148,7 +147,7 @@
         try:
             outcome = Outcome(problem=problem)
             self._post(result_frame(self._number, self._request_number, outcome))
-        except PeerLost:
+        except PeerLostError:
             pass
 
     def _end(self) -> None:
@@ -158,16 +157,12 @@
             self._exchange.close()
 
 
-def serve_stream(executor: Executor) -> Callable[[PeerLink, Any], None]:
-    """Return the function that serves each Execute frame in a greenlet of its own."""
-
-    def serve(link: PeerLink, frame: Any) -> None:
-        number = frame.stream
-        if number is None or number in link.streams or number % 2 == link.dialed:
-            log_event("stream_refused", vm=link.vm, stream=number)
-            return
-        stream = ServedStream(link, number)
-        link.streams[number] = stream
-        gevent.spawn(stream.run, executor, frame)
-
-    return serve
+def serve_stream(executor: Executor, link: PeerLink, frame: Any) -> None:
+    """Serve the stream of an Execute frame in a greenlet of its own."""
+    number = frame.stream
+    if number is None or number in link.streams or number % 2 == link.dialed:
+        log_event("stream_refused", vm=link.vm, stream=number)
+        return
+    stream = ServedStream(link, number)
+    link.streams[number] = stream
+    gevent.spawn(stream.run, executor, frame)
--- a/packages/daemon/bramleyrill_daemon/front/_request.py
+++ b/packages/daemon/bramleyrill_daemon/front/_request.py
@@ -7,17 +7,17 @@
 import gevent
 from attrs import define
 from bramleyrill_base import ErrorKind, Problem, is_not_run
-from bramleyrill_core import NO_MARK, StatementClass
+from bramleyrill_core import NO_MARK, Mark, StatementClass
 from bramleyrill_core.membership import holder_of
 from bramleyrill_core.retries import may_retry, note_request
 from bramleyrill_core.routing import Route, next_route, note_primary, route
 from bramleyrill_core.sessions import issue_token, note_answer
+from bramleyrill_core.succession import entry_expiry
 from bramleyrill_wire import postgres as pg
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from bramleyrill_daemon._exchange import Exchange, Outcome, Request
 from bramleyrill_daemon.front._batch import Prepared, Tracker
-from bramleyrill_daemon.front._permit import entry_expiry
 
 # A VM that does not know the primary asks again after this long; failovers take seconds.
 REROUTE_DELAY = timedelta(milliseconds=25)
@@ -116,16 +116,23 @@
         world, row = self._world, session.row
         service = f"{row.fleet}/{row.service}"
         note_request(world, service)
-        deadline = started + self._front.deadline_of(row)
+        deadline = started + self._front.deadline_of(session)
         repeatable = row.repeatable or work.kind in _HARMLESS
         may_have_run = False
         redirects = 0
+        first = True
         path: Route | None = None
         for _ in range(_MAX_ATTEMPTS):
-            path = path or self._route(session, work, deadline)
-            if isinstance(path, Problem):
-                return _proved(path, may_have_run)
-            problem, redirect = self._run_once(session, work, path, deadline)
+            if path is None:
+                found = route(world, row, work.kind, False)
+                if type(found) is Failure:
+                    found = self._wait_for_route(session, work, deadline, found.failure())
+                    if type(found) is Failure:
+                        return _proved(found.failure(), may_have_run)
+                path = found.unwrap()
+            sent_at = started if first else self._clock.monotonic()
+            first = False
+            problem, redirect = self._run_once(session, work, path, sent_at, deadline - sent_at)
             if problem is None:
                 return None
             not_run = is_not_run(problem.kind)
@@ -148,26 +155,27 @@
                 gevent.sleep(REROUTE_DELAY.total_seconds())
         return _proved(problem, may_have_run)
 
-    def _route(self, session, work: Work, deadline: timedelta) -> Route | Problem:
-        """Choose a member; wait for a primary until the deadline."""
-        while True:
-            found = route(self._world, session.row, work.kind, False)
-            if not isinstance(found, Failure):
-                return found.unwrap()
-            problem = found.failure()
+    def _wait_for_route(
+        self, session, work: Work, deadline: timedelta, problem: Problem
+    ) -> Result[Route, Problem]:
+        """Ask again until a primary is known or the deadline is near."""
+        while problem.kind is ErrorKind.NOT_RUN_NO_PRIMARY:
             if session.canceled:
-                return Problem(ErrorKind.CANCELED)
-            left = deadline - self._clock.monotonic()
-            if problem.kind is not ErrorKind.NOT_RUN_NO_PRIMARY or left <= REROUTE_DELAY:
-                return problem
+                return Failure(Problem(ErrorKind.CANCELED))
+            if deadline - self._clock.monotonic() <= REROUTE_DELAY:
+                break
             gevent.sleep(REROUTE_DELAY.total_seconds())
+            found = route(self._world, session.row, work.kind, False)
+            if type(found) is not Failure:
+                return found
+            problem = found.failure()
+        return Failure(problem)
 
     def _run_once(
-        self, session, work: Work, path: Route, deadline: timedelta
+        self, session, work: Work, path: Route, sent_at: timedelta, deadline_left: timedelta
     ) -> tuple[Problem | None, str | None]:
         """Make one attempt; return its problem and the VM to ask instead."""
-        sent_at = self._clock.monotonic()
-        request = self._request(session.row, work, deadline - sent_at)
+        request = self._request(session.row, work, deadline_left)
         work.begin()
         exchange = session.exchange = self._executor.open(path, request)
         outcome = self._attempt(session, exchange, work)
@@ -214,13 +222,15 @@
 
         What follows the first part is not known, so that the batch may turn out to write.
         """
-        deadline = self._clock.monotonic() + self._front.deadline_of(session.row)
+        deadline = self._clock.monotonic() + self._front.deadline_of(session)
         work = Work(b"", StatementClass.BEGIN, may_commit=True, alters_session=True)
-        path = self._route(session, work, deadline)
-        if isinstance(path, Problem):
-            return path
+        found = route(self._world, session.row, work.kind, False)
+        if type(found) is Failure:
+            found = self._wait_for_route(session, work, deadline, found.failure())
+            if type(found) is Failure:
+                return found.failure()
         request = self._request(session.row, work, deadline - self._clock.monotonic())
-        session.exchange = self._executor.open(path, request)
+        session.exchange = self._executor.open(found.unwrap(), request)
         return None
 
     def flush(self, session, frames: bytes, tracker: Tracker) -> Problem | None:
@@ -248,11 +258,10 @@
             if not session.gone:
                 session.caller.send(tail)
             return None
-        length = outcome.permit_length
-        expiry = entry_expiry(sent_at, outcome.permit_age, length) if length else None
-        clock = self._clock
-        if expiry is None or clock.monotonic() >= expiry:
-            return _unconfirmed(row, work)
+        if not outcome.permit_length:
+            return _unconfirmed(row, work, row.mark)
+        expiry = entry_expiry(sent_at, outcome.permit_age, outcome.permit_length)
+        earlier_mark = row.mark
         if outcome.mark is not None:
             noted = note_answer(self._world, row, outcome.mark, outcome.history, work.may_commit)
             if isinstance(noted, Failure):
@@ -264,10 +273,8 @@
                 if token:
                     status = pg.parameter_status("bramleyrill.token", token)
                     tail = tail[:-_READY_SIZE] + status + tail[-_READY_SIZE:]
-        if not session.gone and not session.caller.send_if(
-            tail, lambda: clock.monotonic() < expiry
-        ):
-            return _unconfirmed(row, work)
+        if not (session.gone or session.caller.send_before(tail, self._clock, expiry)):
+            return _unconfirmed(row, work, earlier_mark)
         session.status = outcome.tx_status
         return None
 
@@ -295,9 +302,10 @@
     return problem
 
 
-def _unconfirmed(row, work: Work) -> Problem:
+def _unconfirmed(row, work: Work, earlier: Mark | None) -> Problem:
     """Forget what the session knows, so that a check by the caller reads at the primary."""
-    if work.may_commit and row.mark is not None and row.mark != NO_MARK:
-        row.unchecked = (*row.unchecked, row.mark)
+    if work.may_commit and earlier != NO_MARK:
+        if earlier is not None and earlier not in row.unchecked:
+            row.unchecked = (*row.unchecked, earlier)
         row.mark = None
     return Problem(ErrorKind.OUTCOME_UNKNOWN, "the primary may have been replaced")
--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 from bramleyrill_base import ErrorKind, Problem
 from bramleyrill_core import StatementClass
-from bramleyrill_core.sessions import Session, classify
+from bramleyrill_core.sessions import Session
 from bramleyrill_wire import postgres as pg
 
 from bramleyrill_daemon._exchange import Exchange
@@ -13,18 +13,24 @@
     Batch,
     Prepared,
     Tracker,
-    may_end_transaction,
+    plan_query,
     refuse,
 )
 from bramleyrill_daemon.front._caller import CallerSocket
-from bramleyrill_daemon.front._local import describe_local, read_local, run_local
+from bramleyrill_daemon.front._local import (
+    LocalStatement,
+    describe_local,
+    run_local,
+)
 from bramleyrill_daemon.front._replies import SessionEndError, error_frame, violation
 from bramleyrill_daemon.front._request import RequestRunner, Work
+from bramleyrill_daemon.front._single import PARSE, read_single
 
 _BATCHED = frozenset(b"PBDEC")
 _IGNORED = frozenset(b"dcf")  # COPY data, which may still arrive after COPY was refused
 _QUERY, _SYNC, _FLUSH, _TERMINATE, _FUNCTION_CALL = b"QSHXF"
 _ENDS_TRANSACTION = (StatementClass.COMMIT, StatementClass.ROLLBACK)
+_WRITES = (StatementClass.WRITE, StatementClass.COMMIT)
 _IDLE = b"I"
 _FAILED = b"E"
 
@@ -38,6 +44,7 @@
     a batch after an error up to its Sync. `flow` follows a batch that is sent in parts, and
     `flow_started` is when its first part was sent. `busy_since` is the pulse at which the
     request in progress started, `idle_since` that at which the open transaction became idle.
+    `deadline` caches that of the session's requests with the text and rank that it follows from.
     """
 
     front: object
@@ -62,6 +69,7 @@
     waiting: bool = False
     busy_since: float | None = None
     idle_since: float | None = None
+    deadline: tuple | None = None
     greenlet: object = field(default=None, repr=False)
 
     def run(self) -> None:
@@ -74,7 +82,10 @@
             data = self._wait(receive)
             if not data:
                 return
-            for kind, frame in feed(data):
+            pieces = feed(data)
+            if pieces and pieces[0][0] == PARSE and self._run_single(pieces):
+                continue
+            for kind, frame in pieces:
                 if kind == _QUERY:
                     self._query(frame)
                 elif kind == _TERMINATE:
@@ -140,14 +151,15 @@
     def _run(self, work: Work) -> bool:
         """Run a request; tell whether it was answered without a problem."""
         self.canceled = False
-        self.front.begin_request(self)
+        front = self.front
+        self.busy_since = front.pulse.now
         try:
             problem = self.runner.run(self, work)
         finally:
-            self.front.end_request(self)
+            self.busy_since = None
         if problem is None:
             if self.exchange is not None:
-                self.idle_since = self.front.pulse.now
+                self.idle_since = front.pulse.now
             else:
                 self.portals = None
             return True
@@ -158,31 +170,25 @@
     def _query(self, frame: bytes) -> None:
         if self.skipping or self.batch is not None or self.flow is not None:
             raise violation("a simple query inside an extended batch")
-        sql = pg.read_query(frame)
-        statement = classify(sql)
-        kind = statement.kind
+        plan = plan_query(frame)
+        kind = plan.statement.kind
         if self.failed is not None:
             self._query_after_failure(kind)
             return
-        local = read_local(sql, statement)
         in_transaction = self.status != _IDLE
-        problem = refuse(statement, local, in_transaction)
-        if problem is not None:
+        local = plan.local
+        if plan.is_restricted and (problem := refuse(plan.statement, local, in_transaction)):
             self._refuse(problem)
         elif local is not None:
-            result = run_local(self.front.world, self.row, local)
+            result = self._run_local(local)
             if isinstance(result, Problem):
                 self._refuse(result)
                 return
             described = describe_local(local) if result else b""
             self._answer(described + result + pg.command_complete(local.tag))
         else:
-            may_commit = kind is StatementClass.WRITE or kind is StatementClass.COMMIT
-            if in_transaction:
-                may_commit = may_end_transaction(sql, kind)
-            alters = statement.alters_session or kind is StatementClass.BEGIN
-            hold = kind is StatementClass.WRITE and ";" in sql.rstrip("; \t\r\n")
-            self._run(Work(frame, kind, may_commit, alters, hold))
+            may_commit = plan.ends if in_transaction else kind in _WRITES
+            self._run(Work(frame, kind, may_commit, plan.alters, plan.hold))
 
     def _query_after_failure(self, kind: StatementClass) -> None:
         if kind not in _ENDS_TRANSACTION:
@@ -209,6 +215,26 @@
         elif kind not in _IGNORED:
             raise violation(f"unexpected message {chr(kind)!a}")
 
+    def _run_single(self, pieces: list[tuple[int, bytes]]) -> bool:
+        """Run a batch of one statement; return False with nothing done for any other."""
+        if self.batch is not None or self.skipping or self.failed is not None:
+            return False
+        prepared = read_single(pieces)
+        if prepared is None:
+            return False
+        if self.prepared is None:
+            self.prepared = {}
+        self.prepared[""] = prepared
+        kind = prepared.statement.kind
+        may_commit = prepared.ends if self.status != _IDLE else kind in _WRITES
+        alters = prepared.statement.alters_session or kind is StatementClass.BEGIN
+        self._run(Work(b"".join([frame for _, frame in pieces]), kind, may_commit, alters))
+        if self.exchange is not None:
+            if self.parsed is None:
+                self.parsed = set()
+            self.parsed.add("")
+        return True
+
     def _add(self, kind: int, frame: bytes) -> None:
         batch = self.batch
         if batch is None:
@@ -251,11 +277,11 @@
             return
         problem = self._flush_refused(batch)
         if problem is None and batch.frames:
-            self.front.begin_request(self)
+            self.busy_since = self.front.pulse.now
             try:
                 problem = self._send_part(batch)
             finally:
-                self.front.end_request(self)
+                self.busy_since = None
                 self.idle_since = self.front.pulse.now
         if problem is not None:
             self._fail_batch(problem)
@@ -342,15 +368,20 @@
         self._end_failed()
         return pg.command_complete("ROLLBACK")
 
+    def _run_local(self, local: LocalStatement) -> bytes | Problem:
+        if local.drops is not None and self.prepared:
+            # Drivers name in DEALLOCATE what they have prepared by Parse.
+            names = [local.drops] if local.drops else [name for name in self.prepared if name]
+            for name in names:
+                self.prepared.pop(name, None)
+        return run_local(self.front.world, self.row, local)
+
     def _run_prepared(self, prepared: Prepared | None) -> bytes | Problem:
-        result = run_local(self.front.world, self.row, prepared.local)
+        result = self._run_local(prepared.local)
         if isinstance(result, Problem):
             return result
         return result + pg.command_complete(prepared.local.tag)
 
 
-_WRITES = (StatementClass.WRITE, StatementClass.COMMIT)
-
-
 def _describe_prepared(prepared: Prepared | None) -> bytes:
     return describe_local(prepared.local) if prepared and prepared.local else pg.NO_DATA
