Record traces of pools, drain and membership, and weigh three ways to share connections

Eight traces guard one rule each and the trace test now covers these subsystems. compare_sharing runs the same work for a fixed split, leases from the platform and one holder.

Measured: each trace passes and misses with its rule off.

--- a/packages/core/bramleyrill_core/membership/_messages.py
+++ b/packages/core/bramleyrill_core/membership/_messages.py
@@ -22,6 +22,11 @@
     DEAD = 4
     LEFT = 5
 
+    @classmethod
+    def _missing_(cls, value: object) -> "VmState | None":
+        """Find a state by its name in lower case, as traces write it."""
+        return cls.__members__.get(value.upper()) if isinstance(value, str) else None
+
 
 @frozen
 class VmUpdate:
--- a/packages/core/bramleyrill_core/pools/__init__.py
+++ b/packages/core/bramleyrill_core/pools/__init__.py
@@ -10,8 +10,11 @@
 from bramleyrill_core.pools._messages import (
     CloseConnection,
     ConnectionId,
+    ConnectionLeased,
     ConnectionLost,
+    ConnectionRefused,
     ConnectionReturned,
+    ConnectionWanted,
     ControlLost,
     Dial,
     DialFailed,
@@ -21,6 +24,12 @@
     ReleaseLock,
     TakeLock,
 )
+from bramleyrill_core.pools._simulation import (
+    SharingPlan,
+    SharingResult,
+    compare_sharing,
+    sharing_lines,
+)
 from bramleyrill_core.pools._tables import Connection, Pool, PoolState, PoolTables
 from bramleyrill_core.pools._upkeep import previous_holder, run_pools
 
@@ -29,6 +38,13 @@
     "CloseConnection",
     "Connection",
     "ConnectionId",
+    "ConnectionLeased",
+    "ConnectionRefused",
+    "ConnectionWanted",
+    "SharingPlan",
+    "SharingResult",
+    "compare_sharing",
+    "sharing_lines",
     "ConnectionLost",
     "ConnectionReturned",
     "ControlLost",
--- a/packages/core/bramleyrill_core/pools/_leases.py
+++ b/packages/core/bramleyrill_core/pools/_leases.py
@@ -10,7 +10,14 @@
 from bramleyrill_core._values import MemberId
 from bramleyrill_core._world import World
 from bramleyrill_core.pools._leaving import takes_new_work
-from bramleyrill_core.pools._messages import CloseConnection, ConnectionId, ConnectionReturned
+from bramleyrill_core.pools._messages import (
+    CloseConnection,
+    ConnectionId,
+    ConnectionLeased,
+    ConnectionRefused,
+    ConnectionReturned,
+    ConnectionWanted,
+)
 from bramleyrill_core.pools._tables import Connection, Pool, PoolState, PoolTables
 
 # Of a member's connections, one is the holder's control connection and three are for the probes
@@ -64,6 +71,15 @@
     return close(world, row)
 
 
+@handles(ConnectionWanted)
+def note_wanted(world: World, message: ConnectionWanted) -> list[Effect]:
+    """Lease a connection."""
+    result = lease(world, message.member)
+    if isinstance(result, Success):
+        return [ConnectionLeased(message.member, result.unwrap())]
+    return [ConnectionRefused(message.member, result.failure().kind)]
+
+
 @handles(ConnectionReturned)
 def note_returned(world: World, message: ConnectionReturned) -> list[Effect]:
     """Take back a leased connection."""
--- a/packages/core/bramleyrill_core/pools/_messages.py
+++ b/packages/core/bramleyrill_core/pools/_messages.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 from attrs import frozen
+from bramleyrill_base import ErrorKind
 
 from bramleyrill_core._messages import Effect, Message
 from bramleyrill_core._values import MemberId, VmId
@@ -67,6 +68,29 @@
     clean: bool
 
 
+@frozen
+class ConnectionWanted(Message):
+    """A request wants a connection, as by `lease`."""
+
+    member: MemberId
+
+
+@frozen
+class ConnectionLeased(Effect):
+    """A connection was leased."""
+
+    member: MemberId
+    id: ConnectionId
+
+
+@frozen
+class ConnectionRefused(Effect):
+    """No connection was leased."""
+
+    member: MemberId
+    kind: ErrorKind
+
+
 @frozen
 class Dial(Effect):
     """Open a pooled connection; answer with `DialSucceeded` or `DialFailed`."""
--- a/tests/trace/test_traces.py
+++ b/tests/trace/test_traces.py
@@ -10,7 +10,16 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TRACES = sorted((ROOT / "traces").glob("*.trace"))
 CORE = ROOT / "packages/core/bramleyrill_core"
-SUBSYSTEMS = ("sessions", "routing", "retries", "succession", "trace")
+SUBSYSTEMS = (
+    "drain",
+    "membership",
+    "pools",
+    "retries",
+    "routing",
+    "sessions",
+    "succession",
+    "trace",
+)
 
 
 class RecordedTraceTest(unittest.TestCase):
