--- a/packages/daemon/bramleyrill_daemon/front/_request.py
+++ b/packages/daemon/bramleyrill_daemon/front/_request.py
@@ -263,12 +263,13 @@
         expiry = entry_expiry(sent_at, outcome.permit_age, outcome.permit_length)
         earlier_mark = row.mark
         if outcome.mark is not None:
-            noted = note_answer(self._world, row, outcome.mark, outcome.history, work.may_commit)
+            wrote = work.may_commit and not work.is_read
+            noted = note_answer(self._world, row, outcome.mark, outcome.history, wrote)
             if isinstance(noted, Failure):
                 return noted.failure()
             if path is not None and outcome.at_primary:
                 self._learn_primary(row.database, path, outcome)
-            if work.may_commit:
+            if wrote:
                 token = issue_token(self._world, row.database, outcome.mark)
                 if token:
                     status = pg.parameter_status("bramleyrill.token", token)
