--- a/packages/daemon/bramleyrill_daemon/_exchange.py
+++ b/packages/daemon/bramleyrill_daemon/_exchange.py
@@ -8,14 +8,16 @@
 from datetime import timedelta
 from typing import Protocol
 
-from attrs import field, frozen
+from attrs import define, field
 from bramleyrill_base import Problem
-from bramleyrill_core import DatabaseId, Mark, Rank, StatementClass, TermStart, VmId
+from bramleyrill_core import DatabaseId, Mark, MemberId, Rank, StatementClass, TermStart, VmId
 
 NO_TIME = timedelta()
 
 
-@frozen
+# Request, Chunk and Outcome are made for every statement. They are not changed once they are made;
+# `frozen` would double the time that making one takes.
+@define(eq=False)
 class Request:
     """What the holder needs to know of a request besides its frames.
 
@@ -37,14 +39,14 @@
     alters_session: bool = True
 
 
-@frozen
+@define(eq=False)
 class Chunk:
     """Frames of an answer, to be forwarded at once; they may end in the middle of a frame."""
 
     frames: bytes = field(repr=False)
 
 
-@frozen
+@define(eq=False)
 class Outcome:
     """The end of the answer to one request.
 
@@ -60,7 +62,8 @@
     they are set for requests that may commit and for reads at the primary, when known.
     `permit_age` is the holder's time of receipt of the request minus the time of the probe that
     its permit rests on (may be negative), and `permit_length` the length of the permit; zero
-    length is no permit. `redirect` names the VM to ask instead, of a request that did not run.
+    length is no permit. `redirect` names the VM to ask instead, of a request that did not run;
+    `redirect_member` is the primary that it holds, when known: one VM may hold several members.
     """
 
     problem: Problem | None = None
@@ -72,6 +75,7 @@
     permit_age: timedelta = NO_TIME
     permit_length: timedelta = NO_TIME
     redirect: VmId | None = None
+    redirect_member: MemberId | None = None
 
 
 class Exchange(Protocol):
--- a/packages/standins/bramleyrill_standins/processes/_estate.py
+++ b/packages/standins/bramleyrill_standins/processes/_estate.py
@@ -22,9 +22,12 @@
 
 @frozen
 class Behaviour:
-    """How the members of a service behave; times are in milliseconds."""
+    """How members behave; times are in milliseconds.
 
-    service_ms: float = 0.0
+    `capacity` is the statements a second that a member's slots serve; 0 means without delay.
+    """
+
+    capacity: float = 0.0
     latency_ms: float = 0.0
     lag_ms: float = 20.0
 
@@ -35,7 +38,7 @@
             "connections": limits["connections"],
             "slots": limits["slots"],
             "dial-ms": dial,
-            "service-ms": self.service_ms,
+            "service-ms": 1000 * limits["slots"] / self.capacity if self.capacity else 0,
             "latency-ms": self.latency_ms,
             "lag-ms": self.lag_ms,
             "user": f"{UPSTREAM_USER}:{password}",
@@ -48,7 +51,8 @@
 
     `groups` is keyed by `fleet/service/database`; `passwords` holds the proxy's password at the
     members of each `fleet/service`. `together` runs all members of a group in one process;
-    otherwise each has its own, which a test can kill or stop alone.
+    otherwise each has its own, which a test can kill or stop alone. `limits` replaces settings
+    of every service, such as its slots.
 
     Example: `with Estate(databases=1) as estate: connect(estate.proxies[0].port)`.
     """
@@ -62,9 +66,12 @@
         behaviour: Behaviour | None = None,
         together: bool = False,
         journal: str = "",
+        limits: dict[str, Any] | None = None,
     ) -> None:
         self._stack = contextlib.ExitStack()
         self.text = example_fleets(databases, fleets)
+        for _, _, service in services_of(self.text):
+            service.update(limits or {})
         self.groups: dict[str, Group] = {}
         self.passwords: dict[str, str] = {}
         self.proxies: list[Proxy] = []
--- a/tests/front/fakes.py
+++ b/tests/front/fakes.py
@@ -3,12 +3,13 @@
 import random
 import re
 import threading
-from collections import defaultdict
+import time
+from collections import deque
 from datetime import timedelta
 
 import gevent
 from bramleyrill_base import ErrorKind, Problem, SystemClock
-from bramleyrill_core import Mark, Rank, VmId, VmIdentity, World
+from bramleyrill_core import Mark, Rank, TermStart, VmId, VmIdentity, World
 from bramleyrill_core.membership import VmState
 from bramleyrill_core.membership._view import set_state, view_of
 from bramleyrill_core.routing import note_primary
@@ -73,15 +74,23 @@
 
     def __init__(self):
         self.position = 0
+        self.term = 1
+        self.history = ()
         self.log = []
         self.script = []
         self.opened = []
         self.open_count = 0
         self.canceled = 0
         self.hanging = 0
+        self.unread = 0
         self.permit = timedelta(seconds=1)
         self.permit_age = timedelta()
-        self.answers = defaultdict(bytes)
+
+    def lose_entries(self):
+        """Start a new term before the last entry."""
+        self.term += 1
+        self.position -= 1
+        self.history = (TermStart(1, 0), TermStart(self.term, self.position))
 
     def open(self, route, request):
         """Return an exchange."""
@@ -99,7 +108,7 @@
         self._status = b"I"
         self._statements = {}
         self._portals = {}
-        self._out = []
+        self._out = deque()
         self._skip = False
         self._canceled = False
         self._closed = False
@@ -122,7 +131,7 @@
         if self._scripted is not None:
             self._member.open_count -= 1
             return self._scripted
-        item = self._out.pop(0)
+        item = self._out.popleft()
         if item == "hang":
             self._member.hanging += 1
             while not self._canceled and not self._closed:
@@ -133,17 +142,17 @@
             return self._outcome(tail)
         if item == "end":
             return self._outcome(pg.ready_for_query(self._status))
-        if self._out == ["end"]:
+        if len(self._out) == 1 and self._out[0] == "end":
             self._out.clear()
             return self._outcome(item + pg.ready_for_query(self._status))
         return Chunk(item)
 
     def _outcome(self, tail):
         member = self._member
-        mark = Mark(1, member.position)
+        mark = Mark(member.term, member.position)
         permit = member.permit
         age = member.permit_age
-        return Outcome(None, tail, self._status, mark, (), True, age, permit)
+        return Outcome(None, tail, self._status, mark, member.history, True, age, permit)
 
     def cancel(self):
         """Cancel."""
@@ -154,6 +163,7 @@
         """Close."""
         if not self._closed:
             self._member.open_count -= 1
+            self._member.unread += len(self._out)
             if self._status != b"I":
                 self._member.log.append("rolled back")
         self._closed = True
@@ -165,6 +175,7 @@
             for sql in pg.read_query(frame).split(";"):
                 if sql.strip():
                     self._execute(sql.strip(), describe=True)
+            self._skip = False
             self._out.append("end")
         elif kind == "S":
             self._skip = False
@@ -213,7 +224,6 @@
             return
         if sql == "SELECT wrong":
             self._fail("42703", "no such column")
-            self._skip = False
             return
         if word == "SELECT":
             big = re.fullmatch(r"SELECT big (\d+)", sql)
@@ -239,9 +249,18 @@
     return pg.NO_DATA
 
 
-def refused(kind, **fields):
+def refused(kind, retry_after=None):
     """Return an outcome with a problem."""
-    return Outcome(problem=Problem(ErrorKind[kind], "scripted"), **fields)
+    return Outcome(problem=Problem(ErrorKind[kind], "scripted", retry_after))
+
+
+def wait_for(condition, seconds=20):
+    """Wait until `condition()` holds; fail after `seconds`."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("condition did not come to hold")
+        time.sleep(0.005)
 
 
 class FrontThread:
@@ -269,6 +288,15 @@
         """Run a function in the front's thread."""
         self._hub.loop.run_callback_threadsafe(function)
 
+    def later(self, condition, function):
+        """Call `function` in another thread once `condition()` holds."""
+
+        def run():
+            wait_for(condition)
+            function()
+
+        threading.Thread(target=run, daemon=True).start()
+
     def _run(self):
         self._hub = gevent.get_hub()
         self._stopped = gevent.event.Event()
