Drop prepared statements with DISCARD ALL in the upstream stand-in

Cause: DISCARD ALL by a simple query kept the connection's prepared statements, so a pooled connection answered 42P05 to the next session that prepared the same name.

Change: prepared statements belong to the session; DISCARD ALL and DEALLOCATE drop them. The demo reports a database error as a failed step.

--- a/packages/standins/bramleyrill_standins/demo/__main__.py
+++ b/packages/standins/bramleyrill_standins/demo/__main__.py
@@ -3,6 +3,8 @@
 import sys
 import time
 
+import psycopg
+
 from bramleyrill_standins.demo import _steps
 from bramleyrill_standins.demo._measures import Measures, table
 from bramleyrill_standins.demo._roles import FLEETS
@@ -24,7 +26,7 @@
                 f" and {len(estate.proxies)} proxies"
             )
             _run(estate, measures)
-    except (_steps.StepError, ProcessError, TimeoutError) as problem:
+    except (_steps.StepError, ProcessError, TimeoutError, psycopg.Error) as problem:
         _steps.say(f"FAILED: {problem}")
         return 1
     _steps.say("\n" + table(measures))
--- a/packages/standins/bramleyrill_standins/upstream/_extended.py
+++ b/packages/standins/bramleyrill_standins/upstream/_extended.py
@@ -56,7 +56,7 @@
         self._session = session
         self._append = append
         self._send_rows = send_rows
-        self._prepared: dict[str, Prepared] = {}
+        self._prepared: dict[str, Prepared] = session.prepared
         self._portals: dict[str, Portal] = {}
         self._handlers = {
             b"P": self._parse,
@@ -139,10 +139,7 @@
 
     def _result_of(self, portal: Portal) -> Result:
         if portal.result is None:
-            statement = portal.prepared.statement
-            if statement.kind is Kind.DEALLOCATE or statement.kind is Kind.DISCARD:
-                self._prepared.clear()
-            portal.result = self._session.run(statement, portal.parameters)
+            portal.result = self._session.run(portal.prepared.statement, portal.parameters)
         return portal.result
 
     def _close_named(self, body: bytes) -> None:
--- a/packages/standins/bramleyrill_standins/upstream/_session.py
+++ b/packages/standins/bramleyrill_standins/upstream/_session.py
@@ -59,6 +59,7 @@
         self.settings = dict(self.defaults)
         self.explicit = False
         self.failed = False
+        self.prepared: dict[str, Any] = {}
         self._term = 0
         self._buffered: list[Write] = []
         self._ids: list[str] = []
@@ -163,7 +164,7 @@
         if kind is Kind.DISCARD:
             return self._discard()
         if kind is Kind.DEALLOCATE:
-            return _done("DEALLOCATE")
+            return self._deallocate(statement)
         raise SqlError("0A000", f"{statement.word.upper()} is not supported by the stand-in")
 
     def _begin(self) -> Result:
@@ -255,9 +256,18 @@
         if self.explicit:
             raise SqlError("25001", "DISCARD ALL cannot run inside a transaction block")
         self.settings = dict(self.defaults)
+        self.prepared.clear()
         self.member.locks.release_all(self.pid)
         return _done("DISCARD ALL")
 
+    def _deallocate(self, statement: Statement) -> Result:
+        name = statement.sql.split()[-1].strip('"')
+        if name.lower() == "all":
+            self.prepared.clear()
+        elif self.prepared.pop(name, None) is None:
+            raise SqlError("26000", f'prepared statement "{name}" does not exist')
+        return _done("DEALLOCATE")
+
 
 def _ends_block(statement: Statement) -> bool:
     return statement.kind in (Kind.COMMIT, Kind.ROLLBACK)
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -122,7 +122,11 @@
         session, other = self.connect("a"), self.connect("a")
         session.execute("set app.restorer = 'x'")
         session.execute("select pg_try_advisory_lock(6)")
+        session.execute("select 1 as one", prepare=True)
         session.execute("discard all")
+        prepared = b"select 1 as one"
+        self.assertEqual(session.pgconn.exec_prepared(b"_pg3_0", []).error_message[:5], b"ERROR")
+        self.assertEqual(session.pgconn.prepare(b"_pg3_0", prepared).error_message, b"")
         self.assertEqual(sqlstate_of(session.execute, "show app.restorer"), "42704")
         self.assertTrue(other.execute("select pg_try_advisory_lock(6)").fetchone()[0])
 
