Explore the change of primary exhaustively

The order of fences, promotions, probes and pauses has too many cases for traces alone.

A model of the members and the network drives the functions that the supervisors and holders use.

--- /dev/null
+++ b/packages/core/bramleyrill_core/succession/_model.py
@@ -0,0 +1,343 @@
+"""Model of a group for exhaustive exploration: its states and the steps between them.
+
+Members, supervisors and proxies take steps in any order, and time passes in between, so pauses,
+lost and late messages and group splits need no steps of their own: each is a step not taken, or
+taken late. The decisions are those of `_terms`, `_permit` and `_change`; only the members and the
+network are modelled here. Times are ages in units of STEP, so that the states are finite.
+"""
+
+from collections.abc import Iterator
+from datetime import timedelta
+from functools import lru_cache
+from itertools import combinations
+
+from attrs import field, frozen
+
+from bramleyrill_core._rules import Rules
+from bramleyrill_core._values import MemberRole, MemberStatus
+from bramleyrill_core.succession._change import (
+    Change,
+    Step,
+    Survey,
+    can_choose,
+    choose,
+    judge_fence,
+    note_fence,
+    wait_is_over,
+)
+from bramleyrill_core.succession._permit import (
+    LONGEST_PERMIT,
+    entry_expiry,
+    permit_start,
+    wait_after_fence,
+)
+from bramleyrill_core.succession._terms import Span, leader_of
+
+STEP = LONGEST_PERMIT / 2
+NAMES = ("m1", "m2", "m3")
+SPANS = (Span(1, NAMES),)
+NOW = timedelta(hours=1)
+# Ages from here on mean the same: every permit is over, every wait is over.
+OLD = 3
+EXPIRED = 2
+
+PRIMARY, REPLICA, FENCED = MemberRole.PRIMARY, MemberRole.REPLICA, MemberRole.FENCED
+
+
+@frozen(cache_hash=True)
+class Server:
+    """A member: highest term, role, leader that it follows, terms of its entries."""
+
+    term: int = 1
+    role: MemberRole = REPLICA
+    leader: str = "m1"
+    log: tuple[int, ...] = ()
+
+
+@frozen(cache_hash=True)
+class Supervisor:
+    """A supervisor: step, term, answers to its fence, age of the fence's majority."""
+
+    step: Step | None = None
+    term: int = 0
+    answers: tuple[tuple[str, MemberStatus], ...] = ()
+    majority_age: int | None = None
+
+
+@frozen(cache_hash=True)
+class Proxy:
+    """A proxy: last answers by member as (age, term, role), and permits it handed out by term."""
+
+    seen: tuple[tuple[int, int, MemberRole] | None, ...] = (None, None, None)
+    permits: tuple[tuple[int, int], ...] = ()
+
+
+@frozen(cache_hash=True)
+class State:
+    """Everything; `fences` and `promotions` are terms whose requests may still arrive."""
+
+    servers: tuple[Server, ...]
+    supervisors: tuple[Supervisor, ...]
+    proxies: tuple[Proxy, ...]
+    fences: frozenset[int] = frozenset()
+    promotions: frozenset[int] = frozenset()
+    promoted: int = 1
+    durable: tuple[int, ...] = ()
+
+
+@frozen(eq=False)
+class Bounds:
+    """Limits of the exploration, and the rules in force."""
+
+    proxies: int = 1
+    supervisors: int = 2
+    highest_term: int = 3
+    entries: int = 0
+    rules: Rules = field(factory=Rules)
+
+
+def first_state(bounds: Bounds) -> State:
+    """Return the healthy group: m1 is primary of term 1."""
+    servers = (Server(role=PRIMARY), Server(), Server())
+    return State(servers, (Supervisor(),) * bounds.supervisors, (Proxy(),) * bounds.proxies)
+
+
+@lru_cache(100_000)
+def _status(index: int, server: Server) -> MemberStatus:
+    last = server.log[-1] if server.log else 0
+    leader = "" if server.role is FENCED else server.leader
+    return MemberStatus(NAMES[index], server.term, len(server.log), server.role, leader, last)
+
+
+def _with(items: tuple, index: int, item: object) -> tuple:
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def _state(state: State, **changes: object) -> State:
+    """Return a changed state; supervisors and proxies are alike, so their order is dropped."""
+    for name in ("supervisors", "proxies"):
+        if name in changes:
+            # Any order will do that is the same throughout a run; comparing by value is slow.
+            changes[name] = tuple(sorted(changes[name], key=hash))
+    get = changes.get
+    return State(
+        get("servers", state.servers),
+        get("supervisors", state.supervisors),
+        get("proxies", state.proxies),
+        get("fences", state.fences),
+        get("promotions", state.promotions),
+        get("promoted", state.promoted),
+        get("durable", state.durable),
+    )
+
+
+def steps(state: State, bounds: Bounds) -> Iterator[tuple[str, State]]:
+    """Yield every step from a state, with its name."""
+    yield from _server_steps(state, bounds)
+    for index, supervisor in enumerate(state.supervisors):
+        if index == 0 or supervisor != state.supervisors[index - 1]:
+            yield from _supervisor_steps(state, index, supervisor, bounds)
+    for index, proxy in enumerate(state.proxies):
+        if index == 0 or proxy != state.proxies[index - 1]:
+            yield from _probes(state, index, proxy, bounds)
+    yield "time", _pass_time(state)
+
+
+def _server_steps(state: State, bounds: Bounds) -> Iterator[tuple[str, State]]:
+    for index, server in enumerate(state.servers):
+        name = NAMES[index]
+        for term in state.fences:
+            if (found := _fence(server, term)) not in (None, server):
+                yield f"late fence {term} at {name}", _put(state, index, found)
+        for term in state.promotions:
+            if leader_of(SPANS, term) == name:
+                yield from _promote(state, index, term, "late promotion")
+        if server.role is PRIMARY and len(server.log) < bounds.entries:
+            found = Server(server.term, PRIMARY, name, (*server.log, server.term))
+            yield f"write at {name}", _put(state, index, found)
+        for other, leader in enumerate(state.servers):
+            if other == index or leader.role is not PRIMARY or server.term > leader.term:
+                continue
+            if server.term < leader.term or server.role is FENCED:
+                found = Server(leader.term, REPLICA, NAMES[other], _shared(server.log, leader.log))
+                yield f"{name} follows {NAMES[other]}", _put(state, index, found)
+            elif server.role is REPLICA and len(server.log) < len(leader.log):
+                log = leader.log[: len(server.log) + 1]
+                found = Server(server.term, REPLICA, NAMES[other], log)
+                durable = log if log[-1] == leader.term else state.durable
+                yield f"{name} copies {NAMES[other]}", _put(state, index, found, durable)
+
+
+def _put(state: State, index: int, server: Server, durable: tuple | None = None) -> State:
+    changes = {"servers": _with(state.servers, index, server)}
+    if durable is not None and len(durable) > len(state.durable):
+        # The entry is on its primary and on a second member at its own term.
+        changes["durable"] = durable
+    return _state(state, **changes)
+
+
+def _shared(log: tuple[int, ...], leader: tuple[int, ...]) -> tuple[int, ...]:
+    length = 0
+    while length < min(len(log), len(leader)) and log[length] == leader[length]:
+        length += 1
+    return leader[:length]
+
+
+def _fence(server: Server, term: int) -> Server | None:
+    if term > server.term:
+        return Server(term, FENCED, "", server.log)
+    return server if term == server.term and server.role is FENCED else None
+
+
+def _promote(state: State, index: int, term: int, name: str) -> Iterator[tuple[str, State]]:
+    server = state.servers[index]
+    if server.term == term and server.role is FENCED:
+        found = Server(term, PRIMARY, NAMES[index], server.log)
+        servers = _with(state.servers, index, found)
+        promoted = max(state.promoted, term)
+        yield f"{name} {term}", _state(state, servers=servers, promoted=promoted)
+
+
+def _supervisor_steps(
+    state: State, index: int, supervisor: Supervisor, bounds: Bounds
+) -> Iterator[tuple[str, State]]:
+    def put(found: Supervisor, **changes: object) -> State:
+        return _state(state, supervisors=_with(state.supervisors, index, found), **changes)
+
+    if supervisor.step is None:
+        for term in _choices(state.servers, bounds):
+            found = Supervisor(Step.FENCE, term)
+            yield f"choose {term}", put(found, fences=state.fences | {term})
+        return
+    yield "give up", put(Supervisor())
+    if supervisor.step is Step.FENCE:
+        answered = {name for name, _ in supervisor.answers}
+        for number, server in enumerate(state.servers):
+            found = _fence(server, supervisor.term)
+            if found is not None and NAMES[number] not in answered:
+                servers = _with(state.servers, number, found)
+                noted = _noted(supervisor, _status(number, found), bounds)
+                yield f"fence {noted.term} at {NAMES[number]}", put(noted, servers=servers)
+        judged = _judged(supervisor, bounds)
+        if judged is not None and judged.term <= bounds.highest_term:
+            yield f"judge {judged.term}", put(judged, fences=state.fences | {judged.term})
+    elif supervisor.step is Step.WAIT and _is_waited_out(supervisor, bounds):
+        # The request may be lost, late, or arrive at once: it is in flight from here on.
+        yield "send promotion", put(Supervisor(), promotions=state.promotions | {supervisor.term})
+
+
+@lru_cache(100_000)
+def _choices(servers: tuple[Server, ...], bounds: Bounds) -> frozenset[int]:
+    """Return the terms that a supervisor may choose from what it may have heard."""
+    terms = set()
+    for size in (2, 3):
+        for heard in combinations(range(3), size):
+            statuses = {NAMES[n]: _status(n, servers[n]) for n in heard}
+            highest = max(status.term for status in statuses.values())
+            for resume in (True, False):
+                survey = Survey(SPANS, statuses, highest, resume=resume, rules=bounds.rules)
+                if can_choose(survey):
+                    chosen = choose(Change(Step.SURVEY, NOW), survey, NOW)
+                    if chosen is not None and chosen.term <= bounds.highest_term:
+                        terms.add(chosen.term)
+    return frozenset(terms)
+
+
+@lru_cache(100_000)
+def _change(supervisor: Supervisor) -> Change:
+    age = supervisor.majority_age
+    majority_at = None if age is None else NOW - age * STEP
+    return Change(
+        supervisor.step, NOW, supervisor.term, answers=supervisor.answers, majority_at=majority_at
+    )
+
+
+@lru_cache(100_000)
+def _noted(supervisor: Supervisor, status: MemberStatus, bounds: Bounds) -> Supervisor:
+    change = _change(supervisor)
+    return _kept(note_fence(change, status.member, status, NOW, SPANS, bounds.rules))
+
+
+@lru_cache(100_000)
+def _judged(supervisor: Supervisor, bounds: Bounds) -> Supervisor | None:
+    if supervisor.majority_age is None:
+        return None
+    survey = Survey(SPANS, {}, supervisor.term, rules=bounds.rules)
+    judged = judge_fence(_change(supervisor), survey, NOW)
+    return None if judged is None else _kept(judged)
+
+
+@lru_cache(100_000)
+def _is_waited_out(supervisor: Supervisor, bounds: Bounds) -> bool:
+    return wait_is_over(_change(supervisor), wait_after_fence(bounds.rules), NOW)
+
+
+def _kept(change: Change) -> Supervisor:
+    age = None if change.majority_at is None else int((NOW - change.majority_at) / STEP)
+    answers = change.answers if change.step is Step.FENCE else ()
+    return Supervisor(change.step, change.term, answers, age)
+
+
+def _probes(state: State, index: int, proxy: Proxy, bounds: Bounds) -> Iterator[tuple[str, State]]:
+    for number, server in enumerate(state.servers):
+        seen = _with(proxy.seen, number, (0, server.term, server.role))
+        permits = dict(proxy.permits)
+        for term, age in _permits(seen, bounds):
+            permits[term] = min(age, permits.get(term, EXPIRED))
+        found = Proxy(seen, tuple(sorted(permits.items())))
+        if found != proxy:
+            proxies = _with(state.proxies, index, found)
+            yield f"probe {NAMES[number]}", _state(state, proxies=proxies)
+
+
+@lru_cache(100_000)
+def _permits(seen: tuple, bounds: Bounds) -> tuple[tuple[int, int], ...]:
+    rules, found = bounds.rules, []
+    answers = {
+        NAMES[n]: (NOW - entry[0] * STEP, MemberStatus(NAMES[n], entry[1], 0, entry[2], "", 0))
+        for n, entry in enumerate(seen)
+        if entry is not None
+    }
+    for name, (_, status) in answers.items():
+        # A holder takes for primary the member that it last saw as primary of some term.
+        if status.role is PRIMARY or not rules.on("primary_answer"):
+            start = permit_start(NAMES, name, answers, rules)
+            if start is not None:
+                found.append((status.term, int((NOW - start) / STEP)))
+    return tuple(found)
+
+
+def _pass_time(state: State) -> State:
+    supervisors = tuple(
+        (
+            Supervisor(s.step, s.term, s.answers, min(s.majority_age + 1, OLD))
+            if s.majority_age is not None
+            else s
+        )
+        for s in state.supervisors
+    )
+    proxies = []
+    for proxy in state.proxies:
+        seen = tuple(
+            (entry[0] + 1, *entry[1:]) if entry and entry[0] + 1 < EXPIRED else None
+            for entry in proxy.seen
+        )
+        kept = tuple((term, age + 1) for term, age in proxy.permits if age + 1 < EXPIRED)
+        proxies.append(Proxy(seen, kept))
+    return _state(state, supervisors=supervisors, proxies=tuple(proxies))
+
+
+def violation(state: State) -> str | None:
+    """Return which promise the state breaks, or None."""
+    leaders = [s.term for s in state.servers if s.role is PRIMARY]
+    if len(leaders) != len(set(leaders)):
+        return "two primaries of one term"
+    for proxy in state.proxies:
+        for term, age in proxy.permits:
+            if term < state.promoted and entry_expiry(NOW, age * STEP, LONGEST_PERMIT) > NOW:
+                return f"a proxy may acknowledge term {term} after term {state.promoted} began"
+    for name, server in zip(NAMES, state.servers, strict=True):
+        newest = server.role is PRIMARY and server.term == state.promoted
+        if newest and server.log[: len(state.durable)] != state.durable:
+            return f"{name} leads term {server.term} without a durable entry"
+    return None
--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Tests by exhaustive exploration."""
