Let operators apply, show and report against a running fleet

Cause: the text could be checked but not put in force or read back, service-level accounting was not fed, and log lines began with the logger's own prefix, which is no pair. Change: apply, show and report burn; the daemon answers StatusPull by registered topics and records each request, also to statsd where the settings name a server; log lines are pairs from time to event.

--- a/packages/cli/bramleyrill_cli/_app.py
+++ b/packages/cli/bramleyrill_cli/_app.py
@@ -3,6 +3,7 @@
 import sys
 
 import cyclopts
+from absl import logging
 from bramleyrill_base import set_up_logs
 
 app = cyclopts.App(
@@ -20,5 +21,5 @@
     # Importing the modules registers their commands.
     from bramleyrill_cli import _commands  # noqa: F401
 
-    set_up_logs()
+    set_up_logs(logging.WARNING)
     sys.exit(app(result_action="return_value") or 0)
--- /dev/null
+++ b/packages/cli/bramleyrill_cli/_show.py
@@ -0,0 +1,72 @@
+"""The command `show`."""
+
+from pathlib import Path
+from typing import Annotated
+
+from bramleyrill_core.configuration import decode_value, parse_text
+from bramleyrill_daemon.platform import PlatformClient
+from cyclopts import Parameter
+from returns.pipeline import is_successful
+
+from bramleyrill_cli._app import app
+from bramleyrill_cli._options import KeyFile, PlatformUrl
+from bramleyrill_cli._store import PlatformStore
+
+
+@app.command
+def show(
+    *,
+    platform: PlatformUrl,
+    key_file: KeyFile | None = None,
+    text: Annotated[bool, Parameter(negative="")] = False,
+) -> int:
+    """Read back the accepted text and what each VM has in force.
+
+    Exits with 1 if a VM has another version in force or did not answer.
+
+    Parameters
+    ----------
+    platform
+        URL of the platform.
+    key_file
+        File with the key that the VMs share; without it the VMs are not asked.
+    text
+        Print the accepted text itself and nothing else.
+    """
+    current = PlatformStore(PlatformClient(platform)).get("text", "current")
+    if not is_successful(current):
+        print(f"the platform cannot be reached: {current.failure().detail}")
+        return 2
+    stored = current.unwrap()
+    if not stored.version:
+        print("no text is accepted yet; run `bramleyrill apply FILE`")
+        return 1
+    identity, source = decode_value(stored.value)
+    if text:
+        print(source, end="")
+        return 0
+    parsed = parse_text(source)
+    digest = parsed.unwrap().digest if is_successful(parsed) else "not valid for this release"
+    print(f"accepted: version {stored.version}, digest {digest}, identity {identity}")
+    return _show_vms(platform, key_file, stored.version) if key_file else 0
+
+
+def _show_vms(platform: str, key_file: Path, accepted: int) -> int:
+    # Imported here so that commands which ask no VM do not load the event loop.
+    from bramleyrill_cli._vms import ask_vms
+
+    behind = 0
+    for answer in ask_vms(platform, key_file, "status"):
+        place = f"{answer.vm:<20} {answer.domain:<14} {answer.state:<8}"
+        if answer.body is None:
+            print(f"{place} did not answer")
+            behind += 1
+            continue
+        status = answer.body
+        line = f"{place} version {status['version']} for {status['in_force_s']:.0f} s"
+        for rejected in status.get("rejected", ()):
+            line += f"; cannot carry out {rejected}"
+        print(line)
+        behind += status["version"] != accepted
+    print(f"{behind} VMs are behind or silent" if behind else "in force at every VM")
+    return 1 if behind else 0
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_accounting.py
@@ -0,0 +1,42 @@
+"""The outcome of each request, for the service-level accounting and for statsd."""
+
+from datetime import timedelta
+
+from bramleyrill_base import Metrics, NullMetrics, StatsdMetrics
+from bramleyrill_core import World
+from bramleyrill_core.admission import WorkClass
+from bramleyrill_core.burn import record
+from bramleyrill_core.sessions import Session
+
+from bramleyrill_daemon._settings import Settings
+
+
+def metrics_of(settings: Settings) -> Metrics:
+    """Return the statsd client of the settings, or one that drops everything."""
+    return StatsdMetrics(*settings.statsd) if settings.statsd else NullMetrics()
+
+
+class Accounting:
+    """Record requests by class; names of metrics are made once for each class."""
+
+    def __init__(self, world: World, metrics: Metrics) -> None:
+        self._world = world
+        self._metrics = metrics
+        # Without a statsd server, not even the calls are made on the hot path.
+        self._sends = not isinstance(metrics, NullMetrics)
+        self._names: dict[WorkClass, tuple[str, str]] = {}
+
+    def record(self, session: Session, latency: timedelta, served: bool) -> None:
+        """Record one request of a session."""
+        work_class = WorkClass(session.fleet, session.service, session.rank)
+        record(self._world, work_class, latency, served)
+        if not self._sends:
+            return
+        names = self._names.get(work_class)
+        if names is None:
+            stem = f"{session.fleet}.{session.service}.{session.rank.name.lower()}"
+            names = self._names[work_class] = (f"{stem}.latency", f"{stem}.refused")
+        if served:
+            self._metrics.timing(names[0], latency)
+        else:
+            self._metrics.count(names[1])
--- a/packages/daemon/bramleyrill_daemon/_main.py
+++ b/packages/daemon/bramleyrill_daemon/_main.py
@@ -3,7 +3,7 @@
 import pathlib
 import sys
 
-from absl import flags, logging
+from absl import logging
 from bramleyrill_base import set_up_logs
 from cyclopts import App
 
@@ -35,8 +35,6 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
-    # Without this absl writes a warning before the first line; its flags are not used.
-    flags.FLAGS.mark_as_parsed()
     set_up_logs(LEVELS[loaded.log_level])
     return Process(loaded).run()
 
--- a/packages/daemon/bramleyrill_daemon/_process.py
+++ b/packages/daemon/bramleyrill_daemon/_process.py
@@ -15,7 +15,8 @@
 from bramleyrill_wire.peers import frames
 from gevent.event import Event
 
-from bramleyrill_daemon import _membership, _succession  # noqa: F401 (their actions register)
+from bramleyrill_daemon import _membership, _status, _succession  # noqa: F401 (they register)
+from bramleyrill_daemon._accounting import Accounting, metrics_of
 from bramleyrill_daemon._configuration import poll_list, poll_secrets, watch_text
 from bramleyrill_daemon._control import ControlLines
 from bramleyrill_daemon._credentials import Credentials
@@ -83,7 +84,8 @@
         remote = RemoteExecutor(self._net.link, clock)
         executors = Executors(self._world.identity.id, local, remote)
         tls = server_context(settings.caller_tls)
-        self._front = shell.add(Front(self._world, executors, tls=tls))
+        accounting = shell.add(Accounting(self._world, metrics_of(settings)))
+        self._front = shell.add(Front(self._world, executors, tls=tls, record=accounting.record))
 
     def start(self) -> None:
         """Listen and start every loop; raise OSError if an address cannot be had."""
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/platform.py
@@ -0,0 +1,5 @@
+"""The client of the platform, for the operator's command line."""
+
+from bramleyrill_daemon._platform import Conflict, PlatformClient, PlatformError, StoredObject
+
+__all__ = ["Conflict", "PlatformClient", "PlatformError", "StoredObject"]
--- a/tests/base/test_base.py
+++ b/tests/base/test_base.py
@@ -1,10 +1,13 @@
 """Tests of the generic layer."""
 
+import logging
+import shlex
+import sys
 import unittest
 from datetime import timedelta
 
 from bramleyrill_base import ANSWERS, ErrorKind, ManualClock, Registry, is_not_run
-from bramleyrill_base._logs import format_value
+from bramleyrill_base._logs import _Formatter, format_value
 
 
 class ErrorTableTest(unittest.TestCase):
@@ -43,3 +46,16 @@
 
     def test_value_with_newline_and_space_is_quoted(self):
         self.assertEqual(format_value('a "b"\nc'), '"a \\"b\\"\\nc"')
+
+
+class LogLineTest(unittest.TestCase):
+    """Guards against a log line that a reader of pairs cannot take apart."""
+
+    def test_line_is_nothing_but_pairs(self):
+        try:
+            raise ValueError("two words")
+        except ValueError:
+            record = logging.LogRecord("x", 20, "f", 1, "event=%s", ("a",), sys.exc_info())
+        pairs = shlex.split(_Formatter().format(record))
+        self.assertTrue(all("=" in pair for pair in pairs))
+        self.assertEqual([pair.partition("=")[0] for pair in pairs][:3], ["time", "level", "event"])
