Read platform objects from peers during an outage

Cause: a VM that boots while the platform is down had the text from its peers, but neither upstream credentials nor token keys nor the spans of its databases, so it could neither dial nor supervise. Change: ObjectReader keeps what was read and asks up to three peers, the database's holders first, when the platform does not answer; versions only rise; only secrets and spans are shared.

--- a/packages/daemon/bramleyrill_daemon/_configuration.py
+++ b/packages/daemon/bramleyrill_daemon/_configuration.py
@@ -24,6 +24,7 @@
 from bramleyrill_daemon._credentials import Credentials
 from bramleyrill_daemon._frames import takes
 from bramleyrill_daemon._membership import feed_list
+from bramleyrill_daemon._objects import ObjectReader
 from bramleyrill_daemon._peer_link import PeerLink, PeerLostError
 from bramleyrill_daemon._peer_net import PeerNet
 from bramleyrill_daemon._platform import PlatformClient, PlatformError, StoredObject
@@ -147,19 +148,19 @@
 
 def poll_secrets(shell: Shell) -> None:
     """Read token keys and upstream credentials for ever."""
-    platform = shell.part(PlatformClient)
     while True:
         interval = SECRETS_INTERVAL
         try:
-            _read_secrets(shell, platform)
+            _read_secrets(shell)
         except PlatformError as error:
             log_event("platform_down", during="secrets", error=error)
             interval = RETRY_AFTER
         _pause(shell, interval)
 
 
-def _read_secrets(shell: Shell, platform: PlatformClient) -> None:
-    keys = platform.get("secrets", "keys")
+def _read_secrets(shell: Shell) -> None:
+    objects = shell.part(ObjectReader)
+    keys = objects.read("secrets", "keys")
     if keys is not None:
         try:
             ring = tuple(
@@ -170,6 +171,6 @@
         except (KeyError, TypeError, ValueError, AttributeError):
             # The error text could hold a part of a secret.
             log_event("secrets_malformed", level=logging.ERROR, name="keys")
-    upstreams = platform.get("secrets", "upstreams")
+    upstreams = objects.read("secrets", "upstreams")
     if upstreams is not None:
         shell.part(Credentials).replace(upstreams.value)
--- a/packages/daemon/bramleyrill_daemon/_frames.py
+++ b/packages/daemon/bramleyrill_daemon/_frames.py
@@ -13,7 +13,7 @@
 
 _takers: dict[type, Taker] = {}
 
-_ANSWERS = (frames.TextPush, frames.StatusPush, frames.PrimarySeenAnswer)
+_ANSWERS = (frames.TextPush, frames.StatusPush, frames.PrimarySeenAnswer, frames.ObjectPush)
 
 
 def takes(kind: type) -> Callable[[Taker], Taker]:
--- /dev/null
+++ b/packages/daemon/bramleyrill_daemon/_objects.py
@@ -0,0 +1,110 @@
+"""Objects of the platform, read from peers while the platform does not answer.
+
+A VM that boots during an outage needs the spans of its databases, the token keys and the upstream
+credentials. Its peers still have them.
+"""
+
+import json
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any
+
+from bramleyrill_base import log_event
+from bramleyrill_core import VmId
+from bramleyrill_core.membership import live_vms
+from bramleyrill_wire.peers import frames
+
+from bramleyrill_daemon._frames import takes
+from bramleyrill_daemon._peer_link import PeerLink, PeerLostError
+from bramleyrill_daemon._peer_net import PeerNet
+from bramleyrill_daemon._platform import PlatformClient, PlatformError, StoredObject
+from bramleyrill_daemon._shell import Shell
+
+PULL_TIMEOUT = timedelta(seconds=1)
+# Peers that are asked for one object; each that lives has read the same platform.
+PEERS_ASKED = 3
+# Everything else of the platform is either the text, which has its own way, or not for peers.
+SHARED_KINDS = ("secrets", "succession")
+
+
+class ObjectReader:
+    """Read objects from the platform, or from peers when it is away, and keep the newest.
+
+    Example: `reader.read("secrets", "keys")`.
+    """
+
+    def __init__(self, shell: Shell) -> None:
+        self._shell = shell
+        self._platform: PlatformClient = shell.part(PlatformClient)
+        self._newest: dict[tuple[str, str], StoredObject] = {}
+
+    def read(self, kind: str, name: str, first: Sequence[VmId] = ()) -> StoredObject | None:
+        """Return the newest version known, or None if nobody has one.
+
+        `first` are peers that most likely have it. Raise PlatformError if the platform does not
+        answer and neither this VM nor a peer has the object.
+        """
+        try:
+            found = self._platform.get(kind, name)
+        except PlatformError:
+            found = self._from_peers(kind, name, first)
+            if found is None and self.newest(kind, name) is None:
+                raise
+        if found is not None:
+            self.keep(kind, name, found)
+        return self.newest(kind, name)
+
+    def newest(self, kind: str, name: str) -> StoredObject | None:
+        """Return the newest version that was read, or None."""
+        return self._newest.get((kind, name))
+
+    def keep(self, kind: str, name: str, found: StoredObject) -> None:
+        """Keep a version unless a newer one is known: answers of peers may be old."""
+        known = self.newest(kind, name)
+        if known is None or found.version > known.version:
+            self._newest[kind, name] = found
+
+    def _from_peers(self, kind: str, name: str, first: Sequence[VmId]) -> StoredObject | None:
+        world = self._shell.world
+        others = [vm for vm in live_vms(world) if vm != world.identity.id and vm not in first]
+        world.random.shuffle(others)
+        asked = [vm for vm in first if vm != world.identity.id] + others
+        for vm in asked[:PEERS_ASKED]:
+            found = self._pull(vm, kind, name)
+            if found is not None:
+                log_event("object_from_peer", vm=vm, kind=kind, name=name, version=found.version)
+                return found
+        return None
+
+    def _pull(self, vm: VmId, kind: str, name: str) -> StoredObject | None:
+        known = self.newest(kind, name)
+        version = known.version if known is not None else 0
+        try:
+            answer = (
+                self._shell.part(PeerNet)
+                .link(vm)
+                .call(
+                    lambda call: frames.ObjectPull(
+                        call=call, kind=kind, name=name, version=version
+                    ),
+                    PULL_TIMEOUT,
+                )
+            )
+            if not answer.body:
+                return None
+            return StoredObject(name, answer.version, json.loads(answer.body))
+        except (PeerLostError, ValueError):
+            return None
+
+
+@takes(frames.ObjectPull)
+def push_object(shell: Shell, link: PeerLink, frame: Any) -> None:
+    """Send an object to a peer that has an older version of it."""
+    found = None
+    if frame.kind in SHARED_KINDS:
+        found = shell.part(ObjectReader).newest(frame.kind, frame.name or "")
+    if found is None or found.version <= (frame.version or 0):
+        link.send(frames.ObjectPush(call=frame.call, version=0, body=b""))
+        return
+    body = json.dumps(found.value).encode()
+    link.send(frames.ObjectPush(call=frame.call, version=found.version, body=body))
--- a/packages/daemon/bramleyrill_daemon/_process.py
+++ b/packages/daemon/bramleyrill_daemon/_process.py
@@ -23,6 +23,7 @@
 from bramleyrill_daemon._frames import frame_taker, takes
 from bramleyrill_daemon._holder import HolderExecutor
 from bramleyrill_daemon._members import HeldMembers
+from bramleyrill_daemon._objects import ObjectReader
 from bramleyrill_daemon._peer_hello import HelloError
 from bramleyrill_daemon._peer_link import PeerLink
 from bramleyrill_daemon._peer_net import PeerNet
@@ -58,6 +59,7 @@
         self._shell = Shell(self._world)
         shell = self._shell
         shell.add(PlatformClient(settings.platform))
+        shell.add(ObjectReader(shell))
         credentials = shell.add(Credentials(self._world, settings.upstream_authority))
         pools = shell.add(PoolShell())
         shell.add(ControlLines(credentials.login, clock))
--- a/packages/daemon/bramleyrill_daemon/_spans.py
+++ b/packages/daemon/bramleyrill_daemon/_spans.py
@@ -6,9 +6,11 @@
 import gevent
 from absl import logging
 from bramleyrill_base import log_event
-from bramleyrill_core import DatabaseId
+from bramleyrill_core import DatabaseId, VmId
+from bramleyrill_core.membership import holders_of
 from bramleyrill_core.succession import Span, SpansChanged, SuccessionTables
 
+from bramleyrill_daemon._objects import ObjectReader
 from bramleyrill_daemon._platform import Conflict, PlatformClient, PlatformError
 from bramleyrill_daemon._shell import Shell
 
@@ -46,6 +48,7 @@
     def __init__(self, shell: Shell) -> None:
         self._shell = shell
         self._platform: PlatformClient = shell.part(PlatformClient)
+        self._objects: ObjectReader = shell.part(ObjectReader)
         self._read_at: dict[DatabaseId, timedelta] = {}
 
     def append(self, database: DatabaseId, after: int, span: Span) -> None:
@@ -60,6 +63,7 @@
                 result = self._platform.put(KIND, name, encode_spans(wanted), version)
                 if not isinstance(result, Conflict):
                     spans = wanted
+                    self._objects.keep(KIND, name, result)
                 elif result.current is not None:
                     spans = decode_spans(result.current.value)
         except (PlatformError, ValueError) as error:
@@ -84,7 +88,7 @@
 
     def _read(self, database: DatabaseId, now: timedelta) -> None:
         try:
-            stored = self._platform.get(KIND, object_name(database))
+            stored = self._objects.read(KIND, object_name(database), self._holders(database))
             spans = decode_spans(stored.value) if stored is not None else ()
         except PlatformError as error:
             log_event("platform_down", during="spans", error=error)
@@ -95,6 +99,14 @@
         self._read_at[database] = now
         self._feed(database, spans)
 
+    def _holders(self, database: DatabaseId) -> list[VmId]:
+        """Return the VMs that control the database; they read its spans before."""
+        try:
+            holders = holders_of(self._shell.world, database).values()
+        except KeyError:
+            return []
+        return sorted({vm for vm in holders if vm is not None})
+
     def _feed(self, database: DatabaseId, spans: tuple[Span, ...]) -> None:
         if spans:
             self._shell.feed(SpansChanged(database, spans))
--- a/packages/wire/bramleyrill_wire/peers.thrift
+++ b/packages/wire/bramleyrill_wire/peers.thrift
@@ -6,7 +6,8 @@
   CHALLENGE = 1, HELLO = 2, EXECUTE = 3, DATA = 4, CREDIT = 5, RESULT = 6, CANCEL = 7, CLOSE = 8,
   HEARTBEAT = 9, HEARTBEAT_ACK = 10, TEXT_PULL = 11, TEXT_PUSH = 12, STATUS_PULL = 13,
   STATUS_PUSH = 14, PRIMARY_SEEN = 15, PRIMARY_SEEN_ANSWER = 16, PING = 17, INDIRECT = 18,
-  PRIMARY_CHANGED = 19, HELLO_ACK = 20, INDIRECT_ACK = 21
+  PRIMARY_CHANGED = 19, HELLO_ACK = 20, INDIRECT_ACK = 21,
+  OBJECT_PULL = 22, OBJECT_PUSH = 23
 }
 
 // First frame of the accepting side: a nonce that the hello must sign.
@@ -67,6 +68,11 @@
 struct StatusPull { 1: i64 call, 2: string what }
 struct StatusPush { 1: i64 call, 2: string vm, 3: binary body }
 
+// Asks for a platform object that the sender cannot read itself; `version` is the one it has.
+struct ObjectPull { 1: i64 call, 2: string kind, 3: string name, 4: i64 version }
+// `body` is the object's value as JSON; empty when the peer has nothing newer.
+struct ObjectPush { 1: i64 call, 2: i64 version, 3: binary body }
+
 struct PrimarySeen { 1: i64 call, 2: string database }
 struct PrimarySeenAnswer { 1: i64 call, 2: string database, 3: bool valid }
 struct PrimaryChanged { 1: string database, 2: i64 term, 3: string member }
