Place a seed peer in its failure domain

Cause: a VM that boots in an outage lists its seed by address only. Ruled out: a wrong domain in the seed's own update. Change: the first update with a domain moves the row and its indexes.

--- a/packages/core/bramleyrill_core/membership/_view.py
+++ b/packages/core/bramleyrill_core/membership/_view.py
@@ -173,6 +173,20 @@
     return [VmStateChanged(row.id, row.state)]
 
 
+def _place(tables: MembershipTables, row: Vm, update: VmUpdate) -> None:
+    """Set the domain of a VM that was known by its address only, as a seed peer is."""
+    if row.state in _LIVE:
+        tables.live_by_domain.get(row.domain, {}).pop(row.id, None)
+        tables.live_by_domain.setdefault(update.domain, {})[row.id] = None
+        tables.version += 1
+        for domain in (row.domain, update.domain):
+            tables.versions_by_domain[domain] = tables.versions_by_domain.get(domain, 0) + 1
+    else:
+        tables.away_by_domain[row.domain] = tables.away_by_domain.get(row.domain, 1) - 1
+        tables.away_by_domain[update.domain] = tables.away_by_domain.get(update.domain, 0) + 1
+    row.domain, row.region = update.domain, update.region
+
+
 def remove_vm(world: World, row: Vm) -> None:
     """Forget a VM that is neither listed nor answers."""
     tables = view_of(world)
@@ -198,6 +212,8 @@
             if update.state not in GONE:
                 effects += add_vm(world, update, heard=True)
             continue
+        if update.domain and not row.domain:
+            _place(tables, row, update)
         if (update.incarnation, update.state) > (row.incarnation, row.state) or not row.heard:
             row.heard = True
             row.host, row.port = update.host, update.port
