Fail real processes under load and check every answer

Cause: the promises had been shown by traces and fakes only.

Change: three real proxies serve callers while a proxy is killed, paused or stopped and while a primary is killed (also during an outage of the platform) or paused; the whole history is checked against the database.

--- /dev/null
+++ b/tests/processes/test_faults.py
@@ -0,0 +1,179 @@
+"""Processes that die or pause under load break no promise to any caller.
+
+Each test runs callers through three real proxies, fails one process, waits until every caller is
+served again, and checks the callers' whole history against the database.
+"""
+
+import tempfile
+import time
+import unittest
+
+import psycopg
+from bramleyrill_standins.callers import (
+    Endpoint,
+    History,
+    Load,
+    Login,
+    Outcome,
+    check,
+    connect,
+    make_ledger,
+    read_ledger,
+)
+from bramleyrill_standins.processes import UPSTREAM_USER, Behaviour, Estate, wait_until
+
+DATABASE = "kintsugi/onarim-defteri/records"
+# Ranks differ in durability: `urgent` waits for a second member, `everyday` does not.
+USERS = ("restorer", "courier")
+SERVED_LIMIT_S = 40.0
+
+
+class FaultCase(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.estate = Estate(
+            fleets=("kintsugi",), journal=directory.name, behaviour=Behaviour(lag_ms=20)
+        )
+        self.addCleanup(self.estate.stop)
+        self.group = self.estate.groups[DATABASE]
+        wait_until(self.make_ledger, "the first write", SERVED_LIMIT_S)
+        self.loads = []
+        endpoints = [Endpoint("127.0.0.1", proxy.port) for proxy in self.estate.proxies]
+        for seed, user in enumerate(USERS, 1):
+            login = Login(f"{user}@kintsugi", user, "records")
+            load = Load(endpoints, login, callers=3, name=user, seed=seed, interval=0.02)
+            load.start()
+            self.loads.append(load)
+        self.addCleanup(self.stop_loads)
+        self.wait_until_served()
+
+    def make_ledger(self):
+        endpoint = Endpoint("127.0.0.1", self.estate.proxies[0].port)
+        try:
+            with connect(endpoint, Login("restorer@kintsugi", "restorer", "records"), {}) as caller:
+                make_ledger(caller)
+        except psycopg.errors.DuplicateTable:
+            return True
+        except psycopg.Error:
+            return False
+        return True
+
+    def wait_until_served(self, count=10):
+        since = time.monotonic()
+        for load in self.loads[: len(USERS)]:
+            wait_until(
+                lambda load=load: load.progressed(since, count),
+                "answers to every caller",
+                SERVED_LIMIT_S,
+            )
+
+    def stop_loads(self):
+        for load in self.loads:
+            load.stop()
+
+    def check_history(self):
+        self.stop_loads()
+        whole = History()
+        for load in self.loads:
+            whole.writes += load.history.writes
+            whole.reads += load.history.reads
+            whole.told_lost += load.history.told_lost
+        self.assertEqual(check(whole, self.read_final()), [])
+
+    def read_final(self):
+        password = self.estate.passwords["kintsugi/onarim-defteri"]
+        primary = Endpoint("127.0.0.1", self.group.ports[self.group.primary()])
+        with connect(primary, Login(UPSTREAM_USER, password, "records"), {}) as connection:
+            return read_ledger(connection)
+
+    def wait_for_other_primary(self, old):
+        wait_until(lambda: self.primary_besides(old), "another primary", SERVED_LIMIT_S)
+
+    def primary_besides(self, old):
+        return any(
+            self.group.state(name)["status"]["role"] == "primary"
+            for name in self.group.names
+            if name != old
+        )
+
+
+class ProxyFaultTest(FaultCase):
+    def test_killed_proxy(self):
+        self.estate.proxies[0].process.kill()
+        self.wait_until_served()
+        self.estate.proxies[0].start()
+        self.wait_until_served()
+        self.check_history()
+
+    def test_paused_proxy(self):
+        paused = self.estate.proxies[1].process
+        paused.pause()
+        self.addCleanup(paused.resume)
+        since = time.monotonic()
+        # Callers of the paused proxy wait for an answer, so one served caller is enough here.
+        wait_until(
+            lambda: any(write.started > since + 6 for write in self.loads[0].history.done_writes()),
+            "writes past the paused proxy",
+            SERVED_LIMIT_S,
+        )
+        paused.resume()
+        self.wait_until_served()
+        self.check_history()
+
+    def test_stopped_proxy_cuts_off_no_request(self):
+        """A planned stop lets requests in flight finish and ends with exit code 0 (P8)."""
+        stopped = self.estate.proxies[2]
+        endpoint = Endpoint("127.0.0.1", stopped.port)
+        login = Login("office@kintsugi", "office", "records")
+        load = Load([endpoint], login, callers=4, name="office", interval=0.0, roam=0.0)
+        load.start()
+        self.addCleanup(load.stop)
+        wait_until(lambda: load.progressed(0.0, 10), "answers to every caller", SERVED_LIMIT_S)
+        stopped.process.terminate()
+        self.assertEqual(stopped.process.wait(), 0)
+        unknown = [write for write in load.stop().writes if write.outcome is Outcome.UNKNOWN]
+        # A session is closed between requests, so a caller may find its connection closed as it
+        # sends the next one; that one must not have run.
+        self.loads.append(load)
+        final = set(self.read_final())
+        self.assertEqual([write for write in unknown if write.entry in final], [])
+        self.wait_until_served()
+        self.check_history()
+
+
+class PrimaryFaultTest(FaultCase):
+    def test_killed_primary_while_the_platform_is_down(self):
+        self.estate.platform.switch(outage="refuse")
+        self.group.processes[self.group.primary()].kill()
+        self.wait_until_served()
+        self.check_history()
+
+    def test_killed_primary_comes_back_as_replica(self):
+        primary = self.group.primary()
+        self.group.processes[primary].kill()
+        self.wait_until_served()
+        self.group.restart(primary)
+        wait_until(
+            lambda: self.group.state(primary)["status"]["role"] == "replica",
+            "the killed member follows",
+            SERVED_LIMIT_S,
+        )
+        self.wait_until_served()
+        self.check_history()
+
+    def test_paused_primary_acknowledges_nothing_after_it_was_replaced(self):
+        primary = self.group.primary()
+        process = self.group.processes[primary]
+        process.pause()
+        self.addCleanup(process.resume)
+        self.wait_for_other_primary(primary)
+        self.wait_until_served()
+        process.resume()
+        wait_until(
+            lambda: self.group.state(primary)["status"]["role"] == "replica",
+            "the paused member follows",
+            SERVED_LIMIT_S,
+        )
+        self.wait_until_served()
+        self.check_history()
