Log the parts of a change of primary and test a boot in an outage

Cause: the failover gap can only be shortened where its parts are known, and a VM that boots while the platform is down was tried by hand only. Change: change_finished tells detect, ask, survey, fence, wait and promote; a process test replaces a VM in an outage and then kills the primary under load.

--- a/packages/core/bramleyrill_core/succession/_change.py
+++ b/packages/core/bramleyrill_core/succession/_change.py
@@ -47,7 +47,8 @@
 
     `old_primary` is set for a planned change, which holds new writes first; `move` asks for
     another leader if one can have every entry. `majority_at` is the time at which the answer
-    came that completed the fence's majority.
+    came that completed the fence's majority. `started_at` maps each step to its latest start, for
+    the log.
     """
 
     step: Step
@@ -59,6 +60,15 @@
     refused: frozenset[str] = frozenset()
     majority_at: timedelta | None = None
     sent_at: timedelta | None = None
+    started_at: tuple[tuple[Step, timedelta], ...] = ()
+
+    def durations(self, now: timedelta) -> dict[str, timedelta]:
+        """Return how long each step took, by its name, up to `now` for the last one."""
+        ends = [since for _, since in self.started_at[1:]] + [now]
+        return {
+            step.value: end - since
+            for (step, since), end in zip(self.started_at, ends, strict=True)
+        }
 
 
 @frozen
@@ -79,7 +89,9 @@
 
 def enter(change: Change, step: Step, now: timedelta, **changes: object) -> Change:
     """Return the change at the start of another step."""
-    return evolve(change, step=step, since=now, sent_at=None, **changes)
+    earlier = tuple(item for item in change.started_at if item[0] is not step)
+    started_at = (*earlier, (step, now))
+    return evolve(change, step=step, since=now, sent_at=None, started_at=started_at, **changes)
 
 
 def can_choose(survey: Survey) -> bool:
--- a/packages/core/bramleyrill_core/succession/_drive.py
+++ b/packages/core/bramleyrill_core/succession/_drive.py
@@ -240,6 +240,16 @@
     if group is None or group.change.step is not Step.PROMOTE:
         return []
     leader = group.watches[name_of(message.member)]
+    now = world.clock.monotonic()
+    log_event(
+        "change_finished",
+        database=group.id,
+        term=message.term,
+        leader=leader.name,
+        planned=bool(group.change.old_primary),
+        detect=group.change_started - group.ok_at,
+        **group.change.durations(now),
+    )
     group.change = None
     group.ok_at = world.clock.monotonic()
     group.highest = max(group.highest, message.term)
--- a/packages/core/bramleyrill_core/succession/_supervise.py
+++ b/packages/core/bramleyrill_core/succession/_supervise.py
@@ -7,7 +7,7 @@
 from bramleyrill_core._messages import Effect
 from bramleyrill_core._values import MemberRole
 from bramleyrill_core._world import World
-from bramleyrill_core.succession._change import Change, Step
+from bramleyrill_core.succession._change import Change, Step, enter
 from bramleyrill_core.succession._drive import drive_change
 from bramleyrill_core.succession._grants import permit_for, primary_seen
 from bramleyrill_core.succession._messages import (
@@ -92,7 +92,7 @@
 
 
 def _start(group: Group, change: Change) -> None:
-    group.change = change
+    group.change = enter(change, change.step, change.since)
     group.change_started = change.since
     group.seen = {}
     for watch in group.watches.values():
--- a/packages/standins/bramleyrill_standins/processes/_process.py
+++ b/packages/standins/bramleyrill_standins/processes/_process.py
@@ -60,6 +60,11 @@
         start = max(0, size - LOG_TAIL_BYTES)
         return os.pread(self._log.fileno(), LOG_TAIL_BYTES, start).decode(errors="replace")
 
+    def log(self) -> str:
+        """Return all that the process wrote to standard error."""
+        size = os.fstat(self._log.fileno()).st_size
+        return os.pread(self._log.fileno(), size, 0).decode(errors="replace")
+
     def terminate(self) -> None:
         """Ask the process to stop, without waiting."""
         if self.exit_code is None:
--- a/packages/standins/bramleyrill_standins/processes/_proxy.py
+++ b/packages/standins/bramleyrill_standins/processes/_proxy.py
@@ -4,6 +4,7 @@
 import pathlib
 import socket
 import tempfile
+from collections.abc import Sequence
 
 from attrs import frozen
 
@@ -27,11 +28,12 @@
     """A running entry VM.
 
     `port` is for callers, `peer_port` for other VMs. The process is started again after a kill
-    with `start`, on the same ports.
+    with `start`, on the same ports. `seeds` are peer ports that it asks during an outage.
     """
 
-    def __init__(self, place: VmPlace, platform_url: str) -> None:
+    def __init__(self, place: VmPlace, platform_url: str, seeds: Sequence[int] = ()) -> None:
         self.place = place
+        self._seeds = seeds
         self.port, self.peer_port = free_ports(2)
         self.process: Process | None = None
         self._settings = self._write_settings(platform_url)
@@ -52,6 +54,11 @@
 
         wait_until(listening, f"{self.place.id} listens", START_LIMIT_S)
 
+    def log_lines(self, event: str) -> list[str]:
+        """Return the lines of an event that the process has logged so far."""
+        wanted = f" event={event} "
+        return [line for line in self.process.log().splitlines() if wanted in f"{line} "]
+
     def stop(self) -> int | None:
         """Stop the process and remove the settings; return the exit code."""
         code = self.process.stop() if self.process else None
@@ -71,4 +78,5 @@
         handle, name = tempfile.mkstemp(suffix=".yaml")
         with os.fdopen(handle, "w", encoding="utf-8") as file:
             file.writelines(f'{key}: "{value}"\n' for key, value in values.items())
+            file.write(f"seed_peers: {[f'127.0.0.1:{port}' for port in self._seeds]}\n")
         return pathlib.Path(name)
--- /dev/null
+++ b/tests/processes/test_outage.py
@@ -0,0 +1,26 @@
+"""A VM that boots during an outage of the platform serves, and its database survives a failure."""
+
+from bramleyrill_standins.processes import Proxy, VmPlace
+
+from tests.processes.test_faults import FaultCase
+
+
+class BootInOutageTest(FaultCase):
+    """Guards against a replaced VM that waits for the platform before it can serve."""
+
+    def test_booted_vm_takes_over_and_the_primary_is_replaced_without_the_platform(self):
+        self.estate.platform.switch(outage="refuse")
+        replaced, *others = self.estate.proxies
+        seeds = [proxy.peer_port for proxy in others]
+        place = VmPlace("vm-9", replaced.place.domain, replaced.place.region)
+        booted = Proxy(place, self.estate.platform.url, seeds)
+        self.addCleanup(booted.stop)
+        booted.start()
+        booted.wait_until_listening()
+        self.assertEqual(replaced.process.stop(), 0)
+        self.wait_until_served()
+        self.group.processes[self.group.primary()].kill()
+        self.wait_until_served()
+        self.assertTrue(booted.log_lines("object_from_peer"))
+        self.assertFalse(booted.log_lines("holder_evicted"))
+        self.check_history()
