Judge answers with the succession rule and account for each request

Each request is recorded with burn.record. A part of a batch that ends with Flush is sent with may_commit off, so that a holder does not keep back what the caller waits for. end_idle_transactions, idle_sessions and requests_in_flight serve the drain subsystem.

The token test needs a second member since a known primary no longer serves as a replica.

--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -10,9 +10,12 @@
 import gevent
 import gevent.socket
 from absl import logging
+from attrs import frozen
 from bramleyrill_base import ErrorKind, Problem, log_event
-from bramleyrill_core import World
+from bramleyrill_core import World, burn
+from bramleyrill_core.admission import WorkClass
 from bramleyrill_core.sessions import Session, SessionTables, apply_setting, open_session
+from bramleyrill_core.text import Text
 from bramleyrill_wire import postgres as pg
 from gevent.server import StreamServer
 from returns.result import Failure
@@ -48,14 +51,23 @@
     )
 )
 
-Record = Callable[[Session, timedelta, bool], None]
+Record = Callable[[World, WorkClass, timedelta, bool], None]
+
+
+@frozen
+class RequestPolicy:
+    """What holds for the requests of one class under one text."""
+
+    text: Text
+    work_class: WorkClass
+    deadline: timedelta
 
 
 class Front:
     """Serve callers on one listening socket.
 
     `executor` opens exchanges with holders. `tls` is the server's context, or None to refuse
-    TLS. `record(session, latency, served)` is called once per request with its outcome.
+    TLS. `record(world, work_class, latency, served)` is called once per request.
 
     Example: `front = Front(world, executor); host, port = front.start("127.0.0.1", 0)`.
     """
@@ -66,13 +78,13 @@
         executor: Executor,
         limits: FrontLimits | None = None,
         tls: ssl.SSLContext | None = None,
-        record: Record = lambda session, latency, served: None,
+        record: Record = burn.record,
     ) -> None:
         self.world = world
         self.executor = executor
         self.limits = limits or FrontLimits()
         self.pulse = Pulse()
-        self.record = record
+        self._record = record
         self.sessions: dict[int, CallerSession] = {}
         self._tls = tls
         self._runner = RequestRunner(self)
@@ -123,23 +135,40 @@
 
     @property
     def requests_in_flight(self) -> int:
-        """Return how many sessions run a request or are in a transaction."""
-        return sum(1 for session in self.sessions.values() if not session.between_requests)
+        """Return how many sessions run a request at present."""
+        return sum(1 for session in self.sessions.values() if session.busy_since is not None)
+
+    def idle_sessions(self) -> list[int]:
+        """Return the ids of the sessions that are between transactions."""
+        return [key for key, session in self.sessions.items() if session.between_requests]
+
+    def end_idle_transactions(self) -> None:
+        """End sessions whose transaction waits for its caller, with 57P01."""
+        for session in list(self.sessions.values()):
+            if session.waiting and not session.between_requests:
+                session.greenlet.kill(
+                    SessionEndError(Problem(ErrorKind.SHUTTING_DOWN)), block=False
+                )
 
     def next_request(self) -> int:
         """Return the id of a new request."""
         return next(self._request_ids)
 
-    def deadline_of(self, session: CallerSession) -> timedelta:
-        """Return how long a request of the session may wait in all."""
+    def policy_of(self, session: CallerSession) -> RequestPolicy:
+        """Return the class and the deadline of the session's next request."""
         row, text = session.row, self.world.text
-        cached = session.deadline
-        if cached is None or cached[0] is not text or cached[1] is not row.rank:
+        policy = session.policy
+        if policy is None or policy.text is not text or policy.work_class.rank is not row.rank:
             service = text.services.get(row.database)
-            policy = service.ranks.get(row.rank) if service else None
-            deadline = policy.deadline if policy else self.limits.deadline
-            cached = session.deadline = (text, row.rank, deadline)
-        return cached[2]
+            ranks = service.ranks if service else {}
+            deadline = ranks[row.rank].deadline if row.rank in ranks else self.limits.deadline
+            work_class = WorkClass(row.fleet, row.service, row.rank)
+            policy = session.policy = RequestPolicy(text, work_class, deadline)
+        return policy
+
+    def record(self, session: CallerSession, latency: timedelta, served: bool) -> None:
+        """Account for one request; a refused one, or one without known outcome, is not served."""
+        self._record(self.world, self.policy_of(session).work_class, latency, served)
 
     def _serve(self, sock: gevent.socket.socket, _address: object) -> None:
         caller = CallerSocket(sock, self.pulse)
--- a/packages/daemon/bramleyrill_daemon/front/_request.py
+++ b/packages/daemon/bramleyrill_daemon/front/_request.py
@@ -11,8 +11,7 @@
 from bramleyrill_core.membership import holder_of
 from bramleyrill_core.retries import may_retry, note_request
 from bramleyrill_core.routing import Route, next_route, note_primary, route
-from bramleyrill_core.sessions import issue_token, note_answer
-from bramleyrill_core.succession import entry_expiry
+from bramleyrill_core.succession import PrimaryAnswer, entry_expiry, judge_answer
 from bramleyrill_wire import postgres as pg
 from returns.result import Failure, Result
 
@@ -94,7 +93,7 @@
                 problem = self._run_alone(session, work, started)
             served = problem is None and not session.gone
         finally:
-            self._front.record(row, self._clock.monotonic() - started, served)
+            self._front.record(session, self._clock.monotonic() - started, served)
         return problem
 
     def _run_in_transaction(self, session, work: Work, started: timedelta) -> Problem | None:
@@ -116,7 +115,7 @@
         world, row = self._world, session.row
         service = f"{row.fleet}/{row.service}"
         note_request(world, service)
-        deadline = started + self._front.deadline_of(session)
+        deadline = started + self._front.policy_of(session).deadline
         repeatable = row.repeatable or work.kind in _HARMLESS
         may_have_run = False
         redirects = 0
@@ -222,7 +221,7 @@
 
         What follows the first part is not known, so that the batch may turn out to write.
         """
-        deadline = self._clock.monotonic() + self._front.deadline_of(session)
+        deadline = self._clock.monotonic() + self._front.policy_of(session).deadline
         work = Work(b"", StatementClass.BEGIN, may_commit=True, alters_session=True)
         found = route(self._world, session.row, work.kind, False)
         if type(found) is Failure:
@@ -236,7 +235,7 @@
     def flush(self, session, frames: bytes, tracker: Tracker) -> Problem | None:
         """Send a part of a batch and forward the answers until all of it is answered."""
         exchange = session.exchange
-        exchange.send(frames + pg.FLUSH, True, True)
+        exchange.send(frames + pg.FLUSH, False, True)
         while not tracker.settled:
             part = exchange.receive()
             if type(part) is Outcome:
@@ -258,24 +257,33 @@
             if not session.gone:
                 session.caller.send(tail)
             return None
-        if not outcome.permit_length:
-            return _unconfirmed(row, work, row.mark)
-        expiry = entry_expiry(sent_at, outcome.permit_age, outcome.permit_length)
-        earlier_mark = row.mark
-        if outcome.mark is not None:
-            wrote = work.may_commit and not work.is_read
-            noted = note_answer(self._world, row, outcome.mark, outcome.history, wrote)
-            if isinstance(noted, Failure):
-                return noted.failure()
-            if path is not None and outcome.at_primary:
-                self._learn_primary(row.database, path, outcome)
-            if wrote:
-                token = issue_token(self._world, row.database, outcome.mark)
-                if token:
-                    status = pg.parameter_status("bramleyrill.token", token)
-                    tail = tail[:-_READY_SIZE] + status + tail[-_READY_SIZE:]
-        if not (session.gone or session.caller.send_before(tail, self._clock, expiry)):
-            return _unconfirmed(row, work, earlier_mark)
+        wrote = work.may_commit and not work.is_read
+        earlier = row.mark
+        answer = PrimaryAnswer(
+            sent_at,
+            outcome.permit_age,
+            outcome.permit_length,
+            outcome.mark,
+            outcome.history,
+            wrote,
+        )
+        judged = judge_answer(self._world, row, answer)
+        if type(judged) is Failure:
+            return _forget(row, judged.failure(), earlier)
+        token = judged.unwrap()
+        if token:
+            status = pg.parameter_status("bramleyrill.token", token)
+            tail = tail[:-_READY_SIZE] + status + tail[-_READY_SIZE:]
+        if path is not None and outcome.at_primary and outcome.mark is not None:
+            self._learn_primary(row.database, path, outcome)
+        if not session.gone:
+            if not wrote:
+                session.caller.send(tail)
+            else:
+                expiry = entry_expiry(sent_at, outcome.permit_age, outcome.permit_length)
+                if not session.caller.send_before(tail, self._clock, expiry):
+                    problem = Problem(ErrorKind.OUTCOME_UNKNOWN, "the caller read too late")
+                    return _forget(row, problem, earlier)
         session.status = outcome.tx_status
         return None
 
@@ -309,10 +317,13 @@
     return problem
 
 
-def _unconfirmed(row, work: Work, earlier: Mark | None) -> Problem:
-    """Forget what the session knows, so that a check by the caller reads at the primary."""
-    if work.may_commit and earlier != NO_MARK:
+def _forget(row, problem: Problem, earlier: Mark | None) -> Problem:
+    """After an unknown outcome, make the caller's check read at the primary; return the problem.
+
+    The earlier mark is kept for a check of the history: what was acknowledged must not be lost.
+    """
+    if problem.kind is ErrorKind.OUTCOME_UNKNOWN and earlier != NO_MARK:
         if earlier is not None and earlier not in row.unchecked:
             row.unchecked = (*row.unchecked, earlier)
         row.mark = None
-    return Problem(ErrorKind.OUTCOME_UNKNOWN, "the primary may have been replaced")
+    return problem
--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -44,7 +44,7 @@
     a batch after an error up to its Sync. `flow` follows a batch that is sent in parts, and
     `flow_started` is when its first part was sent. `busy_since` is the pulse at which the
     request in progress started, `idle_since` that at which the open transaction became idle.
-    `deadline` caches that of the session's requests with the text and rank that it follows from.
+    `policy` caches what the text promises to the session's rank.
     """
 
     front: object
@@ -69,7 +69,7 @@
     waiting: bool = False
     busy_since: float | None = None
     idle_since: float | None = None
-    deadline: tuple | None = None
+    policy: object = None
     greenlet: object = field(default=None, repr=False)
 
     def run(self) -> None:
--- a/tests/front/fakes.py
+++ b/tests/front/fakes.py
@@ -41,7 +41,8 @@
         ("kintsugi", "onarim-defteri", "pieces"),
         ("gatecare", "gatebook", "gates"),
     ):
-        spec = build_database(fleet, service, database, {"m1": ("d", "127.0.0.1", 1)})
+        members = {"m1": ("d", "127.0.0.1", 1), "m2": ("d", "127.0.0.1", 2)}
+        spec = build_database(fleet, service, database, members)
         users = {
             "aylin" if fleet == "kintsugi" else "obi": UserSpec("u", VERIFIER),
             "office": UserSpec("office", VERIFIER),
--- a/tests/front/test_callers.py
+++ b/tests/front/test_callers.py
@@ -7,7 +7,7 @@
 import pg8000.native
 import psycopg
 import trustme
-from bramleyrill_core import Mark, StatementClass
+from bramleyrill_core import Mark, Rank, StatementClass
 from bramleyrill_daemon.front import FrontLimits
 
 from tests.front.fakes import FrontThread, refused, wait_for
@@ -350,7 +350,7 @@
         wait_for(lambda: self.member.canceled)
         wait_for(lambda: not self.thread.front.sessions)
         self.assertEqual(self.member.open_count, 0)
-        self.assertEqual([served for _, _, served in self.thread.records], [False])
+        self.assertEqual([record[-1] for record in self.thread.records], [False])
 
     def test_drain_ends_idle_sessions_and_lets_transactions_finish(self):
         idle, busy = self.connect(), self.connect()
@@ -369,6 +369,21 @@
         self.assertEqual([*ends, caught.exception.sqlstate or "none"][0], "57P01")
         self.assertEqual(self.member.log, ["BEGIN", "INSERT 1", "COMMIT"])
 
+    def test_end_of_a_drain_ends_idle_transactions_only(self):
+        idle, busy = self.connect(), self.connect()
+        idle.execute("BEGIN")
+        busy.pgconn.send_query(b"SELECT hang")
+        wait_for(lambda: self.member.hanging)
+        self.assertEqual(self.thread.front.requests_in_flight, 1)
+        self.thread.call(self.thread.front.end_idle_transactions)
+        wait_for(lambda: len(self.thread.front.sessions) == 1)
+        self.assert_state("57P01", idle.execute, "SELECT a")
+        self.assertEqual(self.member.canceled, 0)
+        self.thread.call(lambda: self.thread.front.sessions[2].cancel())
+        # A blocking read of libpq would hold the interpreter, in which the front runs as well.
+        wait_for(lambda: busy.pgconn.consume_input() or not busy.pgconn.is_busy())
+        self.assertEqual(busy.pgconn.get_result().error_field(67), b"57014")
+
     def test_caller_that_leaves_a_transaction_has_it_rolled_back(self):
         connection = self.connect()
         connection.execute("BEGIN")
@@ -380,5 +395,6 @@
         connection.execute("SELECT a")
         self.member.script = [refused("NOT_RUN_OVERLOADED")]
         self.assert_state("NR001", connection.execute, "INSERT 1")
-        served = [(row.user, served) for row, _, served in self.thread.records]
-        self.assertEqual(served, [("aylin", True), ("aylin", False)])
+        recorded = [(work_class, served) for _, work_class, _, served in self.thread.records]
+        work_class = ("kintsugi", "onarim-defteri", Rank.EVERYDAY)
+        self.assertEqual(recorded, [(work_class, True), (work_class, False)])
