Give records to the process's accounting again

The row is passed again, and a test feeds what the front records to Accounting. Tests wait for an exchange to be closed, since that follows the answer.

--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -12,7 +12,7 @@
 from absl import logging
 from attrs import frozen
 from bramleyrill_base import ErrorKind, Problem, log_event
-from bramleyrill_core import World, burn
+from bramleyrill_core import Rank, World, burn
 from bramleyrill_core.admission import WorkClass
 from bramleyrill_core.sessions import Session, SessionTables, apply_setting, open_session
 from bramleyrill_core.text import Text
@@ -51,15 +51,15 @@
     )
 )
 
-Record = Callable[[World, WorkClass, timedelta, bool], None]
+Record = Callable[[Session, timedelta, bool], None]
 
 
 @frozen
 class RequestPolicy:
-    """What holds for the requests of one class under one text."""
+    """What holds for the requests of one rank under one text."""
 
     text: Text
-    work_class: WorkClass
+    rank: Rank
     deadline: timedelta
 
 
@@ -67,7 +67,8 @@
     """Serve callers on one listening socket.
 
     `executor` opens exchanges with holders. `tls` is the server's context, or None to refuse
-    TLS. `record(world, work_class, latency, served)` is called once per request.
+    TLS. `record(session, latency, served)` is called once per request with its outcome: refused
+    requests and those of unknown outcome are not served.
 
     Example: `front = Front(world, executor); host, port = front.start("127.0.0.1", 0)`.
     """
@@ -78,13 +79,13 @@
         executor: Executor,
         limits: FrontLimits | None = None,
         tls: ssl.SSLContext | None = None,
-        record: Record = burn.record,
+        record: Record | None = None,
     ) -> None:
         self.world = world
         self.executor = executor
         self.limits = limits or FrontLimits()
         self.pulse = Pulse()
-        self._record = record
+        self.record = record or self._record
         self.sessions: dict[int, CallerSession] = {}
         self._tls = tls
         self._runner = RequestRunner(self)
@@ -155,21 +156,16 @@
         return next(self._request_ids)
 
     def policy_of(self, session: CallerSession) -> RequestPolicy:
-        """Return the class and the deadline of the session's next request."""
+        """Return the deadline of the session's next request, with what it follows from."""
         row, text = session.row, self.world.text
         policy = session.policy
-        if policy is None or policy.text is not text or policy.work_class.rank is not row.rank:
+        if policy is None or policy.text is not text or policy.rank is not row.rank:
             service = text.services.get(row.database)
             ranks = service.ranks if service else {}
             deadline = ranks[row.rank].deadline if row.rank in ranks else self.limits.deadline
-            work_class = WorkClass(row.fleet, row.service, row.rank)
-            policy = session.policy = RequestPolicy(text, work_class, deadline)
+            policy = session.policy = RequestPolicy(text, row.rank, deadline)
         return policy
 
-    def record(self, session: CallerSession, latency: timedelta, served: bool) -> None:
-        """Account for one request; a refused one, or one without known outcome, is not served."""
-        self._record(self.world, self.policy_of(session).work_class, latency, served)
-
     def _serve(self, sock: gevent.socket.socket, _address: object) -> None:
         caller = CallerSocket(sock, self.pulse)
         greenlet = gevent.getcurrent()
@@ -200,6 +196,10 @@
                 self._forget(session)
             caller.close()
 
+    def _record(self, session: Session, latency: timedelta, served: bool) -> None:
+        work_class = WorkClass(session.fleet, session.service, session.rank)
+        burn.record(self.world, work_class, latency, served)
+
     def _forget(self, session: CallerSession) -> None:
         session.close_exchange()
         self.sessions.pop(session.row.id, None)
--- a/packages/daemon/bramleyrill_daemon/front/_request.py
+++ b/packages/daemon/bramleyrill_daemon/front/_request.py
@@ -93,7 +93,7 @@
                 problem = self._run_alone(session, work, started)
             served = problem is None and not session.gone
         finally:
-            self._front.record(session, self._clock.monotonic() - started, served)
+            self._front.record(row, self._clock.monotonic() - started, served)
         return problem
 
     def _run_in_transaction(self, session, work: Work, started: timedelta) -> Problem | None:
--- a/tests/front/test_callers.py
+++ b/tests/front/test_callers.py
@@ -7,7 +7,10 @@
 import pg8000.native
 import psycopg
 import trustme
-from bramleyrill_core import Mark, Rank, StatementClass
+from bramleyrill_base import NullMetrics
+from bramleyrill_core import Mark, StatementClass
+from bramleyrill_core.burn import report
+from bramleyrill_daemon._accounting import Accounting
 from bramleyrill_daemon.front import FrontLimits
 
 from tests.front.fakes import FrontThread, refused, wait_for
@@ -57,7 +60,8 @@
             self.assertEqual(connection.execute("SELECT a, %s", ["b"]).fetchone(), ("1",))
             cursor = connection.execute("INSERT INTO t VALUES (%s)", ["b"])
             self.assertEqual(cursor.rowcount, 1)
-        self.assertEqual(self.member.open_count, 0)
+        # An exchange is closed after its answer has left.
+        wait_for(lambda: self.member.open_count == 0)
 
     def test_pg8000_with_parameters(self):
         connection = pg8000.native.Connection(
@@ -301,7 +305,8 @@
             connection.execute("SELECT a, %s", ["b"])
         self.assertEqual(len(self.member.opened), 1)
         self.assertEqual(self.member.opened[0][1].kind, StatementClass.BEGIN)
-        self.assertEqual((self.member.log[-1], self.member.open_count), ("COMMIT", 0))
+        self.assertEqual(self.member.log[-1], "COMMIT")
+        wait_for(lambda: self.member.open_count == 0)
 
     def test_lost_transaction_refuses_until_it_is_ended(self):
         connection = self.connect()
@@ -395,6 +400,10 @@
         connection.execute("SELECT a")
         self.member.script = [refused("NOT_RUN_OVERLOADED")]
         self.assert_state("NR001", connection.execute, "INSERT 1")
-        recorded = [(work_class, served) for _, work_class, _, served in self.thread.records]
-        work_class = ("kintsugi", "onarim-defteri", Rank.EVERYDAY)
-        self.assertEqual(recorded, [(work_class, True), (work_class, False)])
+        recorded = [(row.user, served) for row, _, served in self.thread.records]
+        self.assertEqual(recorded, [("aylin", True), ("aylin", False)])
+        accounting = Accounting(self.thread.world, NullMetrics())
+        for record in self.thread.records:
+            accounting.record(*record)
+        (row,) = (row for row in report(self.thread.world) if row.long.offered)
+        self.assertEqual((row.long.offered, row.long.served), (2, 1))
--- a/tests/front/test_protocol.py
+++ b/tests/front/test_protocol.py
@@ -171,7 +171,8 @@
         self.assertEqual(caller.types(), "SZ")
         caller.send(pg.bind("", "s") + pg.execute("") + pg.SYNC)
         self.assertEqual(caller.types(), "2CSZ")
-        self.assertEqual((self.member.log, self.member.open_count), (["INSERT 1"] * 2, 0))
+        self.assertEqual(self.member.log, ["INSERT 1"] * 2)
+        wait_for(lambda: self.member.open_count == 0)
 
     def test_flush_does_not_acknowledge_a_commit(self):
         caller = self.caller()
