Take frames that have arrived before a Flush is carried out

pg8000 sends a Flush behind each frame and the Sync in the same packet. Each of its statements with parameters was sent in parts, and its writes ended in 08007, since the holder does not yet let the last part of a request decide what it holds back. A Flush is now carried out only when the caller's frames at hand are used up.

--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -62,6 +62,7 @@
     batch: Batch | None = None
     flow: Tracker | None = None
     flow_started: object = None
+    flush_due: bool = False
     skipping: bool = False
     canceled: bool = False
     gone: bool = False
@@ -94,6 +95,8 @@
                     self._extended(kind, frame)
                 if self.gone:
                     return
+            if self.flush_due:
+                self._flush()
 
     def _wait(self, receive) -> bytes:
         self.waiting = True
@@ -208,8 +211,9 @@
         elif kind == _SYNC:
             self._sync()
         elif kind == _FLUSH:
-            if not self.skipping and self.batch is not None:
-                self._flush()
+            # Frames that have already arrived are taken first: drivers send a Flush behind each
+            # frame, and a batch whose Sync is there needs no answers before it.
+            self.flush_due = True
         elif kind == _FUNCTION_CALL:
             self._refuse(Problem(ErrorKind.NOT_SUPPORTED, "function call messages"))
         elif kind not in _IGNORED:
@@ -271,7 +275,10 @@
         self.caller.send(error_frame(problem))
 
     def _flush(self) -> None:
+        self.flush_due = False
         batch = self.batch
+        if batch is None or self.skipping:
+            return
         if self.failed is not None or (batch.has_local and not batch.has_remote):
             self._answer_batch(batch)
             return
@@ -307,6 +314,7 @@
 
     def _sync(self) -> None:
         batch, self.batch = self.batch, None
+        self.flush_due = False
         if self.skipping or batch is None:
             self.skipping = False
             self._answer(b"")
--- a/tests/front/test_protocol.py
+++ b/tests/front/test_protocol.py
@@ -178,10 +178,17 @@
         caller = self.caller()
         caller.send(pg.query("BEGIN") + pg.query("INSERT 1"))
         caller.types(), caller.types()
-        caller.send(pg.parse("", "COMMIT") + EXECUTE + pg.frame(b"H", b"") + pg.SYNC)
+        commit = pg.parse("", "COMMIT") + EXECUTE + pg.frame(b"H", b"")
+        caller.send(commit)
         self.assertEqual(caller.state(), "0A000")
+        caller.send(pg.SYNC)
         self.assertEqual(caller.types(), "Z")
         self.assertNotIn("COMMIT", self.member.log)
+        caller.send(pg.query("ROLLBACK") + pg.query("BEGIN"))
+        caller.types(), caller.types()
+        # With its Sync at hand, the Flush asks for nothing.
+        caller.send(commit + pg.SYNC)
+        self.assertEqual(caller.types(), "12CSZ")
 
     def test_long_batch_is_sent_in_parts(self):
         caller = self.caller()
