Test drivers through real proxies

Prepared statements, transactions, SQL errors, pipelines and pg8000 run through two proxy processes, one of which reaches the primary over a hop.

--- /dev/null
+++ b/tests/processes/test_drivers.py
@@ -0,0 +1,93 @@
+"""Drivers through a real proxy: the forms of statements that they use."""
+
+import unittest
+
+import pg8000.native
+import psycopg
+from bramleyrill_standins.callers import Endpoint, Login, connect, make_ledger
+from bramleyrill_standins.processes import Estate, wait_until
+
+INSERT = "insert into ledger values (%s, %s)"
+SELECT = "select entry from ledger where key = %s"
+
+
+class DriverTest(unittest.TestCase):
+    """Guards against a caller side and a holder that disagree on where a request ends."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.estate = Estate(proxies=2, fleets=("kintsugi",), together=True)
+        cls.addClassCleanup(cls.estate.stop)
+        # The second proxy reaches the primary over a hop or holds it itself.
+        cls.endpoints = [Endpoint("127.0.0.1", proxy.port) for proxy in cls.estate.proxies]
+        for endpoint in cls.endpoints:
+            wait_until(lambda endpoint=endpoint: cls.serves(endpoint), "the first write")
+
+    @classmethod
+    def serves(cls, endpoint):
+        try:
+            with cls.connect(endpoint) as caller:
+                make_ledger(caller)
+        except psycopg.errors.DuplicateTable:
+            return True
+        except psycopg.Error:
+            return False
+        return True
+
+    @staticmethod
+    def connect(endpoint):
+        return connect(endpoint, Login("courier@kintsugi", "courier", "records"), {})
+
+    def each(self):
+        for number, endpoint in enumerate(self.endpoints):
+            with self.connect(endpoint) as caller:
+                caller.autocommit = True
+                yield f"{self.id()}-{number}", caller
+
+    def test_prepared_statements_in_and_out_of_transactions(self):
+        for key, caller in self.each():
+            with caller.transaction():
+                for part in range(3):
+                    caller.execute(INSERT, (f"{key}-{part}", "a"), prepare=True)
+                    found = caller.execute(SELECT, (f"{key}-{part}",), prepare=True)
+                    self.assertEqual(found.fetchall(), [("a",)])
+            for part in range(3):
+                found = caller.execute(SELECT, (f"{key}-{part}",), prepare=True)
+                self.assertEqual(found.fetchall(), [("a",)])
+
+    def test_rollback_and_sql_errors(self):
+        for key, caller in self.each():
+            with self.assertRaises(psycopg.errors.UndefinedTable), caller.transaction():
+                caller.execute(INSERT, (key, "a"))
+                caller.execute("select a from nowhere")
+            self.assertEqual(caller.execute(SELECT, (key,)).fetchall(), [])
+
+    def test_pipeline_longer_than_one_part(self):
+        for key, caller in self.each():
+            with caller.pipeline():
+                cursors = [
+                    caller.execute(INSERT, (f"{key}-{part}", "a" * 1000)) for part in range(100)
+                ]
+            self.assertEqual(sum(cursor.rowcount for cursor in cursors), 100)
+
+    def test_pipeline_with_a_flush_before_its_sync(self):
+        for key, caller in self.each():
+            with caller.pipeline():
+                cursor = caller.execute(INSERT, (key, "a"))
+                found = caller.execute(SELECT, (key,)).fetchall()
+            self.assertEqual((cursor.rowcount, found), (1, [("a",)]))
+
+    def test_pg8000(self):
+        for endpoint in self.endpoints:
+            caller = pg8000.native.Connection(
+                "courier@kintsugi",
+                host=endpoint.host,
+                port=endpoint.port,
+                database="records",
+                password="courier",
+            )
+            self.addCleanup(caller.close)
+            key = f"{self.id()}-{endpoint.port}"
+            caller.run("insert into ledger values (:key, 'a')", key=key)
+            found = caller.run("select entry from ledger where key = :key", key=key)
+            self.assertEqual(found, [["a"]])
