Fail tests and the demo when a proxy logs an error

Cause: a merge passed a class in place of a session's row to the accounting, so that every request ended its session with XX000. Change: the process tests and the demo compare the lines of level error with none; failures of sessions are events of pairs with their trace.

--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -4,6 +4,7 @@
 import os
 import secrets
 import ssl
+import traceback
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -187,8 +188,9 @@
             # The caller is gone or was cut off; what ran for it is given up below.
             pass
         except Exception as error:
-            log_event("session_failed", logging.ERROR, error=type(error).__name__)
-            logging.exception("session failed")
+            log_event(
+                "session_failed", logging.ERROR, error=repr(error), trace=traceback.format_exc()
+            )
             caller.finish(error_frame(Problem(ErrorKind.INTERNAL), "FATAL"), LINGER_S)
         finally:
             self._handshakes.pop(greenlet, None)
@@ -273,7 +275,7 @@
                 self._check_busy()
                 self._check_sessions()
             except Exception:
-                logging.exception("sweep failed")
+                log_event("sweep_failed", logging.ERROR, trace=traceback.format_exc())
 
     def _check_handshakes(self) -> None:
         oldest = self.pulse.now - self.limits.handshake.total_seconds()
--- a/packages/standins/bramleyrill_standins/demo/_steps.py
+++ b/packages/standins/bramleyrill_standins/demo/_steps.py
@@ -208,6 +208,9 @@
     for proxy in estate.proxies:
         proxy.process.terminate()
     codes = [proxy.process.wait() for proxy in estate.proxies]
+    errors = estate.error_lines()
+    if errors:
+        raise StepError(f"the proxies logged {len(errors)} errors, first: {errors[0]}")
     if any(codes):
         raise StepError(f"the proxies ended with exit codes {codes}")
     say(f"{len(codes)} proxies shut down on signal {signal.SIGTERM.name} with exit code 0")
--- a/packages/standins/bramleyrill_standins/processes/_estate.py
+++ b/packages/standins/bramleyrill_standins/processes/_estate.py
@@ -91,6 +91,10 @@
     def __exit__(self, *details: object) -> None:
         self.stop()
 
+    def error_lines(self) -> list[str]:
+        """Return what the proxies logged as errors: faults of their own, not of upstreams."""
+        return [line for proxy in self.proxies for line in proxy.error_lines()]
+
     def stop(self) -> None:
         """Stop every process, proxies first."""
         self._stack.close()
--- a/packages/standins/bramleyrill_standins/processes/_proxy.py
+++ b/packages/standins/bramleyrill_standins/processes/_proxy.py
@@ -59,6 +59,11 @@
         wanted = f" event={event} "
         return [line for line in self.process.log().splitlines() if wanted in f"{line} "]
 
+    def error_lines(self) -> list[str]:
+        """Return the lines of level error that the process has logged so far."""
+        lines = self.process.log().splitlines() if self.process else []
+        return [line for line in lines if " level=error " in line]
+
     def stop(self) -> int | None:
         """Stop the process and remove the settings; return the exit code."""
         code = self.process.stop() if self.process else None
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -80,6 +80,8 @@
             whole.reads += load.history.reads
             whole.told_lost += load.history.told_lost
         self.assertEqual(check(whole, self.read_final()), [])
+        # Callers that try again hide a fault that ends each session with XX000.
+        self.assertEqual(self.estate.error_lines(), [])
 
     def read_final(self):
         password = self.estate.passwords["kintsugi/onarim-defteri"]
