Bound prepared statements and half-open handshakes

A caller could prepare statements without end, and connections in startup were bounded in time only. Named statements of a session are limited in number and bytes, and callers over the limit of handshakes are closed at accept.

--- a/packages/daemon/bramleyrill_daemon/front/_batch.py
+++ b/packages/daemon/bramleyrill_daemon/front/_batch.py
@@ -11,6 +11,7 @@
 from bramleyrill_core.sessions import Statement, classify
 from bramleyrill_wire import postgres as pg
 
+from bramleyrill_daemon.front._limits import FrontLimits
 from bramleyrill_daemon.front._local import LocalStatement, read_local, refused_setting
 
 # Frames that callers repeat are short; the caches hold at most 2 MB of them each.
@@ -115,6 +116,7 @@
 
     __slots__ = (
         "_known",
+        "_limits",
         "_parsed",
         "_portals",
         "commits_before_end",
@@ -136,8 +138,10 @@
         parsed: set[str],
         portals: dict[str, Prepared | None],
         in_transaction: bool,
+        limits: FrontLimits,
     ) -> None:
         self._known = known
+        self._limits = limits
         self._parsed = parsed
         self._portals = portals
         self.in_transaction = in_transaction
@@ -159,6 +163,7 @@
         if kind == _PARSE:
             name, prepared = prepare(frame)
             problem = refuse(prepared.statement, prepared.local, self.in_transaction)
+            problem = problem or self._check_room(name, frame)
             if problem is not None:
                 return problem
             self._parse(name, prepared)
@@ -183,6 +188,19 @@
         self._append(frame, (action, name, prepared))
         return None
 
+    def _check_room(self, name: str, frame: bytes) -> Problem | None:
+        """Refuse a named statement that a session has no room for."""
+        if not name or name in self._known:
+            return None
+        kept = (self._known, self.new)
+        count = sum(map(len, kept))
+        if count < self._limits.prepared and len(frame) <= MAX_CACHED_FRAME:
+            return None
+        size = sum(len(item.frame) for items in kept for item in items.values())
+        if count < self._limits.prepared and size + len(frame) <= self._limits.prepared_bytes:
+            return None
+        return Problem(ErrorKind.FRAME_TOO_LARGE, "too many prepared statements in the session")
+
     def _parse(self, name: str, prepared: Prepared) -> None:
         self._note(prepared)
         if name:
--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -167,6 +167,10 @@
         return policy
 
     def _serve(self, sock: gevent.socket.socket, _address: object) -> None:
+        if len(self._handshakes) >= self.limits.handshakes:
+            # Its startup is not read: half-open connections must not take up more than the limit.
+            sock.close()
+            return
         caller = CallerSocket(sock, self.pulse)
         greenlet = gevent.getcurrent()
         self._handshakes[greenlet] = self.pulse.now
--- a/packages/daemon/bramleyrill_daemon/front/_limits.py
+++ b/packages/daemon/bramleyrill_daemon/front/_limits.py
@@ -12,15 +12,20 @@
 
     `frame` is the longest frame in bytes, `held_answer` the longest answer that is kept back
     until its permit is checked, `batch` how many bytes of an extended batch are collected before
-    they are sent on with a Flush. `handshake` bounds startup and login, `write_blocked` how long
-    a caller may leave its answer unread, `idle_in_transaction` how long a transaction may wait
-    for its next statement. Times are checked every `sweep`.
+    they are sent on with a Flush. `prepared` and `prepared_bytes` bound the named statements of a
+    session. `handshakes` is how many callers may be in startup at a time; `handshake` bounds the
+    time of startup and login, `write_blocked` how long a caller may leave its answer unread,
+    `idle_in_transaction` how long a transaction may wait for its next statement. Times are
+    checked every `sweep`.
     """
 
     sessions: int = 20_000
+    handshakes: int = 2_000
     frame: int = 16 << 20
     held_answer: int = 4 << 20
     batch: int = 64 << 10
+    prepared: int = 2_000
+    prepared_bytes: int = 4 << 20
     handshake: timedelta = timedelta(seconds=10)
     write_blocked: timedelta = timedelta(seconds=15)
     idle_in_transaction: timedelta = timedelta(seconds=60)
--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -262,7 +262,8 @@
             self.parsed = set()
         if self.portals is None:
             self.portals = {}
-        return Batch(self.prepared, self.parsed, self.portals, self.status != _IDLE)
+        in_transaction = self.status != _IDLE
+        return Batch(self.prepared, self.parsed, self.portals, in_transaction, self.front.limits)
 
     def _fail_batch(self, problem: Problem) -> None:
         """Tell of a problem at once and skip the rest of the batch."""
--- a/tests/front/test_protocol.py
+++ b/tests/front/test_protocol.py
@@ -61,7 +61,13 @@
     """Starts a front for each test."""
 
     limits = FrontLimits(
-        sweep=20 * MS, frame=100_000, handshake=150 * MS, write_blocked=150 * MS, batch=2000
+        sweep=20 * MS,
+        frame=100_000,
+        handshake=150 * MS,
+        write_blocked=150 * MS,
+        batch=2000,
+        prepared=4,
+        prepared_bytes=2000,
     )
     tls = None
 
@@ -146,6 +152,18 @@
         other.send(pg.cancel_request(pid, secret))
         self.assertEqual(caller.state(), "57014")
 
+    def test_callers_over_the_limits_are_refused(self):
+        self.thread.front.limits = FrontLimits(sessions=1)
+        kept = self.caller()
+        other = self.caller(login=False)
+        other.send(pg.startup_message({"user": "aylin", "database": "pieces"}))
+        self.assertEqual(other.state(), "NR001")
+        self.thread.front.limits = FrontLimits(handshakes=1)
+        self.caller(login=False)
+        wait_for(lambda: self.caller(login=False).read("") == [])
+        kept.send(pg.query("SELECT a"))
+        self.assertEqual(kept.types(), "TDCZ")
+
     def test_protocol_options_are_negotiated(self):
         caller = self.caller(login=False)
         names = {"user": "aylin", "database": "pieces", "_pq_.x": "1"}
@@ -228,6 +246,17 @@
         caller.send(pg.parse("s", "SELECT b") + pg.SYNC)
         self.assertEqual(caller.state(), "42P05")
 
+    def test_prepared_statements_are_bounded(self):
+        caller = self.caller()
+        for number in range(3):
+            caller.send(pg.parse(f"s{number}", "SELECT a") + pg.SYNC)
+            self.assertEqual(caller.types(), "1Z")
+        caller.send(pg.parse("t", "SELECT a" + " " * 2000) + pg.SYNC)
+        self.assertEqual(caller.state(), "54000")
+        caller.types()
+        caller.send(pg.parse("s3", "SELECT a") + pg.parse("s4", "SELECT a") + pg.SYNC)
+        self.assertEqual(caller.state(), "54000")
+
     def test_request_that_crosses_the_drain_is_run(self):
         caller = self.caller()
 
