Let the core decide about pools and the graceful stop

Cause: the shell's own pool logic duplicated the core's, without its back-off of lost locks, leaving members and limits on idle transactions. Change: pools and drain carry out the core's effects; a slot is checked again only after a wait; upstream sockets are used directly.

--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -6,15 +6,16 @@
 import gevent
 from bramleyrill_base import ErrorKind, Problem, log_event
 from bramleyrill_core import NO_MARK, MemberRole, MemberStatus, StatementClass
+from bramleyrill_core.admission import Request as AdmissionRequest
 from bramleyrill_core.routing import Route, check_read, confirm_read
 from returns.result import Failure
 
 from bramleyrill_daemon._answers import STATUS_SQL, AnswerScanner
 from bramleyrill_daemon._exchange import Chunk, ExchangeClosed, Outcome, Request
-from bramleyrill_daemon._member import CANCELED, MemberDesk, Ticket
+from bramleyrill_daemon._member import CANCELED, NO_TIME, MemberDesk
 from bramleyrill_daemon._permits import PermitDesk, Refusal
 from bramleyrill_daemon._pool import PoolShell
-from bramleyrill_daemon._upstream import READ_BYTES, UpstreamConnection, query_frame
+from bramleyrill_daemon._upstream import UpstreamConnection, query_frame
 
 STATUS_QUERY = query_frame(STATUS_SQL)
 CANCEL_TIMEOUT = timedelta(seconds=2)
@@ -33,7 +34,6 @@
         "_closed",
         "_connection",
         "_desk",
-        "_has_slot",
         "_in_transaction",
         "_may_commit",
         "_permits",
@@ -47,6 +47,7 @@
         "_scanner",
         "_ticket",
         "_unclean",
+        "_waited",
     )
 
     def __init__(
@@ -63,17 +64,17 @@
         self._route = route
         self._request = request
         self._received_at = permits.now()
-        self._ticket: Ticket | None = None
+        self._ticket: AdmissionRequest | None = None
         self._connection: UpstreamConnection | None = None
         self._scanner: AnswerScanner | None = None
         self._refusal: Refusal | None = None
-        self._has_slot = False
         self._queued = False
         self._running = False
         self._in_transaction = False
         self._may_commit = False
         self._unclean = request.alters_session
         self._closed = False
+        self._waited = False
 
     def send(self, frames: bytes, may_commit: bool = True, more: bool = False) -> None:
         """Send frames of a request, after a wait for a slot and a connection if it is new."""
@@ -83,7 +84,7 @@
             return
         wants_status = self._scanner.wants_status and not more
         try:
-            self._connection.sock.sendall(frames + STATUS_QUERY if wants_status else frames)
+            self._connection.send(frames + STATUS_QUERY if wants_status else frames)
         except OSError as error:
             self._lose("send_failed", error)
 
@@ -93,7 +94,7 @@
             if self._closed or self._connection is None:
                 raise ExchangeClosed
             try:
-                data = self._connection.sock.recv(READ_BYTES)
+                data = self._connection.receive()
                 if not data:
                     raise ConnectionError("closed by upstream")
                 free = self._scanner.feed(data)
@@ -144,6 +145,8 @@
             self._refusal = self._get_slot(deadline)
         if self._refusal is None and self._connection is None:
             self._refusal = self._get_connection(deadline)
+        elif self._connection is not None:
+            self._pools.note_idle(self._connection, False)
         if self._closed:
             self._release_slot()
             return False
@@ -172,19 +175,16 @@
         try:
             if self._ticket is None:
                 request = self._request
-                self._ticket = self._desk.ticket(
-                    request.fleet, request.service, request.rank, deadline
-                )
-                problem = self._desk.admit(self._ticket)
+                self._ticket = self._desk.ticket(request.rank, deadline)
+                problem, self._waited = self._desk.admit(self._ticket)
             else:
-                problem = self._desk.readmit(self._ticket, deadline)
+                problem, _ = self._desk.readmit(self._ticket, deadline)
         finally:
             self._queued = False
         if problem is not None:
             if problem is CANCELED and self._in_transaction:
                 self._unclean = True
             return Refusal(problem)
-        self._has_slot = True
         return None
 
     def _get_connection(self, deadline: timedelta) -> Refusal | None:
@@ -193,7 +193,9 @@
             found = self._pools.lease(self._route.member, until)
             if not isinstance(found, Problem):
                 self._connection = found
-                return self._check(deadline)
+                # Without a wait nothing can have changed since the request was let in.
+                return self._check(deadline) if self._waited else None
+            self._waited = True
             if self._closed or self._permits.now() >= deadline:
                 return Refusal(found)
             refusal = self._check(deadline)
@@ -210,8 +212,8 @@
         self._in_transaction = in_transaction
         outcome = self._outcome(scanner, was_in_transaction)
         if in_transaction and outcome.problem is None:
-            self._has_slot = False
             self._desk.pause(self._ticket)
+            self._pools.note_idle(self._connection, True)
             return outcome
         self._release_slot()
         self._closed = True
@@ -241,8 +243,9 @@
             )
             if problem is not None:
                 return Outcome(problem=problem)
-        permit = self._permits.of(self._route.member)
-        age = length = timedelta()
+        # Whether it is still valid is for the entry side to see, just before the answer leaves.
+        permit = self._permits.newest(self._desk.database)
+        age = length = NO_TIME
         if permit is not None and permit.term == status.term:
             age = self._received_at - permit.probe_sent
             length = permit.length
@@ -309,7 +312,6 @@
 
     def _release_slot(self) -> None:
         if self._ticket is not None:
-            self._has_slot = False
             self._desk.leave(self._ticket)
 
 
--- a/packages/daemon/bramleyrill_daemon/_locks.py
+++ b/packages/daemon/bramleyrill_daemon/_locks.py
@@ -21,6 +21,10 @@
 TAKE_SHARED = f"SELECT pg_try_advisory_lock_shared({POOL_KEY})"
 
 
+class LockHeldError(Exception):
+    """Another holder has the lock, or connections of it are left."""
+
+
 def _is_true(rows: list[list[str | None]]) -> bool:
     return bool(rows) and rows[0][0] in ("t", "true", "1")
 
@@ -33,7 +37,7 @@
     """Take E on a new control connection and prove that no pool of an earlier holder is left.
 
     `evict` ends the backends of the earlier holder. Raise OSError or UpstreamError when the
-    member cannot be asked, LookupError when another holder has the locks.
+    member cannot be asked, LockHeldError when another holder has the locks.
     """
     connection = UpstreamConnection.dial(login, DIAL_TIMEOUT)
     try:
@@ -51,19 +55,19 @@
     take_holder = f"SELECT pg_try_advisory_lock({HOLDER_KEY})"
     if not _is_true(ask(take_holder)):
         if not evict:
-            raise LookupError("another holder has the lock")
+            raise LockHeldError("another holder has the lock")
         _end_backends(connection, member, HOLDER_PIDS)
         if not _is_true(ask(take_holder)):
-            raise LookupError("the lock was not released")
+            raise LockHeldError("the lock was not released")
     take_pool = f"SELECT pg_try_advisory_lock({POOL_KEY})"
     if not _is_true(ask(take_pool)):
         # E is ours, so whoever holds S belongs to a holder that has lost its control connection
         # and must close its pool; only a dead one is not waited for.
         if not evict:
-            raise LookupError("connections of another holder are left")
+            raise LockHeldError("connections of another holder are left")
         _end_backends(connection, member, POOL_PIDS)
         if not _is_true(ask(take_pool)):
-            raise LookupError("connections of another holder were not closed")
+            raise LockHeldError("connections of another holder were not closed")
     ask(f"SELECT pg_advisory_unlock({POOL_KEY})")
 
 
--- a/packages/daemon/bramleyrill_daemon/_member.py
+++ b/packages/daemon/bramleyrill_daemon/_member.py
@@ -3,9 +3,16 @@
 import itertools
 from datetime import timedelta
 
-from attrs import frozen
 from bramleyrill_base import ErrorKind, Problem
-from bramleyrill_core import DatabaseId, MemberId, MemberStatus, Rank, World
+from bramleyrill_core import (
+    DatabaseId,
+    MemberId,
+    MemberStatus,
+    Rank,
+    World,
+    fleet_of,
+    service_of,
+)
 from bramleyrill_core.admission import (
     AdmissionQueue,
     Queued,
@@ -23,20 +30,11 @@
 CANCELED = Problem(ErrorKind.CANCELED)
 
 
-@frozen
-class Ticket:
-    """A request's place in the queue: its id there, its class and its deadline."""
-
-    id: int
-    work_class: WorkClass
-    deadline: timedelta
-
-
 class MemberDesk:
     """Admit requests to one member and wake those that wait.
 
     `admit` and `readmit` block until the request has a slot; they return None, or the problem
-    for which it did not run. `leave` gives the slot back.
+    for which it did not run, and whether the request had to wait. `leave` gives the slot back.
     """
 
     def __init__(self, world: World, member: MemberId, database: DatabaseId) -> None:
@@ -45,6 +43,8 @@
         self._world = world
         self._queue = AdmissionQueue(policy_for_member(world.text, member), world.clock)
         self._ids = itertools.count(1)
+        fleet, service = fleet_of(member), service_of(member)
+        self._classes = {rank: WorkClass(fleet, service, rank) for rank in Rank}
         self._waiting: dict[int, AsyncResult] = {}
         self._status_row = b""
         self._status: MemberStatus | None = None
@@ -54,27 +54,27 @@
         """Tell whether any request has a slot or waits for one."""
         return bool(self._queue.in_flight or self._queue.waiting)
 
-    def ticket(self, fleet: str, service: str, rank: Rank, deadline: timedelta) -> Ticket:
+    def ticket(self, rank: Rank, deadline: timedelta) -> Request:
         """Return a new place for a request."""
-        return Ticket(next(self._ids), WorkClass(fleet, service, rank), deadline)
+        return Request(next(self._ids), self._classes[rank], deadline)
 
-    def admit(self, ticket: Ticket) -> Problem | None:
+    def admit(self, ticket: Request) -> tuple[Problem | None, bool]:
         """Wait for a slot for a new request."""
-        return self._wait(self._queue.offer(Request(ticket.id, ticket.work_class, ticket.deadline)))
+        return self._wait(self._queue.offer(ticket))
 
-    def readmit(self, ticket: Ticket, deadline: timedelta) -> Problem | None:
+    def readmit(self, ticket: Request, deadline: timedelta) -> tuple[Problem | None, bool]:
         """Wait for a slot for the next statement of a transaction."""
-        return self._wait(self._queue.resume(Request(ticket.id, ticket.work_class, deadline)))
+        return self._wait(self._queue.resume(ticket._replace(deadline=deadline)))
 
-    def pause(self, ticket: Ticket) -> None:
+    def pause(self, ticket: Request) -> None:
         """Give the slot back while a transaction is idle."""
         self._wake(self._queue.pause(ticket.id))
 
-    def leave(self, ticket: Ticket) -> None:
+    def leave(self, ticket: Request) -> None:
         """Give the slot back for good."""
         self._wake(self._queue.finish(ticket.id))
 
-    def withdraw(self, ticket: Ticket) -> None:
+    def withdraw(self, ticket: Request) -> None:
         """Take a request out of the queue; its waiting greenlet gets CANCELED."""
         self._wake(self._queue.withdraw(ticket.id))
         waiting = self._waiting.pop(ticket.id, None)
@@ -92,14 +92,14 @@
             self._status_row = row
         return self._status
 
-    def _wait(self, outcome: Started | Queued | Refused) -> Problem | None:
-        if isinstance(outcome, Started):
-            return None
-        if isinstance(outcome, Refused):
-            return outcome.problem
+    def _wait(self, outcome: Started | Queued | Refused) -> tuple[Problem | None, bool]:
+        if type(outcome) is Started:
+            return None, False
+        if type(outcome) is Refused:
+            return outcome.problem, False
         waiting = self._waiting[outcome.id] = AsyncResult()
         try:
-            return waiting.get()
+            return waiting.get(), True
         finally:
             self._waiting.pop(outcome.id, None)
 
--- a/packages/daemon/bramleyrill_daemon/_permits.py
+++ b/packages/daemon/bramleyrill_daemon/_permits.py
@@ -11,6 +11,7 @@
 from bramleyrill_core.routing import RoutingTables
 from bramleyrill_core.succession import (
     Permit,
+    SuccessionTables,
     holds_writes,
     needs_second_member,
     permit_for,
@@ -64,6 +65,11 @@
         known = self.world.tables(RoutingTables).primaries.get(database)
         return permit if known is not None and known.member == member else None
 
+    def newest(self, database: DatabaseId) -> Permit | None:
+        """Return the newest permit of a database, valid or not."""
+        group = self.world.tables(SuccessionTables).groups.by_id.get(database)
+        return group.permit if group is not None else None
+
     def note_fenced(self, member: MemberId, status: MemberStatus) -> None:
         """Remember that a member reported a term in which it is not the primary."""
         earlier = self._fenced_terms.get(member, 0)
--- a/packages/daemon/bramleyrill_daemon/_pool.py
+++ b/packages/daemon/bramleyrill_daemon/_pool.py
@@ -1,313 +1,260 @@
-"""Pooled connections to one member: the holder's lock, dials, leases, resets."""
+"""Pooled connections: the core decides which, this module opens, checks and closes them."""
 
-import random
+import itertools
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
 import gevent
-from attrs import define
-from bramleyrill_base import Clock, ErrorKind, Problem, log_event
+from absl import logging
+from bramleyrill_base import ErrorKind, Problem, log_event
 from bramleyrill_core import MemberId
+from bramleyrill_core.pools import (
+    CloseConnection,
+    ConnectionId,
+    ConnectionLost,
+    ControlLost,
+    Dial,
+    DialFailed,
+    DialSucceeded,
+    LockRefused,
+    LockTaken,
+    ReleaseLock,
+    TakeLock,
+    give_back,
+    lease,
+    note_transaction_idle,
+)
 from gevent.event import AsyncResult
-
-from bramleyrill_daemon._locks import join_pool, reset_connection, still_holds, take_holder_lock
+from returns.result import Success
+
+from bramleyrill_daemon._locks import (
+    LockHeldError,
+    join_pool,
+    reset_connection,
+    still_holds,
+    take_holder_lock,
+)
+from bramleyrill_daemon._shell import Shell, carries_out
 from bramleyrill_daemon._upstream import UpstreamConnection, UpstreamError, UpstreamLogin
 
 DIAL_TIMEOUT = timedelta(seconds=2)
-# More at once would keep a member that comes back busy with log-ins.
-MAX_DIALS = 4
-LOCK_RETRY = timedelta(milliseconds=200)
-LOCK_CHECK = timedelta(milliseconds=500)
-BACKOFF_FIRST = timedelta(milliseconds=50)
-BACKOFF_LAST = timedelta(seconds=2)
-# Membership needs 4.5 s to call a VM dead. A lock that is refused for longer is in the hands of a
-# holder that this VM's view does not know, or of connections that went silent.
-EVICT_AFTER = timedelta(seconds=6)
-_RETRY_HINT = timedelta(milliseconds=100)
-
-
-@define
-class PoolLimits:
-    """Bounds of a pool: connections in all, and how many are kept idle."""
-
-    connections: int
-    warm: int
-
-
-class MemberPool:
-    """Connections to one member, usable while this VM holds the member's lock.
-
-    `hold` takes the lock and keeps it until `release`. `lease` blocks until a connection is
-    free; `give_back` or `discard` ends the lease.
-    """
-
-    def __init__(
-        self,
-        member: MemberId,
-        login: Callable[[], UpstreamLogin],
-        limits: PoolLimits,
-        clock: Clock,
-        may_evict: Callable[[], bool] = lambda: False,
-    ) -> None:
-        self.member = member
-        self.limits = limits
-        self.wanted = False
-        self.leased: set[UpstreamConnection] = set()
-        self._login = login
-        self._clock = clock
-        self._may_evict = may_evict
-        self._control: UpstreamConnection | None = None
-        self._idle: list[UpstreamConnection] = []
-        self._waiters: deque[AsyncResult] = deque()
-        self._dialing = 0
-        self._resetting = 0
-        self._lock_pause = LOCK_RETRY
-        self._backoff = timedelta()
-        self._not_before = timedelta()
-        self._keeper: gevent.Greenlet | None = None
-
-    @property
-    def held(self) -> bool:
-        """Tell whether this VM has the member's lock, as far as it knows."""
-        return self._control is not None
-
-    @property
-    def total(self) -> int:
-        """Return how many connections are open or being opened, without the control connection."""
-        return len(self._idle) + len(self.leased) + self._dialing + self._resetting
+# E is checked this often; a member whose control connection is silent has its pool closed, so
+# that statements in flight there get their outcome.
+CONTROL_CHECK = timedelta(milliseconds=500)
+_HINT = timedelta(milliseconds=100)
 
-    def hold(self) -> None:
-        """Take the member's lock as soon as it can be had, and keep connections warm."""
-        self.wanted = True
-        if self._keeper is None or self._keeper.dead:
-            self._keeper = gevent.spawn(self._keep)
 
-    def release(self) -> None:
-        """Let leased connections finish, then close all of them and give the lock up."""
-        self.wanted = False
-        self._fail_waiters()
-        self._close_idle()
-
-    def close(self) -> None:
-        """Close everything at once."""
-        self.release()
-        if self._keeper is not None:
-            self._keeper.kill(block=False)
-        self._drop_all("stopping")
+class PoolShell:
+    """Open connections by the core's ids, and the control connections that hold the locks."""
+
+    def __init__(self, shell: Shell, login_of: Callable[[MemberId], UpstreamLogin]) -> None:
+        self.connections: dict[ConnectionId, UpstreamConnection] = {}
+        self.controls: dict[MemberId, UpstreamConnection] = {}
+        self._shell = shell
+        self._world = shell.world
+        self._login_of = login_of
+        self._ids = itertools.count(1)
+        self._waiters: dict[MemberId, deque[AsyncResult]] = {}
+        self._tick = 0
 
-    def lease(self, deadline: timedelta) -> UpstreamConnection | Problem:
-        """Return a connection, or the problem for which there is none before the deadline."""
+    def lease(self, member: MemberId, deadline: timedelta) -> UpstreamConnection | Problem:
+        """Return a connection to a member, or the problem for which there is none in time."""
         while True:
-            while self._idle:
-                connection = self._idle.pop()
-                if not connection.has_unread():
-                    self.leased.add(connection)
+            found = lease(self._world, member)
+            if isinstance(found, Success):
+                connection = self.connections[found.unwrap()]
+                # What was given back a moment ago is not asked again; that saves a system call.
+                if connection.idle_tick == self._tick or not connection.has_unread():
                     return connection
-                log_event("upstream_closed_idle", member=self.member)
-                connection.close()
-            if not self.wanted:
-                return Problem(ErrorKind.NOT_RUN_UNREACHABLE, self.member, _RETRY_HINT)
-            left = (deadline - self._clock.monotonic()).total_seconds()
-            if left <= 0:
-                kind = ErrorKind.NOT_RUN_DEADLINE if self.held else ErrorKind.NOT_RUN_UNREACHABLE
-                return Problem(kind, f"no connection to {self.member}", _RETRY_HINT)
-            self._wait(left)
+                self.discard(connection, "closed_while_idle")
+                continue
+            problem = found.failure()
+            left = (deadline - self._world.clock.monotonic()).total_seconds()
+            if problem.kind is ErrorKind.NOT_RUN_DRAINING or left <= 0:
+                return problem
+            self._wait(member, left)
 
     def give_back(self, connection: UpstreamConnection, rollback: bool, reset: bool) -> None:
         """End a lease; a connection to be reset is idle only once that is done."""
-        if connection not in self.leased:
+        if connection.id not in self.connections:
             return
         if rollback or reset:
-            self.leased.discard(connection)
-            self._resetting += 1
             gevent.spawn(self._reset, connection, rollback)
         else:
-            self.leased.discard(connection)
-            self._offer(connection)
+            self._return(connection, True)
 
     def discard(self, connection: UpstreamConnection, reason: str) -> None:
         """End a lease by closing the connection."""
-        self.leased.discard(connection)
-        if not connection.closed:
-            log_event("upstream_discarded", member=self.member, reason=reason)
-            connection.close()
-        self._dial_if_needed()
-
-    def _wait(self, seconds: float) -> None:
-        waiter: AsyncResult = AsyncResult()
-        self._waiters.append(waiter)
-        self._dial_if_needed()
-        try:
-            waiter.get(timeout=seconds)
-        except gevent.Timeout:
-            pass
-        finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-            elif self._idle:
-                # Woken and gone: the connection is for the next one.
-                self._wake()
-
-    def _wake(self) -> None:
-        if self._waiters:
-            self._waiters.popleft().set(None)
-
-    def _fail_waiters(self) -> None:
-        while self._waiters:
-            self._wake()
-
-    def _offer(self, connection: UpstreamConnection) -> None:
-        if not self.held or not self.wanted:
-            connection.close()
+        if self.connections.pop(connection.id, None) is None:
             return
-        self._idle.append(connection)
-        self._wake()
+        log_event("upstream_discarded", member=connection.member, reason=reason)
+        connection.close()
+        self._shell.feed(ConnectionLost(connection.id))
+
+    def note_idle(self, connection: UpstreamConnection, idle: bool) -> None:
+        """Note that a leased connection is in a transaction without a statement, or has one."""
+        note_transaction_idle(self._world, connection.id, idle)
+
+    def after_tick(self) -> None:
+        """Begin a new tick; those that wait ask again, since a pool may have closed or opened."""
+        self._tick += 1
+        for member in list(self._waiters):
+            self._wake(member, everyone=True)
+
+    def check_controls(self) -> None:
+        """Check for ever that the locks are still held."""
+        while True:
+            gevent.sleep(CONTROL_CHECK.total_seconds())
+            for member, control in list(self.controls.items()):
+                gevent.spawn(self._check_control, member, control)
 
-    def _reset(self, connection: UpstreamConnection, rollback: bool) -> None:
-        control = self._control
-        try:
-            clean = control is not None and reset_connection(connection, rollback, control.pid)
-        except (OSError, UpstreamError) as error:
-            log_event("upstream_reset_failed", member=self.member, error=error)
-            clean = False
-        finally:
-            self._resetting -= 1
-        if clean and control is self._control:
-            self._offer(connection)
-        else:
+    def close(self) -> None:
+        """Close everything at once; the members release the locks."""
+        for connection in [*self.connections.values(), *self.controls.values()]:
             connection.close()
-            self._dial_if_needed()
+        self.connections.clear()
+        self.controls.clear()
 
-    def _dial_if_needed(self) -> None:
-        if not self.held or not self.wanted or self._clock.monotonic() < self._not_before:
-            return
-        idle = len(self._idle) + self._dialing + self._resetting
-        missing = max(self.limits.warm, len(self._waiters)) - idle
-        free = min(self.limits.connections - self.total, MAX_DIALS - self._dialing)
-        for _ in range(min(missing, free)):
-            self._dialing += 1
-            gevent.spawn(self._dial)
-
-    def _dial(self) -> None:
-        control = self._control
+    def dial(self, member: MemberId) -> None:
+        """Open a pooled connection."""
+        control = self.controls.get(member)
         connection = None
+        lock_lost = True
         try:
-            connection = UpstreamConnection.dial(self._login(), DIAL_TIMEOUT)
-            if control is None or not join_pool(connection, control.pid):
-                raise ConnectionError("the holder's lock is gone")
+            if control is not None:
+                connection = UpstreamConnection.dial(self._login_of(member), DIAL_TIMEOUT)
+                lock_lost = not join_pool(connection, control.pid)
         except (OSError, UpstreamError, KeyError) as error:
-            log_event("upstream_dial_failed", member=self.member, error=error)
-            self._dialing -= 1
+            log_event("upstream_dial_failed", member=member, error=error)
+            lock_lost = False
             if connection is not None:
                 connection.close()
-            self._back_off()
+            connection = None
+        if connection is None or lock_lost or control is not self.controls.get(member):
+            if connection is not None:
+                connection.close()
+            self._shell.feed(DialFailed(member, lock_lost))
             return
-        self._dialing -= 1
-        self._backoff = timedelta()
-        if control is not self._control:
+        connection.id = ConnectionId(next(self._ids))
+        connection.member = member
+        self.connections[connection.id] = connection
+        self._shell.feed(DialSucceeded(member, connection.id))
+        self._wake(member)
+
+    def close_connection(self, number: ConnectionId) -> None:
+        """Close a pooled connection that the core gives up."""
+        connection = self.connections.pop(number, None)
+        if connection is not None:
             connection.close()
-            return
-        self._offer(connection)
-        self._dial_if_needed()
+        self._shell.feed(ConnectionLost(number))
 
-    def _back_off(self) -> None:
-        self._backoff = min(max(self._backoff * 2, BACKOFF_FIRST), BACKOFF_LAST)
-        wait = self._backoff * random.uniform(0.5, 1.0)
-        self._not_before = self._clock.monotonic() + wait
-
-    def _close_idle(self) -> None:
-        while self._idle:
-            self._idle.pop().close()
-
-    def _drop_all(self, reason: str) -> None:
-        """Close the pool and the control connection, whose end releases the lock."""
-        if self._control is None:
+    def take_lock(self, member: MemberId, evict: bool) -> None:
+        """Take the member's lock on a new control connection."""
+        earlier = self.controls.pop(member, None)
+        if earlier is not None:
+            earlier.close()
+        try:
+            control = take_holder_lock(self._login_of(member), member, evict)
+        except LockHeldError as error:
+            log_event("holder_lock_refused", member=member, reason=error)
+        except (OSError, UpstreamError, KeyError) as error:
+            log_event("holder_lock_failed", level=logging.DEBUG, member=member, error=error)
+        else:
+            self.controls[member] = control
+            log_event("holder_lock_taken", member=member, pid=control.pid)
+            self._shell.feed(LockTaken(member))
             return
-        log_event("holder_lock_dropped", member=self.member, reason=reason)
-        # Pooled connections go first: as long as one is open, its S tells the next holder.
-        self._close_idle()
-        for connection in list(self.leased):
-            connection.close()
-        self.leased.clear()
-        self._control.close()
-        self._control = None
+        self._shell.feed(LockRefused(member))
 
-    def _keep(self) -> None:
-        """Take the lock, check it and keep connections warm until it is given up."""
-        refused_since = None
-        while True:
-            if self._control is None:
-                if not self.wanted:
-                    return
-                now = self._clock.monotonic()
-                if self._take(refused_since is not None and now - refused_since >= EVICT_AFTER):
-                    refused_since = None
-                    continue
-                refused_since = refused_since or now
-                self._lock_pause = min(self._lock_pause * 1.5, BACKOFF_LAST)
-                gevent.sleep(self._lock_pause.total_seconds() * random.uniform(0.75, 1.25))
-                continue
-            if not self.wanted and not self.leased and not self._resetting:
-                self._drop_all("released")
-                return
-            self._check()
-            self._dial_if_needed()
-            gevent.sleep((LOCK_RETRY if not self.wanted else LOCK_CHECK).total_seconds())
+    def release_lock(self, member: MemberId) -> None:
+        """Give the lock up with its control connection."""
+        control = self.controls.pop(member, None)
+        if control is not None:
+            control.close()
+            log_event("holder_lock_released", member=member)
 
-    def _take(self, evict: bool) -> bool:
+    def _check_control(self, member: MemberId, control: UpstreamConnection) -> None:
+        if control.checking:
+            return
+        control.checking = True
         try:
-            control = take_holder_lock(self._login(), self.member, evict or self._may_evict())
-        except (OSError, UpstreamError, KeyError) as error:
-            log_event("holder_lock_failed", member=self.member, error=error)
-            return False
-        except LookupError as error:
-            log_event("holder_lock_refused", member=self.member, reason=error)
-            return False
-        self._control = control
-        self._lock_pause = LOCK_RETRY
-        log_event("holder_lock_taken", member=self.member, pid=control.pid)
-        self._dial_if_needed()
-        return True
+            lost = not still_holds(control)
+            reason = "taken by another holder"
+        except (OSError, UpstreamError) as error:
+            lost, reason = True, f"control connection failed: {error}"
+        finally:
+            control.checking = False
+        if not lost or self.controls.get(member) is not control:
+            return
+        log_event("holder_lock_lost", member=member, reason=reason)
+        # The connections go before the lock is asked for again: while one is open, its S keeps
+        # the next holder out. Their statements cannot be waited for, as the member may be silent.
+        for connection in [c for c in self.connections.values() if c.member == member]:
+            self.discard(connection, "holder_lock_lost")
+        del self.controls[member]
+        control.close()
+        self._shell.feed(ControlLost(member))
 
-    def _check(self) -> None:
+    def _reset(self, connection: UpstreamConnection, rollback: bool) -> None:
+        control = self.controls.get(connection.member)
         try:
-            if not still_holds(self._control):
-                self._drop_all("lost")
+            clean = control is not None and reset_connection(connection, rollback, control.pid)
         except (OSError, UpstreamError) as error:
-            self._drop_all(f"control connection failed: {error}")
+            log_event("upstream_reset_failed", member=connection.member, error=error)
+            clean = False
+        if connection.id in self.connections:
+            self._return(connection, clean)
+
+    def _return(self, connection: UpstreamConnection, clean: bool) -> None:
+        connection.idle_tick = self._tick
+        effects = give_back(self._world, connection.id, clean)
+        if effects:
+            self._shell.carry_out(effects)
+        if self._waiters:
+            self._wake(connection.member)
 
+    def _wait(self, member: MemberId, seconds: float) -> None:
+        waiter: AsyncResult = AsyncResult()
+        waiters = self._waiters.setdefault(member, deque())
+        waiters.append(waiter)
+        try:
+            waiter.get(timeout=seconds)
+        except gevent.Timeout:
+            pass
+        finally:
+            if waiter in waiters:
+                waiters.remove(waiter)
+            if not waiters and self._waiters.get(member) is waiters:
+                del self._waiters[member]
+
+    def _wake(self, member: MemberId, everyone: bool = False) -> None:
+        waiters = self._waiters.get(member)
+        while waiters:
+            waiters.popleft().set(None)
+            if not everyone:
+                return
 
-class PoolShell:
-    """The pools of the members that this VM holds."""
 
-    def __init__(self) -> None:
-        self.by_member: dict[MemberId, MemberPool] = {}
-        self._member_of: dict[UpstreamConnection, MemberPool] = {}
+@carries_out(Dial)
+def carry_out_dial(shell: Shell, effect: Dial) -> None:
+    """Open a pooled connection."""
+    gevent.spawn(shell.part(PoolShell).dial, effect.member)
 
-    def lease(self, member: MemberId, deadline: timedelta) -> UpstreamConnection | Problem:
-        """Return a connection to a member, or the problem for which there is none."""
-        pool = self.by_member.get(member)
-        if pool is None:
-            return Problem(ErrorKind.NOT_RUN_UNREACHABLE, member, _RETRY_HINT)
-        found = pool.lease(deadline)
-        if not isinstance(found, Problem):
-            self._member_of[found] = pool
-        return found
 
-    def give_back(self, connection: UpstreamConnection, rollback: bool, reset: bool) -> None:
-        """End a lease."""
-        pool = self._member_of.pop(connection, None)
-        if pool is not None:
-            pool.give_back(connection, rollback, reset)
+@carries_out(CloseConnection)
+def carry_out_close(shell: Shell, effect: CloseConnection) -> None:
+    """Close a pooled connection."""
+    shell.part(PoolShell).close_connection(effect.id)
 
-    def discard(self, connection: UpstreamConnection, reason: str) -> None:
-        """End a lease by closing the connection."""
-        pool = self._member_of.pop(connection, None)
-        if pool is not None:
-            pool.discard(connection, reason)
 
-    def close(self) -> None:
-        """Close every pool at once."""
-        for pool in self.by_member.values():
-            pool.close()
+@carries_out(TakeLock)
+def carry_out_take(shell: Shell, effect: TakeLock) -> None:
+    """Take the lock of a member."""
+    gevent.spawn(shell.part(PoolShell).take_lock, effect.member, effect.evict)
+
+
+@carries_out(ReleaseLock)
+def carry_out_release(shell: Shell, effect: ReleaseLock) -> None:
+    """Release the lock of a member."""
+    shell.part(PoolShell).release_lock(effect.member)
--- a/packages/daemon/bramleyrill_daemon/_process.py
+++ b/packages/daemon/bramleyrill_daemon/_process.py
@@ -7,19 +7,18 @@
 from typing import Any
 
 import gevent
-from absl import logging
 from bramleyrill_base import SystemClock, log_event
 from bramleyrill_core import VmId, World
-from bramleyrill_core.membership import ListedVm, VmsListed, announce_leaving, announce_left
+from bramleyrill_core.membership import ListedVm, VmsListed
 from bramleyrill_core.succession import probe_replicas
 from bramleyrill_wire.peers import frames
-from gevent.event import Event
 
 from bramleyrill_daemon import _membership, _status, _succession  # noqa: F401 (they register)
 from bramleyrill_daemon._accounting import Accounting, metrics_of
 from bramleyrill_daemon._configuration import poll_list, poll_secrets, watch_text
 from bramleyrill_daemon._control import ControlLines
 from bramleyrill_daemon._credentials import Credentials
+from bramleyrill_daemon._drain import Drainer
 from bramleyrill_daemon._frames import frame_taker, takes
 from bramleyrill_daemon._holder import HolderExecutor
 from bramleyrill_daemon._members import HeldMembers
@@ -37,7 +36,7 @@
 from bramleyrill_daemon._spans import SpanStore
 from bramleyrill_daemon.front import Front
 
-DRAIN_LOOK = timedelta(milliseconds=50)
+LAST_FRAMES = timedelta(milliseconds=50)
 SEED_INTERVAL = timedelta(seconds=2)
 # Collections of the oldest generation walk every session; most garbage here is freed by counts.
 GC_THRESHOLDS = (20_000, 50, 100)
@@ -51,7 +50,6 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self._stop = Event()
         self._greenlets: list[gevent.Greenlet] = []
         clock = SystemClock()
         # The port is bound first, since the identity tells it to the peers.
@@ -61,9 +59,9 @@
         shell.add(PlatformClient(settings.platform))
         shell.add(ObjectReader(shell))
         credentials = shell.add(Credentials(self._world, settings.upstream_authority))
-        pools = shell.add(PoolShell())
+        pools = shell.add(PoolShell(shell, credentials.login))
         shell.add(ControlLines(credentials.login, clock))
-        self._members = shell.add(HeldMembers(self._world, pools, credentials))
+        self._members = shell.add(HeldMembers(self._world))
         self._permits = shell.add(
             PermitDesk(
                 self._world,
@@ -87,6 +85,7 @@
         executors = Executors(self._world.identity.id, local, remote)
         tls = server_context(settings.caller_tls)
         accounting = shell.add(Accounting(self._world, metrics_of(settings)))
+        self._drainer = shell.add(Drainer(shell))
         self._front = shell.add(Front(self._world, executors, tls=tls, record=accounting.record))
 
     def start(self) -> None:
@@ -96,51 +95,37 @@
         self._world.identity = self._net.identity = settings.identity(port)
         host, caller_port = self._front.start(*settings.caller_listen)
         shell = self._shell
-        shell.after_tick(self._members.tick)
+        shell.after_tick(self._members.after_tick)
+        shell.after_tick(shell.part(PoolShell).after_tick)
+        shell.after_tick(self._drainer.after_tick)
         shell.after_tick(self._net.close_surplus)
         for loop in (watch_text, poll_list, poll_secrets):
             self._greenlets.append(gevent.spawn(run_for_ever, loop, shell))
         self._greenlets.append(gevent.spawn(run_for_ever, SpanStore.run, self._spans))
+        pools = shell.part(PoolShell)
+        self._greenlets.append(gevent.spawn(run_for_ever, PoolShell.check_controls, pools))
         self._greenlets.append(gevent.spawn(self._greet_seeds))
         self._greenlets.append(gevent.spawn(shell.run))
         log_event("started", vm=settings.id, callers=f"{host}:{caller_port}", peer_port=port)
 
     def run(self) -> int:
         """Serve until a signal or `stop`, then stop gracefully; return the exit code."""
-        gevent.signal_handler(signal.SIGTERM, self._stop.set)
-        gevent.signal_handler(signal.SIGINT, self._stop.set)
+        gevent.signal_handler(signal.SIGTERM, self.stop)
+        gevent.signal_handler(signal.SIGINT, self.stop)
         self.start()
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
-        self._stop.wait()
-        clean = self.drain()
-        log_event("stopped", clean=clean)
+        self._drainer.exit.wait()
+        # The last frames tell the peers that this VM has left.
+        gevent.sleep(LAST_FRAMES.total_seconds())
+        log_event("stopped", sessions=len(self._front.sessions))
+        self.close()
         return 0
 
     def stop(self) -> None:
         """Begin the graceful stop."""
-        self._stop.set()
-
-    def drain(self) -> bool:
-        """Leave without cutting off a request; tell whether all ended within the drain timeout."""
-        log_event("draining", sessions=len(self._front.sessions))
-        until = self._world.clock.monotonic() + self._world.text.drain_timeout
-        self._permits.draining = True
-        self._shell.carry_out(announce_leaving(self._world))
-        self._members.release_all()
-        self._front.drain()
-        clean = False
-        while not clean and self._world.clock.monotonic() < until:
-            gevent.sleep(DRAIN_LOOK.total_seconds())
-            streams = sum(len(link.streams) for link in self._net.links.values())
-            clean = not self._front.sessions and not streams and self._members.is_empty
-        if not clean:
-            log_event("drain_timeout", level=logging.WARNING, sessions=len(self._front.sessions))
-        self._shell.carry_out(announce_left(self._world))
-        gevent.sleep(DRAIN_LOOK.total_seconds())
-        self.close()
-        return clean
+        self._drainer.stop()
 
     def close(self) -> None:
         """Cut off everything that is left."""
--- a/packages/daemon/bramleyrill_daemon/_served.py
+++ b/packages/daemon/bramleyrill_daemon/_served.py
@@ -20,7 +20,7 @@
 
 
 class ServedStream:
-    """Serve one stream that a peer opened."""
+    """Serve one stream that a peer opened; `busy` while a request of it is in progress."""
 
     __slots__ = (
         "_credit",
@@ -32,6 +32,7 @@
         "_number",
         "_request_number",
         "_taken",
+        "busy",
     )
 
     def __init__(self, link: PeerLink, number: int) -> None:
@@ -44,6 +45,7 @@
         self._credit_came: Event | None = None
         self._taken = 0
         self._ended = False
+        self.busy = True
 
     def run(self, executor: Executor, frame: Any) -> None:
         """Serve requests until the transaction ends or the peer gives up."""
@@ -54,9 +56,11 @@
                 self._feed(frame)
                 if not self._answer():
                     return
+                self.busy = False
                 frame = self._inbox.get()
                 if frame is None:
                     return
+                self.busy = True
         except (ExchangeClosed, PeerLostError):
             pass
         except ValueError as error:
--- a/packages/daemon/bramleyrill_daemon/_upstream.py
+++ b/packages/daemon/bramleyrill_daemon/_upstream.py
@@ -70,7 +70,13 @@
     """
 
     def __init__(self, sock: socket.socket, login: UpstreamLogin) -> None:
+        self.id = 0
+        self.member = ""
+        self.idle_tick = -1
+        self.checking = False
         self.sock = sock
+        # TLS has a state machine of its own, so only plain sockets are used directly.
+        self._raw = sock._sock if type(sock) is socket.socket else None
         self.login = login
         self.pid = 0
         self.secret = 0
@@ -124,6 +130,36 @@
             raise error
         return rows
 
+    def send(self, data: bytes) -> None:
+        """Send all of `data`; usually that is one system call and no switch of greenlets."""
+        if self._raw is None or self.closed:
+            self.sock.sendall(data)
+            return
+        try:
+            sent = self._raw.send(data)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(data):
+            self.sock.sendall(memoryview(data)[sent:])
+
+    def receive(self) -> bytes:
+        """Wait for data and return it; empty at the end of the connection.
+
+        The answer to a statement is not there yet when it is first asked for, so this waits
+        before it reads instead of reading in vain.
+        """
+        sock = self.sock
+        if self._raw is None:
+            return sock.recv(READ_BYTES)
+        while True:
+            if self.closed:
+                raise ConnectionError("connection was closed")
+            sock._wait(sock._read_event)
+            try:
+                return self._raw.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+
     def has_unread(self) -> bool:
         """Tell whether the upstream closed an idle connection or sent something unasked."""
         if self._received:
--- a/tests/holder/test_holder.py
+++ b/tests/holder/test_holder.py
@@ -6,15 +6,19 @@
 import gevent
 from bramleyrill_base import ErrorKind, SystemClock
 from bramleyrill_core import NO_MARK, Mark, Rank, StatementClass
+from bramleyrill_core.membership import MembershipTables
+from bramleyrill_core.pools import RESERVED_CONNECTIONS, Pool, PoolTables, run_pools
 from bramleyrill_core.routing import KnownPrimary, Route, RoutingTables
 from bramleyrill_core.succession import Permit, SuccessionTables
 from bramleyrill_core.succession._tables import Group
+from bramleyrill_core.text import Limits
 from bramleyrill_daemon._answers import STATUS_SQL
 from bramleyrill_daemon._exchange import Chunk, ExchangeClosed, Request
 from bramleyrill_daemon._holder import HolderExecutor
 from bramleyrill_daemon._member import MemberDesk
 from bramleyrill_daemon._permits import PermitDesk
-from bramleyrill_daemon._pool import MemberPool, PoolLimits, PoolShell
+from bramleyrill_daemon._pool import PoolShell
+from bramleyrill_daemon._shell import Shell
 from bramleyrill_daemon._upstream import UpstreamLogin
 from bramleyrill_wire import postgres as pg
 
@@ -37,16 +41,29 @@
         self.upstream = FakeUpstream(run)
         self.addCleanup(self.upstream.close)
         login = UpstreamLogin("127.0.0.1", self.upstream.port, "main", "proxy", "")
-        self.pools = PoolShell()
-        pool = MemberPool(MEMBERS[0], lambda: login, PoolLimits(connections, 0), self.world.clock)
-        self.pools.by_member[MEMBERS[0]] = pool
-        pool.hold()
+        shell = Shell(self.world)
+        self.pools = PoolShell(shell, lambda member: login)
+        shell.add(self.pools)
+        limits = Limits(connections + RESERVED_CONNECTIONS, 1, ms(1))
+        self.pool = Pool(MEMBERS[0], limits)
+        self.world.tables(PoolTables).pools.add(MEMBERS[0], self.pool)
+        ticks = gevent.spawn(self.run_pools, shell)
+        self.addCleanup(ticks.kill)
         self.addCleanup(self.pools.close)
         self.desk = MemberDesk(self.world, MEMBERS[0], DATABASE)
         self.permits = PermitDesk(self.world)
         self.grant()
         return HolderExecutor(lambda member: self.desk, self.pools, self.permits)
 
+    def run_pools(self, shell):
+        tables = self.world.tables(PoolTables)
+        while True:
+            tables.seen_version = self.world.tables(MembershipTables).version
+            tables.seen_text = self.world.text
+            shell.carry_out(run_pools(self.world))
+            self.pools.after_tick()
+            gevent.sleep(0.002)
+
     def grant(self, length=LONG):
         spec = self.world.text.databases[DATABASE]
         group = Group(spec, ms(0), {}, {})
@@ -150,7 +167,8 @@
         gevent.spawn_later(0.01, exchange.close)
         with self.assertRaises(ExchangeClosed):
             exchange.receive()
-        self.assertFalse(self.pools.by_member[MEMBERS[0]].leased)
+        gevent.sleep(0.05)
+        self.assertEqual(self.pool.connections, set(self.pool.idle))
         self.assertFalse(self.desk.in_use)
 
     def test_connections_never_exceed_their_number(self):
