--- a/packages/daemon/bramleyrill_daemon/_drain.py
+++ b/packages/daemon/bramleyrill_daemon/_drain.py
@@ -1,7 +1,7 @@
 """The graceful stop: what the core needs to know, and what it orders."""
 
 import gevent
-from bramleyrill_base import ErrorKind, Problem, log_event
+from bramleyrill_base import log_event
 from bramleyrill_core.drain import (
     CloseSession,
     EndIdleTransactions,
@@ -20,7 +20,6 @@
 from bramleyrill_daemon._served import ServedStream
 from bramleyrill_daemon._shell import Shell, carries_out
 from bramleyrill_daemon.front import Front
-from bramleyrill_daemon.front._replies import SessionEndError
 
 
 class Drainer:
@@ -40,17 +39,16 @@
         if not is_draining(self._shell.world):
             return
         front = self._shell.part(Front)
-        for number, session in list(front.sessions.items()):
-            if session.between_requests and number not in self._reported:
+        for number in front.idle_sessions():
+            if number not in self._reported:
                 self._reported.add(number)
                 self._shell.feed(SessionIdle(number))
-        busy = sum(session.busy_since is not None for session in front.sessions.values())
         served = sum(
             isinstance(stream, ServedStream) and stream.busy
             for link in self._shell.part(PeerNet).links.values()
             for stream in link.streams.values()
         )
-        self._shell.feed(RequestsInFlight(busy + served, len(front.sessions)))
+        self._shell.feed(RequestsInFlight(front.requests_in_flight + served, len(front.sessions)))
 
 
 @carries_out(StopAccepting)
@@ -76,10 +74,7 @@
 @carries_out(EndIdleTransactions)
 def end_idle_transactions(shell: Shell, effect: EndIdleTransactions) -> None:
     """End what is left idle in transactions."""
-    for session in list(shell.part(Front).sessions.values()):
-        if session.waiting and session.exchange is not None:
-            end = SessionEndError(Problem(ErrorKind.SHUTTING_DOWN))
-            session.greenlet.kill(end, block=False)
+    shell.part(Front).end_idle_transactions()
 
 
 @carries_out(Exit)
--- a/packages/daemon/bramleyrill_daemon/_process.py
+++ b/packages/daemon/bramleyrill_daemon/_process.py
@@ -84,7 +84,7 @@
         remote = RemoteExecutor(self._net.link, clock)
         executors = Executors(self._world.identity.id, local, remote)
         tls = server_context(settings.caller_tls)
-        accounting = shell.add(Accounting(self._world, metrics_of(settings)))
+        accounting = shell.add(Accounting(metrics_of(settings)))
         self._drainer = shell.add(Drainer(shell))
         self._front = shell.add(Front(self._world, executors, tls=tls, record=accounting.record))
 
