Let requests in flight end at a VM that leaves

Cause: a leaving VM dropped the control of its databases, and with it the permit, so a commit in flight there got an unknown outcome. Change: without the group's permit, the holder asks the members once for the answer that needs it.

--- a/packages/daemon/bramleyrill_daemon/_accounting.py
+++ b/packages/daemon/bramleyrill_daemon/_accounting.py
@@ -6,6 +6,7 @@
 from bramleyrill_core import World
 from bramleyrill_core.admission import WorkClass
 from bramleyrill_core.burn import record
+from bramleyrill_core.sessions import Session
 
 from bramleyrill_daemon._settings import Settings
 
@@ -18,21 +19,22 @@
 class Accounting:
     """Record requests by class; names of metrics are made once for each class."""
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, world: World, metrics: Metrics) -> None:
+        self._world = world
         self._metrics = metrics
         # Without a statsd server, not even the calls are made on the hot path.
         self._sends = not isinstance(metrics, NullMetrics)
         self._names: dict[WorkClass, tuple[str, str]] = {}
 
-    def record(self, world: World, work_class: WorkClass, latency: timedelta, served: bool) -> None:
-        """Record one request, as the caller side asks for."""
-        record(world, work_class, latency, served)
+    def record(self, session: Session, latency: timedelta, served: bool) -> None:
+        """Record one request of a session."""
+        work_class = WorkClass(session.fleet, session.service, session.rank)
+        record(self._world, work_class, latency, served)
         if not self._sends:
             return
         names = self._names.get(work_class)
         if names is None:
-            fleet, service, rank = work_class
-            stem = f"{fleet}.{service}.{rank.name.lower()}"
+            stem = f"{session.fleet}.{session.service}.{session.rank.name.lower()}"
             names = self._names[work_class] = (f"{stem}.latency", f"{stem}.refused")
         if served:
             self._metrics.timing(names[0], latency)
--- a/packages/daemon/bramleyrill_daemon/_control.py
+++ b/packages/daemon/bramleyrill_daemon/_control.py
@@ -122,6 +122,13 @@
             self.by_member[member] = found
         return found
 
+    def ask(self, member: MemberId) -> tuple[timedelta, MemberStatus] | None:
+        """Return the time just before a member was asked and its status, or None."""
+        try:
+            return self.line(member).probe()
+        except ControlError:
+            return None
+
     def keep(self, members: set[MemberId]) -> None:
         """Close the lines of members that are not in the set."""
         for member in [known for known in self.by_member if known not in members]:
--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -244,9 +244,10 @@
             if problem is not None:
                 return Outcome(problem=problem)
         # Whether it is still valid is for the entry side to see, just before the answer leaves.
-        permit = self._permits.newest(self._desk.database)
+        route = self._route
+        permit = self._permits.for_answer(route.member, self._desk.database, status.term)
         age = length = NO_TIME
-        if permit is not None and permit.term == status.term:
+        if permit is not None:
             age = self._received_at - permit.probe_sent
             length = permit.length
         return Outcome(
--- a/packages/daemon/bramleyrill_daemon/_permits.py
+++ b/packages/daemon/bramleyrill_daemon/_permits.py
@@ -10,6 +10,7 @@
 from bramleyrill_core.membership import holder_of
 from bramleyrill_core.routing import RoutingTables
 from bramleyrill_core.succession import (
+    LONGEST_PERMIT,
     Permit,
     SuccessionTables,
     holds_writes,
@@ -17,6 +18,8 @@
     permit_for,
     second_member_has,
 )
+from bramleyrill_core.succession._permit import permit_start
+from bramleyrill_core.succession._terms import members_of
 
 from bramleyrill_daemon._exchange import Outcome, Request
 
@@ -30,6 +33,10 @@
 _HINT = timedelta(milliseconds=200)
 
 
+# Asks a member for its status; returns when it was asked and the status, or None.
+Probe = Callable[[MemberId], tuple[timedelta, MemberStatus] | None]
+
+
 @frozen
 class Refusal:
     """A request that did not run, and the VM and member to ask instead, if they are known."""
@@ -47,12 +54,16 @@
     """Answer what the exchanges of this VM ask about permits and primaries."""
 
     def __init__(
-        self, world: World, probe_replicas: Callable[[DatabaseId], None] = lambda database: None
+        self,
+        world: World,
+        probe_replicas: Callable[[DatabaseId], None] = lambda database: None,
+        probe: Probe = lambda member: None,
     ) -> None:
         self.world = world
         self.now = world.clock.monotonic
         self.draining = False
         self._probe_replicas = probe_replicas
+        self._probe = probe
         self._fenced_terms: dict[MemberId, int] = {}
         self._polled: set[DatabaseId] = set()
 
@@ -65,10 +76,17 @@
         known = self.world.tables(RoutingTables).primaries.get(database)
         return permit if known is not None and known.member == member else None
 
-    def newest(self, database: DatabaseId) -> Permit | None:
-        """Return the newest permit of a database, valid or not."""
+    def for_answer(self, member: MemberId, database: DatabaseId, term: int) -> Permit | None:
+        """Return the newest permit of a term, valid or not; the entry side checks its time.
+
+        A VM that is leaving no longer takes part in the control of the database, but requests
+        that it let in still end there. For them the members are asked once, here.
+        """
         group = self.world.tables(SuccessionTables).groups.by_id.get(database)
-        return group.permit if group is not None else None
+        if group is not None:
+            permit = group.permit
+            return permit if permit is not None and permit.term == term else None
+        return self._ask_members(member, database, term)
 
     def note_fenced(self, member: MemberId, status: MemberStatus) -> None:
         """Remember that a member reported a term in which it is not the primary."""
@@ -118,6 +136,21 @@
             gevent.sleep(SECOND_MEMBER_POLL.total_seconds())
         return None
 
+    def _ask_members(self, member: MemberId, database: DatabaseId, term: int) -> Permit | None:
+        spec = self.world.text.databases.get(database)
+        spans = self.world.tables(SuccessionTables).spans.get(database)
+        if spec is None or not spans:
+            return None
+        jobs = {item.name: gevent.spawn(self._probe, item.id) for item in spec.members}
+        gevent.joinall(list(jobs.values()))
+        answers = {name: job.value for name, job in jobs.items() if job.value is not None}
+        name = member.rpartition("/")[2]
+        if name not in answers or answers[name][1].term != term:
+            return None
+        start = permit_start(members_of(spans, term), name, answers, self.world.rules)
+        length = min(self.world.text.failover.permit, LONGEST_PERMIT)
+        return None if start is None else Permit(term, start, length)
+
     def _poll(self, database: DatabaseId) -> None:
         try:
             self._probe_replicas(database)
--- a/packages/daemon/bramleyrill_daemon/_process.py
+++ b/packages/daemon/bramleyrill_daemon/_process.py
@@ -60,12 +60,13 @@
         shell.add(ObjectReader(shell))
         credentials = shell.add(Credentials(self._world, settings.upstream_authority))
         pools = shell.add(PoolShell(shell, credentials.login))
-        shell.add(ControlLines(credentials.login, clock))
+        lines = shell.add(ControlLines(credentials.login, clock))
         self._members = shell.add(HeldMembers(self._world))
         self._permits = shell.add(
             PermitDesk(
                 self._world,
                 lambda database: shell.carry_out(probe_replicas(self._world, database)),
+                lines.ask,
             )
         )
         self._spans = shell.add(SpanStore(shell))
@@ -84,7 +85,7 @@
         remote = RemoteExecutor(self._net.link, clock)
         executors = Executors(self._world.identity.id, local, remote)
         tls = server_context(settings.caller_tls)
-        accounting = shell.add(Accounting(metrics_of(settings)))
+        accounting = shell.add(Accounting(self._world, metrics_of(settings)))
         self._drainer = shell.add(Drainer(shell))
         self._front = shell.add(Front(self._world, executors, tls=tls, record=accounting.record))
 
--- a/tests/holder/test_holder.py
+++ b/tests/holder/test_holder.py
@@ -9,7 +9,7 @@
 from bramleyrill_core.membership import MembershipTables
 from bramleyrill_core.pools import RESERVED_CONNECTIONS, Pool, PoolTables, run_pools
 from bramleyrill_core.routing import KnownPrimary, Route, RoutingTables
-from bramleyrill_core.succession import Permit, SuccessionTables
+from bramleyrill_core.succession import Permit, Span, SuccessionTables
 from bramleyrill_core.succession._tables import Group
 from bramleyrill_core.text import Limits
 from bramleyrill_daemon._answers import STATUS_SQL
@@ -23,7 +23,7 @@
 from bramleyrill_wire import postgres as pg
 
 from tests.holder.fakes import FakeUpstream, answer, status_answer
-from tests.worlds import DATABASE, MEMBERS, build_world, ms
+from tests.worlds import DATABASE, MEMBERS, build_world, ms, status
 
 LONG = ms(60_000)
 PRIMARY = Route(MEMBERS[0], "vm-a", True, NO_MARK, ms(0))
@@ -101,6 +101,28 @@
         _, outcome = self.run_one(executor, "insert")
         self.assertFalse(outcome.permit_length)
 
+    def test_request_that_ends_after_the_control_moved_on_has_a_permit(self):
+        """Guards against an outcome unknown for what runs while its holder leaves."""
+        executor = self.start(lambda sql: None if sql == STATUS_SQL else answer("INSERT 0 1"))
+        tables = self.world.tables(SuccessionTables)
+        tables.spans.add(DATABASE, (Span(1, ("m1", "m2", "m3")),))
+        up = {"m1": "primary", "m2": "replica"}
+        asked = self.world.clock.monotonic
+
+        def probe(member):
+            name = member.rpartition("/")[2]
+            return (asked(), status(name, 1, 7, up[name])) if name in up else None
+
+        for expected in (ms(1000), ms(0)):
+            self.permits = PermitDesk(self.world, probe=probe)
+            executor._permits = self.permits
+            self.grant()
+            exchange = executor.open(PRIMARY, request())
+            exchange.send(pg.query("insert"))
+            tables.groups.remove(DATABASE)
+            self.assertEqual(self.finish(exchange)[1].permit_length, expected)
+            up.pop("m2", None)
+
     def test_write_refused_by_a_fenced_member_did_not_run(self):
         """Guards against an outcome unknown where the member proves that nothing was written."""
         fenced = status_answer(term=2, role="fenced")
--- a/tests/holder/test_process.py
+++ b/tests/holder/test_process.py
@@ -96,13 +96,13 @@
         return process, upstream
 
     def call(self, process, sql):
-        """Run a statement through a driver in a real thread."""
+        """Run a statement twice on one session, through a driver in a real thread."""
         port = process._front._server.server_port
         login = f"host=127.0.0.1 port={port} user=ada password=ada dbname=main sslmode=disable"
 
         def work():
             with psycopg.connect(login, autocommit=True) as connection:
-                return connection.execute(sql).statusmessage
+                return [connection.execute(sql).statusmessage for _ in range(2)]
 
         return ThreadPool(1).apply(work)
 
@@ -113,7 +113,8 @@
         )
         with gevent.Timeout(20):
             gevent.sleep(0.1)
-            self.assertEqual(self.call(process, "insert into t values (1)"), "INSERT 0 1")
+            answers = self.call(process, "insert into t values (1)")
+            self.assertEqual(answers, ["INSERT 0 1", "INSERT 0 1"])
             process.stop()
             self.assertEqual(self.running.get(), 0)
             while upstream.open:
