--- /dev/null
+++ b/packages/core/bramleyrill_core/admission/__main__.py
@@ -0,0 +1,32 @@
+"""Print simulated floods: `python -m bramleyrill_core.admission [SEED]`."""
+
+import sys
+
+from bramleyrill_core._values import Rank
+from bramleyrill_core.admission import FloodPlan, simulate_flood, to_lines
+
+SLOW = {"slow_from_s": 10.0, "slow_to_s": 25.0}
+THRASHING = {"slots": 5, "contended_above": 2, "load_scale": 0.15, "multiple": 10.0}
+
+
+def main(seed: int) -> None:
+    """Print floods of each rank, then a slow member, then one that thrashes."""
+    plans = [
+        FloodPlan(multiple=multiple, flooded=rank, seed=seed)
+        for rank in Rank
+        for multiple in (2.0, 10.0, 50.0)
+    ]
+    for plan in plans:
+        print("\n".join(to_lines(plan, simulate_flood(plan))), flush=True)
+    for factor in (2.0, 5.0):
+        print(f"member {factor:g} times slower from 10 s to 25 s:")
+        plan = FloodPlan(slow_factor=factor, seed=seed, **SLOW)
+        print("\n".join(to_lines(plan, simulate_flood(plan))), flush=True)
+    for adaptive in (True, False):
+        print(f"member that thrashes above 2 statements, limit adapts: {adaptive}")
+        plan = FloodPlan(seed=seed, **THRASHING)
+        print("\n".join(to_lines(plan, simulate_flood(plan, adaptive=adaptive))), flush=True)
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 1)
--- a/packages/core/bramleyrill_core/admission/_limit.py
+++ b/packages/core/bramleyrill_core/admission/_limit.py
@@ -61,6 +61,13 @@
         self._count = 0
         self._ratio_sum = 0.0
 
+    def resize(self, slots: int, adaptive: bool) -> None:
+        """Go on with another number of slots."""
+        self.slots = slots
+        self.value = float(slots)
+        self._adaptive = adaptive
+        self._phase = _Phase.NORMAL
+
     def note(self, work_class: object, seconds: float) -> None:
         """Take in the service time of one statement."""
         if not self._adaptive:
--- a/packages/core/bramleyrill_core/admission/_queue.py
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -9,6 +9,7 @@
 from bramleyrill_base import Clock, ErrorKind, Problem
 
 from bramleyrill_core._values import Rank
+from bramleyrill_core.admission._classes import US, ClassRow
 from bramleyrill_core.admission._floors import FloorAccount, margin_for
 from bramleyrill_core.admission._limit import InFlightLimit
 from bramleyrill_core.admission._values import (
@@ -21,76 +22,20 @@
     WorkClass,
 )
 
-_US = timedelta(microseconds=1)
 _RANKS = len(Rank)
 # Weight of a statement in the average service time of its class: about the last 50 count.
 _AVERAGE_WEIGHT = 0.02
 # Use by higher ranks is averaged over this long when a wait is predicted.
-_USE_DECAY_S = 1.0
-# A queue whose waits exceed the target for this long is a standing one; it ends when waits are
-# below the target and nothing was refused for as long, so that it does not flap in a flood.
-_STANDING_AFTER = timedelta(seconds=1)
-# Predicted waits that are admitted then, as a share of the target: statements vary in length.
-_STANDING_SHARE = 0.6
+USE_DECAY_S = 1.0
+# With more classes waiting than this, those below their floors are listed only once in a while:
+# looking at 96 classes for each request took 88 us.
+_EXACT_CLASSES = 8
+_LIST_PER_CLASS = timedelta(microseconds=20)
 # Hints below make callers spin, hints above outlast most floods.
 _MIN_HINT_S = 0.010
 _MAX_HINT_S = 10.0
 
 
-class _Class:
-    """One class: its queue, service time and floor accounts."""
-
-    __slots__ = (
-        "accounts",
-        "key",
-        "late_since",
-        "mean",
-        "policy",
-        "queue",
-        "rank",
-        "refused_at",
-        "resumed",
-    )
-
-    def __init__(self, key: WorkClass, accounts: tuple, policy: ClassPolicy, mean: float) -> None:
-        self.key = key
-        self.rank = int(key.rank)
-        self.accounts: tuple[FloorAccount, ...] = accounts
-        self.policy = policy
-        self.mean = mean
-        self.queue: deque[Request] = deque()
-        self.resumed: deque[Request] = deque()
-        self.late_since: timedelta | None = None
-        self.refused_at = timedelta(days=-1)
-
-    def __len__(self) -> int:
-        return len(self.queue) + len(self.resumed)
-
-    def __bool__(self) -> bool:
-        return True
-
-    def note_wait(self, wait: timedelta, now: timedelta) -> None:
-        """Note how long a request waited that starts now."""
-        target = self.policy.target
-        if target is None:
-            return
-        if wait >= target:
-            self.late_since = self.late_since or now
-        elif now - self.refused_at > _STANDING_AFTER:
-            self.late_since = None
-
-    def longest_wait(self, now: timedelta) -> float:
-        """Return the longest wait to admit, in seconds, besides the request's own deadline.
-
-        A burst may fill the queue up to the deadline. When waits have exceeded the target for a
-        while, the queue is cut to the target: otherwise every request of a long flood is served,
-        but too late.
-        """
-        if self.late_since is None or now - self.late_since < _STANDING_AFTER:
-            return math.inf
-        return self.policy.target / _US * 1e-6 * _STANDING_SHARE
-
-
 class AdmissionQueue:
     """Decide which request gets a slot, which waits and which is refused at once.
 
@@ -111,21 +56,46 @@
         self.policy = policy
         self._clock = clock
         self._limit = InFlightLimit(policy.slots, policy.adaptive)
-        self._classes: dict[WorkClass, _Class] = {}
+        self._classes: dict[WorkClass, ClassRow] = {}
         self._groups: dict[tuple[str, ...], FloorAccount] = {}
-        self._waiting: dict[WorkClass, _Class] = {}
-        self._queued: dict[Hashable, tuple[_Class, timedelta]] = {}
+        self._waiting: dict[WorkClass, ClassRow] = {}
+        self._waiting_by_rank: list[dict[WorkClass, ClassRow]] = [{} for _ in Rank]
+        self._owed: list[ClassRow] = []
+        self._owed_until = timedelta()
+        self._queued: dict[Hashable, tuple[ClassRow, timedelta]] = {}
         self._deadlines: list[tuple[timedelta, int, Hashable]] = []
-        self._running: dict[Hashable, tuple[_Class, timedelta, float]] = {}
-        self._paused: dict[Hashable, _Class] = {}
+        self._running: dict[Hashable, tuple[ClassRow, timedelta, float]] = {}
+        self._paused: dict[Hashable, ClassRow] = {}
         self._use_by_rank = [0.0] * _RANKS
         self._use_at = 0.0
         self._sequence = 0
-        floors = [item.floor for item in policy.classes.values()]
-        fleets = [floor for key, floor in policy.group_floors.items() if len(key) == 1]
+        self._read_floors()
+
+    def replace_policy(self, policy: AdmissionPolicy) -> list[Started | Refused]:
+        """Go on under another policy, as after a change of the text; return what follows.
+
+        Requests that run or wait stay; measured service times are kept.
+        """
+        now = self._clock.monotonic()
+        self.policy = policy
+        self._limit.resize(policy.slots, policy.adaptive)
+        self._groups.clear()
+        self._read_floors()
+        for key, row in self._classes.items():
+            row.policy = policy.classes.get(key, policy.default)
+            row.accounts = self._accounts_of(key, row.policy)
+            for account in row.accounts:
+                account.accrue(now / US * 1e-6, self._limit.value)
+                account.waiting += len(row)
+        return self._dispatch(now)
+
+    def _read_floors(self) -> None:
+        classes = self.policy.classes
+        fleets = [floor for key, floor in self.policy.group_floors.items() if len(key) == 1]
+        floors = [item.floor for item in classes.values()]
         self._margin = min(margin_for(floors), margin_for(fleets))
         self._floor_by_rank = [0.0] * _RANKS
-        for key, item in policy.classes.items():
+        for key, item in classes.items():
             self._floor_by_rank[key.rank] += item.floor * self._margin
 
     @property
@@ -159,7 +129,7 @@
             return self._refuse(request.id, row, ErrorKind.NOT_RUN_OVERLOADED, now)
         if self.policy.predict:
             wait = self._predict(row, now)
-            left = (request.deadline - now) / _US * 1e-6
+            left = (request.deadline - now) / US * 1e-6
             is_standing = len(row) >= 2 * self.limit and wait > row.longest_wait(now)
             if wait > left or is_standing:
                 return self._refuse(request.id, row, ErrorKind.NOT_RUN_OVERLOADED, now, wait)
@@ -178,7 +148,7 @@
         if running is None:
             return []
         row, started_at, expected = running
-        seconds = (now - started_at) / _US * 1e-6
+        seconds = (now - started_at) / US * 1e-6
         row.mean += _AVERAGE_WEIGHT * (seconds - row.mean)
         self._limit.note(row.key, seconds)
         self._charge(row, seconds - expected, now)
@@ -235,8 +205,14 @@
             heapq.heapify(self._deadlines)
         return refused
 
-    def _add_class(self, key: WorkClass) -> _Class:
+    def _add_class(self, key: WorkClass) -> ClassRow:
         policy = self.policy.classes.get(key, self.policy.default)
+        mean = self.policy.expected / US * 1e-6
+        row = ClassRow(key, self._accounts_of(key, policy), policy, mean)
+        self._classes[key] = row
+        return row
+
+    def _accounts_of(self, key: WorkClass, policy: ClassPolicy) -> tuple[FloorAccount, ...]:
         accounts = []
         for group in ((key.fleet,), (key.fleet, key.service)):
             if group in self.policy.group_floors and group not in self._groups:
@@ -244,29 +220,30 @@
             if group in self._groups:
                 accounts.append(self._groups[group])
         accounts.append(FloorAccount(policy.floor, self._margin))
-        mean = self.policy.expected / _US * 1e-6
-        row = _Class(key, tuple(accounts), policy, mean)
-        self._classes[key] = row
-        return row
+        return tuple(accounts)
 
-    def _enqueue(self, queue: deque, request: Request, row: _Class, now: timedelta) -> None:
+    def _enqueue(self, queue: deque, request: Request, row: ClassRow, now: timedelta) -> None:
         queue.append(request)
         self._queued[request.id] = (row, now)
         self._sequence += 1
         heapq.heappush(self._deadlines, (request.deadline, self._sequence, request.id))
         self._note_waiting(row, 1, now)
 
-    def _note_waiting(self, row: _Class, change: int, now: timedelta) -> None:
-        seconds = now / _US * 1e-6
+    def _note_waiting(self, row: ClassRow, change: int, now: timedelta) -> None:
+        seconds = now / US * 1e-6
         for account in row.accounts:
             account.accrue(seconds, self._limit.value)
             account.waiting += change
+        same_rank = self._waiting_by_rank[row.rank]
+        # A class that was just served goes behind the others of its rank.
+        if change < 0 or not len(row):
+            same_rank.pop(row.key, None)
         if len(row):
-            self._waiting[row.key] = row
+            self._waiting[row.key] = same_rank[row.key] = row
         else:
             self._waiting.pop(row.key, None)
 
-    def _take_expired(self, row: _Class, request_id: Hashable, now: timedelta) -> bool:
+    def _take_expired(self, row: ClassRow, request_id: Hashable, now: timedelta) -> bool:
         for queue in (row.resumed, row.queue):
             for request in queue:
                 if request.id == request_id:
@@ -288,14 +265,14 @@
             return self._start(request, row, now)
         return Queued(request.id)
 
-    def _start(self, request: Request, row: _Class, now: timedelta) -> Started:
+    def _start(self, request: Request, row: ClassRow, now: timedelta) -> Started:
         self._running[request.id] = (row, now, row.mean)
         self._charge(row, row.mean, now)
         return Started(request.id)
 
-    def _charge(self, row: _Class, slot_time: float, now: timedelta) -> None:
+    def _charge(self, row: ClassRow, slot_time: float, now: timedelta) -> None:
         """Charge at the start what is expected, so that a burst does not overdraw a floor."""
-        seconds = now / _US * 1e-6
+        seconds = now / US * 1e-6
         for account in row.accounts:
             account.accrue(seconds, self._limit.value)
             account.charge(slot_time, self._limit.value)
@@ -303,7 +280,7 @@
         self._use_by_rank[row.rank] += slot_time
 
     def _decay_use(self, seconds: float) -> None:
-        factor = math.exp((self._use_at - seconds) / _USE_DECAY_S)
+        factor = math.exp((self._use_at - seconds) / USE_DECAY_S)
         self._use_at = seconds
         use = self._use_by_rank
         for rank in range(_RANKS):
@@ -323,13 +300,15 @@
                 outcomes.append(self._start(request, row, now))
         return outcomes
 
-    def _choose(self, now: timedelta) -> _Class:
+    def _choose(self, now: timedelta) -> ClassRow:
         """Choose the class that gets the next slot; some class must be waiting."""
+        if len(self._waiting) > _EXACT_CLASSES and self.policy.urgent_first:
+            return self._choose_of_many(now)
         rows = list(self._waiting.values())
         if len(rows) == 1:
             return rows[0]
         if self.policy.floors:
-            seconds = now / _US * 1e-6
+            seconds = now / US * 1e-6
             for row in rows:
                 for account in row.accounts:
                     account.accrue(seconds, self._limit.value)
@@ -341,7 +320,32 @@
             return rows[0]
         return min(rows, key=self._first_arrival)
 
-    def _narrow(self, rows: list[_Class]) -> list[_Class]:
+    def _choose_of_many(self, now: timedelta) -> ClassRow:
+        """Choose without looking at each class: owed ones are listed from time to time."""
+        if self.policy.floors and now >= self._owed_until:
+            self._owed = self._list_owed(now)
+            self._owed_until = now + len(self._waiting) * _LIST_PER_CLASS
+        while self._owed:
+            row = self._owed.pop()
+            if row.key in self._waiting:
+                return row
+        rows = next(rows for rows in self._waiting_by_rank if rows)
+        return next(iter(rows.values()))
+
+    def _list_owed(self, now: timedelta) -> list[ClassRow]:
+        """Return the classes that are owed time, or whose fleet or service is, most owed last."""
+        seconds = now / US * 1e-6
+        owed = []
+        for row in self._waiting.values():
+            key = []
+            for account in row.accounts:
+                account.accrue(seconds, self._limit.value)
+                key.append(max(0.0, account.owed_s(self._limit.value)))
+            if any(key):
+                owed.append((key, -row.rank, row.key, row))
+        return [item[-1] for item in sorted(owed)]
+
+    def _narrow(self, rows: list[ClassRow]) -> list[ClassRow]:
         """Keep the classes of the fleet, then the service, then the rank that is owed most."""
         for level in range(max(len(row.accounts) for row in rows)):
             most, owed = 0.0, []
@@ -357,17 +361,17 @@
                 break
         return rows
 
-    def _predict(self, row: _Class, now: timedelta) -> float:
+    def _predict(self, row: ClassRow, now: timedelta) -> float:
         """Return the expected wait in seconds of one more request of the class.
 
         Its rate is what higher ranks and the floors of lower ones leave, by their recent use, and
         at least its own floor.
         """
-        self._decay_use(now / _US * 1e-6)
+        self._decay_use(now / US * 1e-6)
         limit = int(self._limit.value)
         share = 1.0
         for rank, use in enumerate(self._use_by_rank):
-            used = use / (_USE_DECAY_S * limit)
+            used = use / (USE_DECAY_S * limit)
             if rank < row.rank:
                 share -= used
             elif rank > row.rank:
@@ -376,7 +380,12 @@
         return (len(row) + 1) * row.mean / (limit * share)
 
     def _refuse(
-        self, request_id: Hashable, row: _Class, kind: ErrorKind, now: timedelta, wait: float = -1.0
+        self,
+        request_id: Hashable,
+        row: ClassRow,
+        kind: ErrorKind,
+        now: timedelta,
+        wait: float = -1.0,
     ) -> Refused:
         row.refused_at = now
         if wait < 0:
@@ -384,5 +393,5 @@
         hint = timedelta(seconds=min(max(wait, _MIN_HINT_S), _MAX_HINT_S))
         return Refused(request_id, Problem(kind, f"rank {row.key.rank.name.lower()}", hint))
 
-    def _first_arrival(self, row: _Class) -> timedelta:
+    def _first_arrival(self, row: ClassRow) -> timedelta:
         return self._queued[(row.resumed or row.queue)[0].id][1]
