Call a VM dead soon when its host refuses connections

A VM whose process had ended was called dead only after 5.5 to 7.5 s, and its members had no holder for as long.

A refused or reset connection is evidence that the process is gone: the VM is suspected at once and dead 0.5 s later unless it refutes. Leaving VMs are exempt, since they close their sockets.

--- a/packages/core/bramleyrill_core/membership/_heartbeats.py
+++ b/packages/core/bramleyrill_core/membership/_heartbeats.py
@@ -40,6 +40,9 @@
 PING_TIMEOUT = timedelta(milliseconds=500)
 SUSPECT_AFTER = timedelta(milliseconds=1500)
 DEAD_AFTER = timedelta(seconds=3)
+# A host that refuses the connection has no process that could refute; the rest of the time is
+# for one that was restarted just now.
+REFUSED_DEAD_AFTER = timedelta(milliseconds=500)
 HELPERS = 2
 # A VM that nobody answers serves alone after this time, so that a cut-off VM can start.
 ALONE_AFTER = timedelta(seconds=2)
@@ -113,13 +116,20 @@
     """Ask two other VMs to try the one that did not answer."""
     tables = view_of(world)
     row = tables.vms.by_id.get(message.vm)
-    if row is None or message.vm not in tables.pending or message.vm in tables.indirect_asked:
+    if row is None or not row.heard or row.state in GONE or row.id == world.identity.id:
         return []
-    if not row.heard or row.state in GONE:
-        return []
-    tables.indirect_asked.add(message.vm)
-    helpers = _random_peers(world, HELPERS, message.vm)
-    return [SendIndirect(helper, message.vm) for helper in helpers]
+    effects: list[Effect] = []
+    if message.refused and row.state is not VmState.LEAVING and world.rules.on("trust_refusal"):
+        tables.refused.add(row.id)
+        if row.state is not VmState.SUSPECT:
+            tables.own_suspects.add(row.id)
+            effects += set_state(world, row, VmState.SUSPECT, row.incarnation)
+    tables.pending.setdefault(row.id, world.clock.monotonic())
+    if row.id in tables.indirect_asked:
+        return effects
+    tables.indirect_asked.add(row.id)
+    helpers = _random_peers(world, HELPERS, row.id)
+    return effects + [SendIndirect(helper, row.id) for helper in helpers]
 
 
 @handles(IndirectAsked)
@@ -220,7 +230,7 @@
     for vm, sent_at in list(tables.pending.items()):
         effects += _check_silence(world, tables, vm, now - sent_at)
     for vm, since in list(tables.suspected.items()):
-        if now - since >= DEAD_AFTER:
+        if now - since >= (REFUSED_DEAD_AFTER if vm in tables.refused else DEAD_AFTER):
             row = tables.vms.by_id[vm]
             effects += set_state(world, row, VmState.DEAD, row.incarnation)
     if now >= tables.next_ping:
--- a/packages/core/bramleyrill_core/membership/_messages.py
+++ b/packages/core/bramleyrill_core/membership/_messages.py
@@ -78,9 +78,14 @@
 
 @frozen
 class HeartbeatTimedOut(Message):
-    """A heartbeat got no answer in time, or the peer connection could not be opened."""
+    """A heartbeat got no answer in time, or the peer connection broke or could not be opened.
+
+    `refused` means that the VM's host refused the connection: its process is gone. It may be
+    sent without a heartbeat before it, when an open connection is reset.
+    """
 
     vm: VmId
+    refused: bool = False
 
 
 @frozen
--- a/packages/core/bramleyrill_core/membership/_view.py
+++ b/packages/core/bramleyrill_core/membership/_view.py
@@ -78,6 +78,7 @@
     indirect_asked: set[VmId] = field(factory=set)
     relays: dict[VmId, list[VmId]] = field(factory=dict)
     own_suspects: set[VmId] = field(factory=set)
+    refused: set[VmId] = field(factory=set)
     news: bool = False
     next_news: timedelta = timedelta()
     next_ping: timedelta = timedelta()
@@ -141,6 +142,7 @@
     elif state is not VmState.LEAVING:
         tables.suspected.pop(row.id, None)
         tables.own_suspects.discard(row.id)
+        tables.refused.discard(row.id)
     if state is was:
         return []
     row.changed_at = world.clock.monotonic()
@@ -195,6 +197,7 @@
     tables.pending.pop(row.id, None)
     tables.suspected.pop(row.id, None)
     tables.own_suspects.discard(row.id)
+    tables.refused.discard(row.id)
     if row.state not in _LIVE:
         tables.away_by_domain[row.domain] = tables.away_by_domain.get(row.domain, 1) - 1
 
--- a/tests/membership/test_heartbeats.py
+++ b/tests/membership/test_heartbeats.py
@@ -9,6 +9,7 @@
 from bramleyrill_core.membership import (
     HeartbeatAcked,
     HeartbeatArrived,
+    HeartbeatTimedOut,
     IndirectAcked,
     IndirectAsked,
     ListedVm,
@@ -192,6 +193,34 @@
                 self.assertGreaterEqual(max(at_once), 20)
 
 
+class RefusalTest(unittest.TestCase):
+    def test_vm_without_a_process_is_dead_within_a_second(self):
+        """Guards against members without a holder for 5 s after a process has ended."""
+        for rule in (True, False):
+            net = Net(9)
+            net.run(8)
+            if not rule:
+                net.cores["vm1"].world.rules.switch_off("trust_refusal")
+            net.cut = {"vm2"}
+            told = HeartbeatTimedOut(VmId("vm2"), refused=True)
+            net.carry("vm1", net.cores["vm1"].handle(told))
+            net.run(1)
+            self.assertEqual(net.states("vm2") == {VmState.DEAD}, rule)
+
+    def test_refusal_during_a_stop_or_a_restart_is_not_death(self):
+        """Guards against the eviction of a VM that finishes its work or is back already."""
+        net = Net(9)
+        net.run(8)
+        net.carry("vm2", net.cores["vm2"].handle(StopRequested()))
+        net.run(1)
+        for vm in ("vm2", "vm3"):
+            told = HeartbeatTimedOut(VmId(vm), refused=True)
+            net.carry("vm1", net.cores["vm1"].handle(told))
+        net.run(3)
+        self.assertEqual(net.states("vm2"), {VmState.LEAVING})
+        self.assertEqual(net.states("vm3"), {VmState.ALIVE})
+
+
 class ListTest(unittest.TestCase):
     def test_list_is_only_a_hint(self):
         """Guards against a lagging list that removes a VM that answers."""
