Wait for slots and connections with less work per statement

Cause: a wait in the queue went through an event with a timer, and each lease read the clock. Change: the queue switches to the waiting greenlet directly; the clock is read only when no connection is idle.

--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -188,19 +188,20 @@
         return None
 
     def _get_connection(self, deadline: timedelta) -> Refusal | None:
-        while True:
-            until = min(deadline, self._permits.now() + LEASE_SLICE)
-            found = self._pools.lease(self._route.member, until)
-            if not isinstance(found, Problem):
-                self._connection = found
-                # Without a wait nothing can have changed since the request was let in.
-                return self._check(deadline) if self._waited else None
+        member = self._route.member
+        found = self._pools.lease_idle(member)
+        while type(found) is Problem:
             self._waited = True
             if self._closed or self._permits.now() >= deadline:
                 return Refusal(found)
             refusal = self._check(deadline)
             if refusal is not None:
                 return refusal
+            until = min(deadline, self._permits.now() + LEASE_SLICE)
+            found = self._pools.lease(member, until)
+        self._connection = found
+        # Without a wait nothing can have changed since the request was let in.
+        return self._check(deadline) if self._waited else None
 
     def _end_request(self) -> Outcome:
         """Give back what the request held and tell the entry side how it ended."""
--- a/packages/daemon/bramleyrill_daemon/_member.py
+++ b/packages/daemon/bramleyrill_daemon/_member.py
@@ -22,7 +22,7 @@
     WorkClass,
     policy_for_member,
 )
-from gevent.event import AsyncResult
+from gevent.hub import Waiter, get_hub
 
 from bramleyrill_daemon._answers import read_status, row_values
 
@@ -45,7 +45,8 @@
         self._ids = itertools.count(1)
         fleet, service = fleet_of(member), service_of(member)
         self._classes = {rank: WorkClass(fleet, service, rank) for rank in Rank}
-        self._waiting: dict[int, AsyncResult] = {}
+        self._waiting: dict[int, Waiter] = {}
+        self._run_callback = get_hub().loop.run_callback
         self._status_row = b""
         self._status: MemberStatus | None = None
 
@@ -79,7 +80,7 @@
         self._wake(self._queue.withdraw(ticket.id))
         waiting = self._waiting.pop(ticket.id, None)
         if waiting is not None:
-            waiting.set(CANCELED)
+            self._run_callback(waiting.switch, CANCELED)
 
     def tick(self) -> None:
         """Refuse what waited past its deadline."""
@@ -97,7 +98,7 @@
             return None, False
         if type(outcome) is Refused:
             return outcome.problem, False
-        waiting = self._waiting[outcome.id] = AsyncResult()
+        waiting = self._waiting[outcome.id] = Waiter()
         try:
             return waiting.get(), True
         finally:
@@ -107,4 +108,5 @@
         for outcome in outcomes:
             waiting = self._waiting.pop(outcome.id, None)
             if waiting is not None:
-                waiting.set(None if isinstance(outcome, Started) else outcome.problem)
+                problem = None if type(outcome) is Started else outcome.problem
+                self._run_callback(waiting.switch, problem)
--- a/packages/daemon/bramleyrill_daemon/_pool.py
+++ b/packages/daemon/bramleyrill_daemon/_pool.py
@@ -58,21 +58,27 @@
         self._waiters: dict[MemberId, deque[AsyncResult]] = {}
         self._tick = 0
 
+    def lease_idle(self, member: MemberId) -> UpstreamConnection | Problem:
+        """Return an idle connection to a member, or the problem for which there is none."""
+        while True:
+            found = lease(self._world, member)
+            if type(found) is not Success:
+                return found.failure()
+            connection = self.connections[found.unwrap()]
+            # What was given back a moment ago is not asked again; that saves a system call.
+            if connection.idle_tick == self._tick or not connection.has_unread():
+                return connection
+            self.discard(connection, "closed_while_idle")
+
     def lease(self, member: MemberId, deadline: timedelta) -> UpstreamConnection | Problem:
         """Return a connection to a member, or the problem for which there is none in time."""
         while True:
-            found = lease(self._world, member)
-            if isinstance(found, Success):
-                connection = self.connections[found.unwrap()]
-                # What was given back a moment ago is not asked again; that saves a system call.
-                if connection.idle_tick == self._tick or not connection.has_unread():
-                    return connection
-                self.discard(connection, "closed_while_idle")
-                continue
-            problem = found.failure()
+            found = self.lease_idle(member)
+            if type(found) is not Problem or found.kind is ErrorKind.NOT_RUN_DRAINING:
+                return found
             left = (deadline - self._world.clock.monotonic()).total_seconds()
-            if problem.kind is ErrorKind.NOT_RUN_DRAINING or left <= 0:
-                return problem
+            if left <= 0:
+                return found
             self._wait(member, left)
 
     def give_back(self, connection: UpstreamConnection, rollback: bool, reset: bool) -> None:
