Let answers in flight overlap with the next statement

Cause: the upstream stand-in waited out its latency before it took the next message, so that a pipelined group_status() cost a second latency, which no network does.

Change: delayed answers leave through a queue of at most 16.

--- a/packages/standins/bramleyrill_standins/upstream/_backend.py
+++ b/packages/standins/bramleyrill_standins/upstream/_backend.py
@@ -2,6 +2,8 @@
 
 import json
 import struct
+import time
+from collections import deque
 from typing import TYPE_CHECKING
 
 import gevent
@@ -24,6 +26,9 @@
     from bramleyrill_standins.upstream._member import Member
 
 FLUSH_BYTES = 65536
+# Answers that a slow reader has not taken; more stop the session.
+IN_FLIGHT_MAX = 16
+LAST_ANSWERS_S = 1.0
 IDLE_IN_TRANSACTION = SqlError(
     "25P03", "terminating connection due to idle-in-transaction timeout", fatal=True
 )
@@ -47,6 +52,8 @@
         self._names: tuple[str, ...] = (address,)
         self._reader = frames.FrameReader(sock, self._delay)
         self._output = bytearray()
+        self._in_flight: deque[tuple[float, bytes]] = deque()
+        self._writer: gevent.Greenlet | None = None
         self._interrupt: SqlError | None = None
         self._interrupted = Event()
         self._busy = False
@@ -105,6 +112,7 @@
     def _end_idle(self, problem: SqlError) -> None:
         try:
             self._send_error(problem, "FATAL")
+            self._drain()
         except OSError:
             pass
         self._shut_socket()
@@ -186,6 +194,7 @@
             self.member.counters.connections -= 1
         if self.session is not None:
             self.session.close()
+        self._drain()
         self._sock.close()
 
     def _serve_messages(self) -> None:
@@ -285,7 +294,34 @@
     def _flush(self) -> None:
         data = bytes(self._output)
         self._output.clear()
-        self._delay()
+        latency = self.member.settings.latency_of(self._names)
+        if not latency and self._writer is None:
+            self._transmit(data)
+            return
+        # Answers in flight do not hold up the next statement, as on a network.
+        self._in_flight.append((time.monotonic() + latency, data))
+        if self._writer is None:
+            self._writer = self.member.spawn(self._write_in_flight)
+        while len(self._in_flight) > IN_FLIGHT_MAX:
+            gevent.sleep(latency)
+
+    def _write_in_flight(self) -> None:
+        try:
+            while self._in_flight:
+                due, data = self._in_flight.popleft()
+                gevent.sleep(max(0.0, due - time.monotonic()))
+                self._transmit(data)
+        except OSError:
+            self._in_flight.clear()
+        finally:
+            self._writer = None
+
+    def _drain(self) -> None:
+        """Wait for answers in flight, so that the caller gets the last one before the end."""
+        if self._writer is not None:
+            self._writer.join(LAST_ANSWERS_S)
+
+    def _transmit(self, data: bytes) -> None:
         self.member.wait_until_reachable(self._names)
         if not self.silent and data:
             self._sock.sendall(data)
--- a/packages/standins/bramleyrill_standins/upstream/_member.py
+++ b/packages/standins/bramleyrill_standins/upstream/_member.py
@@ -68,7 +68,7 @@
         self.port = listener.getsockname()[1]
         self.peers[self.settings.name] = (self.settings.host, self.port)
         self._listener = listener
-        self._spawn(self._accept, listener)
+        self.spawn(self._accept, listener)
         self._start_following()
         log_event("member_started", member=self.settings.name, port=self.port)
 
@@ -253,9 +253,10 @@
             except OSError:
                 return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._spawn(Backend(self, sock, address[0]).serve)
+            self.spawn(Backend(self, sock, address[0]).serve)
 
-    def _spawn(self, function: Any, *arguments: Any) -> gevent.Greenlet:
+    def spawn(self, function: Any, *arguments: Any) -> gevent.Greenlet:
+        """Start a greenlet that ends with `kill`."""
         greenlet = gevent.spawn(function, *arguments)
         self._greenlets.add(greenlet)
         greenlet.link(self._greenlets.discard)
@@ -263,7 +264,7 @@
 
     def _start_following(self) -> None:
         if self.log.follow_wanted or self.log.role == "replica":
-            self._follower = self._spawn(follow, self, self.log.term, self.log.leader)
+            self._follower = self.spawn(follow, self, self.log.term, self.log.leader)
 
     def _stop_following(self) -> None:
         if self._follower is not None:
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -118,6 +118,12 @@
         self.assertEqual(sqlstate_of(holder.execute, "select 1"), "57P01")
         self.assertTrue(other.execute("select pg_try_advisory_lock(5)").fetchone()[0])
 
+    def test_last_answer_arrives_over_a_latency(self):
+        self.group.switch("a", latency=0.05)
+        session, other = self.connect("a"), self.connect("a")
+        other.execute("select pg_terminate_backend(%s)", (session.info.backend_pid,))
+        self.assertEqual(sqlstate_of(session.execute, "select 1"), "57P01")
+
     def test_discard_all_clears_settings_and_locks(self):
         session, other = self.connect("a"), self.connect("a")
         session.execute("set app.restorer = 'x'")
