Acknowledge batches sent in parts and refuse a lease that fails at once

HolderExchange took may_commit from the first part of a batch only, so its commits never had a permit; and a lease that failed at once was repeated in a loop that blocked the process. Change: the last part decides what is held back; a lease that ends before its time is refused.

--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -82,6 +82,10 @@
             return
         if self._scanner is None and not self._begin(may_commit):
             return
+        if may_commit and not more and not self._may_commit:
+            # The first parts of a batch did not show that its last one may commit.
+            self._may_commit = True
+            self._scanner.hold_from_here()
         wants_status = self._scanner.wants_status and not more
         try:
             self._connection.send(frames + STATUS_QUERY if wants_status else frames)
@@ -190,6 +194,7 @@
     def _get_connection(self, deadline: timedelta) -> Refusal | None:
         member = self._route.member
         found = self._pools.lease_idle(member)
+        until = timedelta()
         while type(found) is Problem:
             self._waited = True
             if self._closed or self._permits.now() >= deadline:
@@ -197,6 +202,9 @@
             refusal = self._check(deadline)
             if refusal is not None:
                 return refusal
+            if self._permits.now() < until:
+                # The pool gave up before its time, so another try would end at once as well.
+                return Refusal(found)
             until = min(deadline, self._permits.now() + LEASE_SLICE)
             found = self._pools.lease(member, until)
         self._connection = found
