End sessions whose frame stays unfinished

A caller that sent a part of a frame and stopped kept what it had sent in memory without end. The session now ends with 08P01 when the rest is more than 30 s late.

--- a/packages/daemon/bramleyrill_daemon/front/_batch.py
+++ b/packages/daemon/bramleyrill_daemon/front/_batch.py
@@ -12,7 +12,12 @@
 from bramleyrill_wire import postgres as pg
 
 from bramleyrill_daemon.front._limits import FrontLimits
-from bramleyrill_daemon.front._local import LocalStatement, read_local, refused_setting
+from bramleyrill_daemon.front._local import (
+    LocalStatement,
+    describe_local,
+    read_local,
+    refused_setting,
+)
 
 # Frames that callers repeat are short; the caches hold at most 2 MB of them each.
 CACHED_FRAMES = 2048
@@ -355,3 +360,8 @@
     if local is None:
         return refused_setting(statement, in_transaction)
     return None
+
+
+def describe_prepared(prepared: Prepared | None) -> bytes:
+    """Return the description of the result of a statement that the proxy answers."""
+    return describe_local(prepared.local) if prepared and prepared.local else pg.NO_DATA
--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -304,15 +304,21 @@
     def _check_sessions(self) -> None:
         now = self.pulse.now
         blocked = now - self.limits.write_blocked.total_seconds()
+        partial = now - self.limits.frame_gap.total_seconds()
         idle = now - self.limits.idle_in_transaction.total_seconds()
         for session in list(self.sessions.values()):
             since = session.caller.blocked_since
             if since is not None and since < blocked:
                 log_event("caller_cut_off", session=session.row.id, reason="unread_answer")
                 session.greenlet.kill(SessionEndError(), block=False)
-            elif session.waiting and session.exchange is not None:
+            elif session.waiting:
+                since = session.partial_since
+                if since is not None and since < partial:
+                    problem = Problem(ErrorKind.PROTOCOL_VIOLATION, "the rest of a frame is late")
+                    session.greenlet.kill(SessionEndError(problem), block=False)
+                    continue
                 since = session.idle_since
-                if since is not None and since < idle:
+                if session.exchange is not None and since is not None and since < idle:
                     self._end_idle_transaction(session)
 
     def _end_idle_transaction(self, session: CallerSession) -> None:
--- a/packages/daemon/bramleyrill_daemon/front/_limits.py
+++ b/packages/daemon/bramleyrill_daemon/front/_limits.py
@@ -14,9 +14,9 @@
     until its permit is checked, `batch` how many bytes of an extended batch are collected before
     they are sent on with a Flush. `prepared` and `prepared_bytes` bound the named statements of a
     session. `handshakes` is how many callers may be in startup at a time; `handshake` bounds the
-    time of startup and login, `write_blocked` how long a caller may leave its answer unread,
-    `idle_in_transaction` how long a transaction may wait for its next statement. Times are
-    checked every `sweep`.
+    time of startup and login, `frame_gap` the wait for the rest of a frame, `write_blocked` how
+    long a caller may leave its answer unread, `idle_in_transaction` how long a transaction may
+    wait for its next statement. Times are checked every `sweep`.
     """
 
     sessions: int = 20_000
@@ -27,6 +27,7 @@
     prepared: int = 2_000
     prepared_bytes: int = 4 << 20
     handshake: timedelta = timedelta(seconds=10)
+    frame_gap: timedelta = timedelta(seconds=30)
     write_blocked: timedelta = timedelta(seconds=15)
     idle_in_transaction: timedelta = timedelta(seconds=60)
     sweep: timedelta = timedelta(milliseconds=250)
--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -13,6 +13,7 @@
     Batch,
     Prepared,
     Tracker,
+    describe_prepared,
     plan_query,
     refuse,
 )
@@ -44,7 +45,8 @@
     a batch after an error up to its Sync. `flow` follows a batch that is sent in parts, and
     `flow_started` is when its first part was sent. `busy_since` is the pulse at which the
     request in progress started, `idle_since` that at which the open transaction became idle.
-    `policy` caches what the text promises to the session's rank.
+    `partial_since` is when the last part of an unfinished frame came. `policy` caches what the
+    text promises to the session's rank.
     """
 
     front: object
@@ -70,13 +72,15 @@
     waiting: bool = False
     busy_since: float | None = None
     idle_since: float | None = None
+    partial_since: float | None = None
     policy: object = None
     greenlet: object = field(default=None, repr=False)
 
     def run(self) -> None:
         """Serve the caller until it leaves; raise SessionEndError to end with a message."""
         receive = self.caller.receive
-        feed = self.splitter.feed
+        splitter = self.splitter
+        feed = splitter.feed
         while True:
             if self.leaving and self.between_requests:
                 raise SessionEndError(Problem(ErrorKind.SHUTTING_DOWN))
@@ -97,6 +101,7 @@
                     return
             if self.flush_due:
                 self._flush()
+            self.partial_since = None if splitter.between_frames else self.front.pulse.now
 
     def _wait(self, receive) -> bytes:
         self.waiting = True
@@ -364,7 +369,7 @@
             detail = "proxy settings and statements in one batch"
             answers = Problem(ErrorKind.NOT_SUPPORTED, detail)
         else:
-            answers = batch.answer(_describe_prepared, self._run_prepared)
+            answers = batch.answer(describe_prepared, self._run_prepared)
         if isinstance(answers, Problem):
             self._fail_batch(answers)
             return
@@ -390,7 +395,3 @@
         if isinstance(result, Problem):
             return result
         return result + pg.command_complete(prepared.local.tag)
-
-
-def _describe_prepared(prepared: Prepared | None) -> bytes:
-    return describe_local(prepared.local) if prepared and prepared.local else pg.NO_DATA
--- a/tests/front/test_protocol.py
+++ b/tests/front/test_protocol.py
@@ -64,6 +64,7 @@
         sweep=20 * MS,
         frame=100_000,
         handshake=150 * MS,
+        frame_gap=150 * MS,
         write_blocked=150 * MS,
         batch=2000,
         prepared=4,
@@ -138,6 +139,13 @@
         self.assertGreater(self.member.unread, 1000)
         self.assertEqual(self.member.open_count, 0)
 
+    def test_rest_of_a_frame_that_does_not_come_ends_the_session(self):
+        caller = self.caller()
+        caller.send(pg.query("SELECT a") + pg.query("INSERT 1")[:9])
+        self.assertEqual(caller.types(), "TDCZ")
+        self.assertEqual(caller.state(), "08P01")
+        self.assertEqual(self.member.log, ["SELECT a"])
+
     def test_cancel_needs_the_secret(self):
         caller = self.caller()
         pid, secret = caller.key
