--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -4,6 +4,7 @@
 import os
 import secrets
 import ssl
+import traceback
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -167,6 +168,10 @@
         return policy
 
     def _serve(self, sock: gevent.socket.socket, _address: object) -> None:
+        if len(self._handshakes) >= self.limits.handshakes:
+            # Its startup is not read: half-open connections must not take up more than the limit.
+            sock.close()
+            return
         caller = CallerSocket(sock, self.pulse)
         greenlet = gevent.getcurrent()
         self._handshakes[greenlet] = self.pulse.now
@@ -187,8 +192,9 @@
             # The caller is gone or was cut off; what ran for it is given up below.
             pass
         except Exception as error:
-            log_event("session_failed", logging.ERROR, error=type(error).__name__)
-            logging.exception("session failed")
+            log_event(
+                "session_failed", logging.ERROR, error=repr(error), trace=traceback.format_exc()
+            )
             caller.finish(error_frame(Problem(ErrorKind.INTERNAL), "FATAL"), LINGER_S)
         finally:
             self._handshakes.pop(greenlet, None)
@@ -273,7 +279,7 @@
                 self._check_busy()
                 self._check_sessions()
             except Exception:
-                logging.exception("sweep failed")
+                log_event("sweep_failed", logging.ERROR, trace=traceback.format_exc())
 
     def _check_handshakes(self) -> None:
         oldest = self.pulse.now - self.limits.handshake.total_seconds()
