Ask an upstream for its own proof, and read streams with less work

Cause: an upstream could end SCRAM early with AuthenticationOk and be trusted; a queue with a timer cost 5% of the entry side of the hop. Change: log-in without the server's signature is refused; streams have a queue for one reader.

--- a/packages/daemon/bramleyrill_daemon/_remote.py
+++ b/packages/daemon/bramleyrill_daemon/_remote.py
@@ -8,7 +8,6 @@
 from bramleyrill_core.routing import Route
 from bramleyrill_wire.peers import frames as wire
 from gevent.event import Event
-from gevent.queue import SimpleQueue
 
 from bramleyrill_daemon._exchange import (
     Chunk,
@@ -18,6 +17,7 @@
     Outcome,
     Request,
 )
+from bramleyrill_daemon._inbox import Inbox
 from bramleyrill_daemon._peer_link import PeerLink, PeerLostError
 from bramleyrill_daemon._stream_codec import (
     WINDOW,
@@ -63,7 +63,7 @@
         self._link: PeerLink | None = None
         self._stream = 0
         self._request_number = 1
-        self._inbox: SimpleQueue = SimpleQueue()
+        self._inbox: Inbox = Inbox()
         self._credit = WINDOW
         self._credit_came: Event | None = None
         self._taken = 0
--- a/packages/daemon/bramleyrill_daemon/_served.py
+++ b/packages/daemon/bramleyrill_daemon/_served.py
@@ -6,9 +6,9 @@
 from bramleyrill_base import ErrorKind, Problem, log_event
 from bramleyrill_wire.peers import frames
 from gevent.event import Event
-from gevent.queue import SimpleQueue
 
 from bramleyrill_daemon._exchange import Chunk, Exchange, ExchangeClosed, Executor, Outcome
+from bramleyrill_daemon._inbox import Inbox
 from bramleyrill_daemon._peer_link import PeerLink, PeerLostError
 from bramleyrill_daemon._stream_codec import (
     MAY_COMMIT,
@@ -39,7 +39,7 @@
         self._link = link
         self._number = number
         self._request_number = 1
-        self._inbox: SimpleQueue = SimpleQueue()
+        self._inbox: Inbox = Inbox()
         self._exchange: Exchange | None = None
         self._credit = WINDOW
         self._credit_came: Event | None = None
--- a/packages/daemon/bramleyrill_daemon/_upstream.py
+++ b/packages/daemon/bramleyrill_daemon/_upstream.py
@@ -81,6 +81,7 @@
         self.pid = 0
         self.secret = 0
         self.closed = False
+        self._proved = False
         self._received = b""
 
     @classmethod
@@ -230,6 +231,10 @@
         (code,) = _INT.unpack_from(body)
         try:
             if code == 0:
+                if scram is not None and not self._proved:
+                    raise UpstreamError(
+                        "28000", "upstream did not prove that it knows the password"
+                    )
                 return None
             if code == 3:
                 self.sock.sendall(frame(b"p", self.login.password.encode() + b"\0"))
@@ -246,6 +251,7 @@
                 return scram
             if code == 12 and scram is not None:
                 scram.set_server_final(body[4:].decode())
+                self._proved = True
                 return scram
         except (ScramException, UnicodeDecodeError) as error:
             raise UpstreamError("28P01", f"log-in failed: {error}") from error
