Find lost entries by their term, and count the start of a term as progress

Random faults broke two rules taken from the design. A mark passed for kept when no later term started before its position, but a log that never had the mark's term holds another entry there. And a primary that wrote nothing in its term lost to a member with more entries of the term before, so that entries which callers were told are lost came back.

A mark now needs its own term at its position in the history; logs are compared by the last term that started in them. A log older than the mark is too stale and loses nothing. The token of a session with an untold loss names the lost entry.

--- a/packages/core/bramleyrill_core/sessions/__init__.py
+++ b/packages/core/bramleyrill_core/sessions/__init__.py
@@ -5,7 +5,7 @@
 from bramleyrill_core.sessions._messages import TokenKey, TokenKeysChanged
 from bramleyrill_core.sessions._settings import apply_setting, merge_mark
 from bramleyrill_core.sessions._tables import Session, SessionTables, open_session
-from bramleyrill_core.sessions._tokens import issue_token, read_token
+from bramleyrill_core.sessions._tokens import issue_token, read_token, token_of
 
 __all__ = [
     "Session",
@@ -23,4 +23,5 @@
     "open_session",
     "read_token",
     "take_lost",
+    "token_of",
 ]
--- a/packages/core/bramleyrill_core/sessions/_marks.py
+++ b/packages/core/bramleyrill_core/sessions/_marks.py
@@ -10,31 +10,44 @@
 _SUCCESS: Result[None, Problem] = Success(None)
 
 
+def term_at(history: tuple[TermStart, ...], position: int) -> int | None:
+    """Return the term of the entry at `position`, by a log's history; None if it tells nothing."""
+    found = None
+    for entry in history:
+        if entry.start < position:
+            found = entry.term
+    return found
+
+
 def check_mark(mark: Mark, history: tuple[TermStart, ...]) -> Result[None, Problem]:
-    """Return LOST_ENTRY if a later term of `history` started before the mark's position.
+    """Return LOST_ENTRY if the entry is not in the log that `history` describes.
 
-    A primary of term u keeps the entries up to start(u) and writes its own after it, so an
-    entry of an earlier term is in the log exactly if every later start is at or after it.
+    The entry at the mark's position must be of the mark's term. It is not enough that no later
+    term started before the position: a log that never had the mark's term may hold another entry
+    there. TOO_STALE if the log ends before the mark's term, which a primary in office never does.
     """
-    for entry in history:
-        if entry.term > mark.term and entry.start < mark.position:
-            return Failure(
-                Problem(
-                    ErrorKind.LOST_ENTRY,
-                    f"entry {mark.position} of term {mark.term} was not in the log of term "
-                    f"{entry.term}, which started at {entry.start}",
-                )
-            )
-    return _SUCCESS
+    if mark.position == 0 or not history or term_at(history, mark.position) == mark.term:
+        return _SUCCESS
+    if mark.term > history[-1].term:
+        return Failure(
+            Problem(ErrorKind.TOO_STALE, f"the log ends before term {mark.term} of the session")
+        )
+    return Failure(
+        Problem(
+            ErrorKind.LOST_ENTRY,
+            f"entry {mark.position} of term {mark.term} is not in the log of the primary",
+        )
+    )
 
 
 def contains(status: MemberStatus, mark: Mark) -> bool:
-    """Tell whether the member's log has the entry: term first, then position, then history."""
-    if status.last_term < mark.term or status.position < mark.position:
-        return False
-    if status.last_term == mark.term:
+    """Tell whether the member's log has the entry: right term at the position, and that far."""
+    if mark.position == 0:
         return True
-    return all(e.term <= mark.term or e.start >= mark.position for e in status.history)
+    if status.position < mark.position:
+        return False
+    found = term_at(status.history, mark.position)
+    return (status.last_term if found is None else found) == mark.term
 
 
 def note_answer(
@@ -51,10 +64,13 @@
     Return LOST_ENTRY for a read after a loss, once; after a write the loss is kept for the next
     read, since a write that took effect is not reported as failed.
     """
-    if world.rules.on("lost_entry"):
-        for known in (*session.unchecked, *((session.mark,) if session.mark else ())):
-            if isinstance(check_mark(known, history), Failure):
-                session.lost = known
+    known = (*session.unchecked, *((session.mark,) if session.mark else ()))
+    for earlier in known if world.rules.on("lost_entry") else ():
+        checked = check_mark(earlier, history)
+        if isinstance(checked, Failure):
+            if checked.failure().kind is not ErrorKind.LOST_ENTRY:
+                return _SUCCESS if wrote else checked
+            session.lost = earlier
     session.unchecked = ()
     if session.lost is not None:
         session.mark = mark if wrote else None
--- a/packages/core/bramleyrill_core/sessions/_tokens.py
+++ b/packages/core/bramleyrill_core/sessions/_tokens.py
@@ -12,7 +12,7 @@
 from bramleyrill_core._values import DatabaseId, Mark
 from bramleyrill_core._world import World
 from bramleyrill_core.sessions._messages import TokenKeysChanged
-from bramleyrill_core.sessions._tables import SessionTables
+from bramleyrill_core.sessions._tables import Session, SessionTables
 
 _VERSION = "b1"
 # Refuses oversized input before any decoding; a token of the longest names has under 512 bytes.
@@ -51,6 +51,18 @@
     return f"{_VERSION}.{key.id}.{body}.{_encode(_sign(key.secret, key.id, body))}"
 
 
+def token_of(world: World, session: Session) -> str:
+    """Return the token to report to a session's caller, or an empty text if nothing is known.
+
+    A loss that the caller has not been told of goes into the token instead of the newest mark,
+    so that the VM it roams to can tell it.
+    """
+    mark = session.lost if session.lost is not None else session.mark
+    if mark is None or not session.writes:
+        return ""
+    return issue_token(world, session.database, mark)
+
+
 def read_token(world: World, token: str, database: DatabaseId) -> Result[Mark, Problem]:
     """Return the mark of a token of `database`, or BAD_SETTING; the signature is checked first."""
     parts = token.split(".")
--- a/packages/core/bramleyrill_core/succession/_answers.py
+++ b/packages/core/bramleyrill_core/succession/_answers.py
@@ -8,7 +8,7 @@
 
 from bramleyrill_core._values import Mark, TermStart
 from bramleyrill_core._world import World
-from bramleyrill_core.sessions import Session, issue_token, note_answer
+from bramleyrill_core.sessions import Session, note_answer, token_of
 from bramleyrill_core.succession._permit import entry_expiry
 
 
@@ -42,5 +42,4 @@
     noted = note_answer(world, session, answer.mark, answer.history, answer.wrote)
     if isinstance(noted, Failure):
         return Failure(noted.failure())
-    wrote_known = answer.wrote and answer.mark is not None
-    return Success(issue_token(world, session.database, answer.mark) if wrote_known else "")
+    return Success(token_of(world, session) if answer.wrote else "")
--- a/packages/core/bramleyrill_core/succession/_model.py
+++ b/packages/core/bramleyrill_core/succession/_model.py
@@ -11,10 +11,10 @@
 from functools import lru_cache
 from itertools import combinations
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from bramleyrill_core._rules import Rules
-from bramleyrill_core._values import MemberRole, MemberStatus
+from bramleyrill_core._values import MemberRole, MemberStatus, TermStart
 from bramleyrill_core.succession._change import (
     Change,
     Step,
@@ -46,12 +46,13 @@
 
 @frozen(cache_hash=True)
 class Server:
-    """A member: highest term, role, leader that it follows, terms of its entries."""
+    """A member: highest term, role, leader that it follows, terms of its entries, term starts."""
 
     term: int = 1
     role: MemberRole = REPLICA
     leader: str = "m1"
     log: tuple[int, ...] = ()
+    starts: tuple[tuple[int, int], ...] = ((1, 0),)
 
 
 @frozen(cache_hash=True)
@@ -106,7 +107,10 @@
 def _status(index: int, server: Server) -> MemberStatus:
     last = server.log[-1] if server.log else 0
     leader = "" if server.role is FENCED else server.leader
-    return MemberStatus(NAMES[index], server.term, len(server.log), server.role, leader, last)
+    starts = tuple(TermStart(*start) for start in server.starts)
+    return MemberStatus(
+        NAMES[index], server.term, len(server.log), server.role, leader, last, starts
+    )
 
 
 def _with(items: tuple, index: int, item: object) -> tuple:
@@ -153,17 +157,18 @@
             if leader_of(SPANS, term) == name:
                 yield from _promote(state, index, term, "late promotion")
         if server.role is PRIMARY and len(server.log) < bounds.entries:
-            found = Server(server.term, PRIMARY, name, (*server.log, server.term))
+            found = evolve(server, log=(*server.log, server.term))
             yield f"write at {name}", _put(state, index, found)
         for other, leader in enumerate(state.servers):
             if other == index or leader.role is not PRIMARY or server.term > leader.term:
                 continue
             if server.term < leader.term or server.role is FENCED:
-                found = Server(leader.term, REPLICA, NAMES[other], _shared(server.log, leader.log))
+                log = _shared(server.log, leader.log)
+                found = _follower(leader, NAMES[other], log)
                 yield f"{name} follows {NAMES[other]}", _put(state, index, found)
             elif server.role is REPLICA and len(server.log) < len(leader.log):
                 log = leader.log[: len(server.log) + 1]
-                found = Server(server.term, REPLICA, NAMES[other], log)
+                found = _follower(leader, NAMES[other], log)
                 durable = log if log[-1] == leader.term else state.durable
                 yield f"{name} copies {NAMES[other]}", _put(state, index, found, durable)
 
@@ -176,6 +181,11 @@
     return _state(state, **changes)
 
 
+def _follower(leader: Server, name: str, log: tuple[int, ...]) -> Server:
+    starts = tuple(start for start in leader.starts if start[1] <= len(log))
+    return Server(leader.term, REPLICA, name, log, starts)
+
+
 def _shared(log: tuple[int, ...], leader: tuple[int, ...]) -> tuple[int, ...]:
     length = 0
     while length < min(len(log), len(leader)) and log[length] == leader[length]:
@@ -185,14 +195,15 @@
 
 def _fence(server: Server, term: int) -> Server | None:
     if term > server.term:
-        return Server(term, FENCED, "", server.log)
+        return Server(term, FENCED, "", server.log, server.starts)
     return server if term == server.term and server.role is FENCED else None
 
 
 def _promote(state: State, index: int, term: int, name: str) -> Iterator[tuple[str, State]]:
     server = state.servers[index]
     if server.term == term and server.role is FENCED:
-        found = Server(term, PRIMARY, NAMES[index], server.log)
+        starts = (*server.starts, (term, len(server.log)))
+        found = Server(term, PRIMARY, NAMES[index], server.log, starts)
         servers = _with(state.servers, index, found)
         promoted = max(state.promoted, term)
         yield f"{name} {term}", _state(state, servers=servers, promoted=promoted)
--- a/packages/core/bramleyrill_core/succession/_supervise.py
+++ b/packages/core/bramleyrill_core/succession/_supervise.py
@@ -87,7 +87,7 @@
     if now < max(_suspected_at(world, group) + turn, group.retry_at):
         return
     _start(group, Change(Step.ASK, now))
-    for vm in {vm for vm in group.holders.values() if vm not in (None, me)}:
+    for vm in sorted({vm for vm in group.holders.values() if vm not in (None, me)}):
         yield AskPrimarySeen(vm, group.id)
 
 
--- a/packages/core/bramleyrill_core/succession/_terms.py
+++ b/packages/core/bramleyrill_core/succession/_terms.py
@@ -44,16 +44,17 @@
     return 2 * sum(name in names for name in members) > len(members)
 
 
+def last_term_of(status: MemberStatus) -> int:
+    """Return the last term that started within the member's log."""
+    return max(status.last_term, status.history[-1].term if status.history else 0)
+
+
 def settled_term(statuses: Iterable[MemberStatus]) -> int:
     """Return the highest term that some log shows to have had a primary.
 
     Its fence had the majorities it needed, so no earlier span can give a permit any more.
     """
-    terms = [0]
-    for status in statuses:
-        terms.append(status.last_term)
-        terms.extend(entry.term for entry in status.history)
-    return max(terms)
+    return max(map(last_term_of, statuses), default=0)
 
 
 def has_majorities(
@@ -66,10 +67,15 @@
 
 
 def most_advanced(statuses: Mapping[str, MemberStatus], rules: Rules) -> list[str]:
-    """Return the members with the newest last entry: by its term, then by its position."""
+    """Return the members with the newest log: by its last term, then by its last position.
+
+    The start of a term counts like an entry of it. Otherwise a primary that wrote nothing would
+    lose to a member with more entries of the term before, and entries that callers were told are
+    lost would come back.
+    """
     by_term = rules.on("term_before_position")
     progress = {
-        name: (status.last_term if by_term else 0, status.position)
+        name: (last_term_of(status) if by_term else 0, status.position)
         for name, status in statuses.items()
     }
     best = max(progress.values(), default=None)
--- a/tests/sessions/test_marks.py
+++ b/tests/sessions/test_marks.py
@@ -16,6 +16,7 @@
     note_answer,
     open_session,
     read_token,
+    token_of,
 )
 from returns.result import Failure, Success
 
@@ -41,6 +42,30 @@
         self.assertEqual(kind_of(check_mark(Mark(5, 61), history)), ErrorKind.LOST_ENTRY)
         self.assertEqual(kind_of(check_mark(Mark(7, 91), history)), ErrorKind.LOST_ENTRY)
 
+    def test_log_that_never_had_the_term_lacks_the_entry(self):
+        """Guards against another entry at the same position that passes for the session's own."""
+        never = (TermStart(1, 0), TermStart(7, 35))
+        self.assertEqual(kind_of(check_mark(Mark(6, 35), never)), ErrorKind.LOST_ENTRY)
+        self.assertEqual(check_mark(Mark(1, 35), never), Success(None))
+        self.assertFalse(contains(status("m1", 7, 37, history=((1, 0), (7, 35))), Mark(6, 35)))
+
+    def test_log_older_than_the_mark_is_stale_and_loses_nothing(self):
+        """Guards against a loss told because a replaced primary answered."""
+        self.session.mark = Mark(7, 40)
+        old = (TermStart(5, 0),)
+        answer = note_answer(self.world, self.session, Mark(5, 80), old, False)
+        self.assertEqual(kind_of(answer), ErrorKind.TOO_STALE)
+        self.assertEqual((self.session.mark, self.session.lost), (Mark(7, 40), None))
+
+    def test_token_of_a_session_with_an_untold_loss_names_the_lost_entry(self):
+        """Guards against a caller that roams after a loss and is never told of it."""
+        Core(self.world).handle(TokenKeysChanged((OLD,), "k1"))
+        history = (TermStart(5, 0), TermStart(7, 60))
+        self.session.mark = Mark(5, 80)
+        note_answer(self.world, self.session, Mark(7, 90), history, True)
+        token = token_of(self.world, self.session)
+        self.assertEqual(read_token(self.world, token, DATABASE), Success(Mark(5, 80)))
+
     def test_longer_log_of_an_older_term_lacks_the_entry(self):
         """Guards against comparing positions before terms."""
         old = status("m2", 5, 200, history=((5, 0),))
--- a/tests/succession/simulation.py
+++ b/tests/succession/simulation.py
@@ -92,6 +92,7 @@
         self.paused = set()
         self.cut = set()
         self.loss = 0.0
+        self.lag = 0.0
         self.max_delay = 5
         self.promotions = []
         self.effects = []
@@ -203,7 +204,8 @@
                 continue
             if leader.term != member.term or leader.role is not MemberRole.PRIMARY:
                 continue
-            if self.delivered(member.name, leader.name):
+            lags = self.lag and self.random.random() < self.lag
+            if self.delivered(member.name, leader.name) and not lags:
                 member.role = MemberRole.REPLICA
                 member.history = list(leader.history)
                 shared = 0
--- a/tests/succession/test_failover.py
+++ b/tests/succession/test_failover.py
@@ -3,7 +3,7 @@
 import unittest
 from datetime import timedelta
 
-from bramleyrill_core import MemberRole
+from bramleyrill_core import MemberRole, Rules
 from bramleyrill_core.succession import (
     AppendSpan,
     PlannedChangeRequested,
@@ -12,8 +12,10 @@
     holds_writes,
     permit_for,
 )
+from bramleyrill_core.succession._terms import most_advanced
 
 from tests.succession.simulation import DATABASE, NAMES, Simulation, ms
+from tests.worlds import status
 
 
 def permit_at(simulation, name):
@@ -106,6 +108,16 @@
         self.assertFalse([e for _, _, e in simulation.effects if isinstance(e, AppendSpan)])
 
 
+class ProgressTest(unittest.TestCase):
+    def test_started_term_outranks_more_entries_of_the_term_before(self):
+        """Guards against entries that come back after callers were told that they are lost."""
+        statuses = {
+            "m1": status("m1", 6, 137, last_term=3, history=((1, 0), (3, 101), (4, 137))),
+            "m3": status("m3", 6, 139, last_term=3, history=((1, 0), (3, 101))),
+        }
+        self.assertEqual(most_advanced(statuses, Rules()), ["m1"])
+
+
 class ExpiryTest(unittest.TestCase):
     def test_expiry_on_the_entry_side(self):
         """Guards against an answer acknowledged after the permit, also for long statements."""
