--- a/packages/daemon/bramleyrill_daemon/_answers.py
+++ b/packages/daemon/bramleyrill_daemon/_answers.py
@@ -70,6 +70,11 @@
         self.tail = b""
         self.tx_status = b"I"
 
+    def hold_from_here(self) -> None:
+        """Hold the end of the answer back after all, and expect a status row behind it."""
+        self._hold = True
+        self.wants_status = True
+
     def feed(self, data: bytes) -> bytes:
         """Take received bytes; raise AnswerError on a malformed frame."""
         if self._rest:
--- a/tests/processes/test_released_pool.py
+++ b/tests/processes/test_released_pool.py
@@ -30,6 +30,6 @@
         permits = SimpleNamespace(now=now, wait_for=lambda member, deadline: None)
         route = SimpleNamespace(member="f/s/d/m", at_primary=True)
         request = SimpleNamespace(alters_session=False)
-        pools = SimpleNamespace(lease=lease)
+        pools = SimpleNamespace(lease=lease, lease_idle=lambda member: lease(member, None))
         exchange = HolderExchange(SimpleNamespace(), pools, permits, route, request)
         self.assertIsNotNone(exchange._get_connection(now() + WAIT))
