Apply a new text to the queues of members that are held

Cause: a desk took its policy once, so that new slots, floors and deadlines came into force only at a VM that took the member over later; an accepted text was not in force everywhere. Change: the desk follows the text at each tick. Measured: the test admits a third request after slots went from 2 to 3; without the change it waits.

--- a/packages/daemon/bramleyrill_daemon/_member.py
+++ b/packages/daemon/bramleyrill_daemon/_member.py
@@ -41,6 +41,7 @@
         self.member = member
         self.database = database
         self._world = world
+        self._text = world.text
         self._queue = AdmissionQueue(policy_for_member(world.text, member), world.clock)
         self._ids = itertools.count(1)
         fleet, service = fleet_of(member), service_of(member)
@@ -83,9 +84,17 @@
             self._run_callback(waiting.switch, CANCELED)
 
     def tick(self) -> None:
-        """Refuse what waited past its deadline."""
+        """Refuse what waited past its deadline, and follow changes of the text."""
+        if self._world.text is not self._text:
+            self._follow_text()
         self._wake(self._queue.tick())
 
+    def _follow_text(self) -> None:
+        self._text = self._world.text
+        # A member that left the text is on its way out; its last policy stays until then.
+        if self.database in self._text.databases:
+            self._queue.replace_policy(policy_for_member(self._text, self.member))
+
     def status_of(self, row: bytes) -> MemberStatus:
         """Return the status in a row; equal rows in sequence are read once."""
         if row != self._status_row or self._status is None:
--- /dev/null
+++ b/tests/holder/test_member_text.py
@@ -0,0 +1,27 @@
+"""Tests of a desk under a changed text."""
+
+import unittest
+from datetime import timedelta
+
+from bramleyrill_base import ManualClock
+from bramleyrill_core import Rank, VmIdentity, World
+from bramleyrill_core.text import example_source, parse_text
+from bramleyrill_daemon._member import MemberDesk
+
+DATABASE = "kintsugi/onarim-defteri/records"
+
+
+class ChangedTextTest(unittest.TestCase):
+    """Guards against slots that stay those of the text at the time the member was taken over."""
+
+    def test_new_slots_apply_to_a_desk_in_use(self):
+        world = World(VmIdentity("vm-1", "marmara-a", "marmara"), ManualClock())
+        source = example_source()
+        world.text = parse_text(source, 1).unwrap()
+        desk = MemberDesk(world, f"{DATABASE}/records-1", DATABASE)
+        deadline = timedelta(seconds=3)
+        for _ in range(2):
+            self.assertEqual(desk.admit(desk.ticket(Rank.URGENT, deadline)), (None, False))
+        world.text = parse_text(source.replace("slots: 2", "slots: 3", 1), 2).unwrap()
+        desk.tick()
+        self.assertEqual(desk.admit(desk.ticket(Rank.URGENT, deadline)), (None, False))
