Test member lists that change and late answers of the platform

Neighbouring member lists must share a majority member, and an old answer must not take a span back. Both rules had no test of their own.

--- a/tests/succession/test_failover.py
+++ b/tests/succession/test_failover.py
@@ -3,19 +3,24 @@
 import unittest
 from datetime import timedelta
 
-from bramleyrill_core import MemberRole, Rules
+from bramleyrill_core import Core, MemberRole, Rules
 from bramleyrill_core.succession import (
     AppendSpan,
     PlannedChangeRequested,
     SendFence,
+    Span,
+    SpansChanged,
+    SuccessionTables,
     entry_expiry,
     holds_writes,
+    leader_of,
+    next_span,
     permit_for,
 )
 from bramleyrill_core.succession._terms import most_advanced
 
 from tests.succession.simulation import DATABASE, NAMES, Simulation, ms
-from tests.worlds import status
+from tests.worlds import build_world, status
 
 
 def permit_at(simulation, name):
@@ -118,6 +123,28 @@
         self.assertEqual(most_advanced(statuses, Rules()), ["m1"])
 
 
+class SpanTest(unittest.TestCase):
+    def test_member_lists_change_by_one_member_above_the_term_in_use(self):
+        """Guards against neighbouring lists whose majorities share no member."""
+        spans = (Span(1, NAMES),)
+        first = next_span(spans, ("m4", "m5", "m3"), 7)
+        self.assertEqual(first, Span(8, (*NAMES, "m4")))
+        second = next_span((*spans, first), ("m3", "m4"), 8)
+        self.assertEqual(second, Span(9, ("m2", "m3", "m4")))
+        self.assertIsNone(next_span(spans, ("m3", "m2", "m1"), 7))
+        self.assertEqual(
+            [leader_of((*spans, first), t) for t in (6, 7, 8, 11)], ["m3", "m1", "m1", "m4"]
+        )
+
+    def test_late_answer_of_the_platform_takes_no_span_back(self):
+        """Guards against an old answer that removes the span of the term in force."""
+        core = Core(build_world())
+        both = (Span(1, NAMES), Span(8, (*NAMES, "m4")))
+        core.handle(SpansChanged(DATABASE, both))
+        core.handle(SpansChanged(DATABASE, both[:1]))
+        self.assertEqual(core.world.tables(SuccessionTables).spans.get(DATABASE), both)
+
+
 class ExpiryTest(unittest.TestCase):
     def test_expiry_on_the_entry_side(self):
         """Guards against an answer acknowledged after the permit, also for long statements."""
