--- a/packages/core/bramleyrill_core/trace/__main__.py
+++ b/packages/core/bramleyrill_core/trace/__main__.py
@@ -9,8 +9,8 @@
     """Print one line for each file; return 1 if any outcome was missed."""
     results = replay(paths)
     for result in results:
-        print(result.summary())
-    return 0 if all(result.ok for result in results) else 1
+        print(result)
+    return 0 if all(result.passed for result in results) else 1
 
 
 if __name__ == "__main__":
--- a/packages/core/bramleyrill_core/trace/_replay.py
+++ b/packages/core/bramleyrill_core/trace/_replay.py
@@ -23,7 +23,7 @@
         importlib.import_module(f"bramleyrill_core.{_module.name}")
 
 
-@define
+@define(repr=False)
 class ReplayResult:
     """Outcome of one file: what was missed, the rules it guards, lines and effects counted."""
 
@@ -34,13 +34,12 @@
     checks: int = 0
 
     @property
-    def ok(self) -> bool:
+    def passed(self) -> bool:
         """Tell whether every stated outcome was met, and at least one was stated."""
         return not self.misses and self.checks > 0
 
-    def summary(self) -> str:
-        """Return one line for the file."""
-        if self.ok:
+    def __str__(self) -> str:
+        if self.passed:
             return f"ok {self.name}: {self.events} events, {self.checks} outcomes"
         return f"MISSED {self.name}: {'; '.join(self.misses) or 'no outcome is stated'}"
 
