Test a peer link over TLS

Cause: frames over TLS take another way out than over a plain socket, and nothing ran it. Change: a test sends three frames of a megabyte each and a call behind them.

--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import gevent
+import trustme
 from bramleyrill_base import SystemClock
 from bramleyrill_core import VmId, VmIdentity
 from bramleyrill_daemon import _peer_link
@@ -12,7 +13,7 @@
 from bramleyrill_daemon._peer_link import PeerLostError
 from bramleyrill_daemon._peer_net import PeerNet, listen_on
 from bramleyrill_wire.peers import frames
-from gevent import socket
+from gevent import socket, ssl
 
 KEY = b"a key that every VM shares"
 
@@ -20,11 +21,11 @@
 class Net(PeerNet):
     """A peer network on loopback that records frames and answers pulls."""
 
-    def __init__(self, vm: str, key: bytes = KEY):
+    def __init__(self, vm: str, key: bytes = KEY, **tls):
         self.taken = []
         self.ports = {}
         identity = VmIdentity(VmId(vm), "d", "r")
-        super().__init__(identity, key, SystemClock(), self.find, self.take)
+        super().__init__(identity, key, SystemClock(), self.find, self.take, **tls)
         self.port = self.listen("127.0.0.1", 0)
 
     def find(self, vm):
@@ -87,6 +88,23 @@
         self.assertEqual(self.pull(self.a, "b").version, 7)
         self.assertEqual(self.pull(self.b, "a").version, 7)
 
+    def test_tls_link_carries_more_than_one_buffer(self):
+        """Guards against the plain socket's short cut on a TLS connection."""
+        authority = trustme.CA()
+        server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        authority.issue_cert("127.0.0.1").configure_cert(server)
+        client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        authority.configure_trust(client)
+        c, d = Net("c", server_tls=server), Net("d", client_tls=client)
+        self.addCleanup(c.close)
+        self.addCleanup(d.close)
+        d.ports["c"] = c.port
+        with gevent.Timeout(10):
+            for _ in range(3):
+                d.link("c").send(frames.StatusPush(call=1, body=b"x" * 1_000_000))
+            self.assertEqual(self.pull(d, "c").version, 7)
+        self.assertEqual([len(frame.body) for frame in c.taken[:3]], [1_000_000] * 3)
+
     def test_loss_reaches_streams_and_calls_and_a_new_link_works(self):
         """Guards against requests that wait for ever after their connection ended."""
         link = self.a.link("b")
