--- /dev/null
+++ b/packages/cli/bramleyrill_cli/benches/_slopes.py
@@ -0,0 +1,61 @@
+"""`bench slopes`: what one more of each costs, for the capacity page."""
+
+import json
+import subprocess
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated
+
+import attrs
+from cyclopts import Parameter
+
+from bramleyrill_cli._app import bench
+from bramleyrill_cli.benches._figures import machine
+from bramleyrill_cli.slopes import Slope, fit, slopes_by_name
+
+
+@bench.command
+def slopes(
+    *,
+    only: Annotated[str, Parameter(help="Run slopes whose name has this in it.")] = "",
+    write: Annotated[Path | None, Parameter(help="File to write the results to.")] = None,
+) -> int:
+    """Run each role's real code at several sizes and fit a line to what it costs.
+
+    Every slope is fitted to all points but the largest, which checks it.
+
+    Parameters
+    ----------
+    only
+        Run slopes whose name has this in it.
+    write
+        JSON file to write machine, date, commit and slopes to; earlier slopes that are not run
+        this time stay in it.
+    """
+    results: dict[str, Slope] = {}
+    for name, measurement in slopes_by_name.by_name.items():
+        if only not in name:
+            continue
+        unit, of, points = measurement()
+        slope = results[name] = fit(name, unit, of, points)
+        print(
+            f"{name:<24} {slope.per_unit:>12.4g} {unit} for each {of}, fixed {slope.fixed:.4g},"
+            f" last point off by {slope.check_error:.1%}",
+            flush=True,
+        )
+    if write is not None:
+        _write(write, results)
+    return 0
+
+
+def _write(path: Path, results: dict[str, Slope]) -> None:
+    document = json.loads(path.read_text()) if path.exists() else {"slopes": {}}
+    commit = subprocess.run(
+        ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=False
+    )
+    document["machine"] = machine()
+    document["date"] = datetime.now(UTC).date().isoformat()
+    document["commit"] = commit.stdout.strip()
+    for name, slope in results.items():
+        document["slopes"][name] = attrs.asdict(slope)
+    path.write_text(json.dumps(document, indent=1, sort_keys=True) + "\n")
--- a/packages/cli/bramleyrill_cli/slopes/__init__.py
+++ b/packages/cli/bramleyrill_cli/slopes/__init__.py
@@ -1,6 +1,6 @@
 """Slopes: what one more session, statement, member or VM costs, measured on the real code."""
 
-from bramleyrill_cli.slopes import _configuration, _membership, _processes, _sessions
+from bramleyrill_cli.slopes import _configuration, _control, _membership, _processes, _sessions
 from bramleyrill_cli.slopes._measure import (
     Point,
     Slope,
@@ -14,6 +14,7 @@
     "Point",
     "Slope",
     "_configuration",
+    "_control",
     "_membership",
     "_processes",
     "_sessions",
--- a/packages/cli/bramleyrill_cli/slopes/_processes.py
+++ b/packages/cli/bramleyrill_cli/slopes/_processes.py
@@ -1,5 +1,6 @@
 """Slopes of a real proxy process: resident memory by session, processor time by statement."""
 
+import functools
 import time
 
 import gevent
@@ -15,6 +16,11 @@
 CALLERS = 8
 CONNECTING = 16
 STATEMENT = "SELECT 1"
+# A second of an idle proxy takes a few ticks of the kernel's clock of processor time only.
+IDLE_S = 15.0
+IDLE_SETTLE_S = 8.0
+# Databases of each service, and the fleets; all fleets together double the last one.
+INSTALLATIONS = ((1, ("kintsugi",)), (2, ("kintsugi",)), (3, ("kintsugi",)), (3, ()))
 LIMITS = {"connections": 400, "slots": 32}
 
 
@@ -127,3 +133,29 @@
     elapsed = time.monotonic() - started
     used = sum(map(processor_seconds, pids)) - before
     return done[0] / elapsed, used / elapsed * 1e6
+
+
+@slopes_by_name.register("control_process_us")
+def control_process_us() -> tuple[str, str, list[Point]]:
+    """Measure the processor time of an idle proxy that holds all members of its databases."""
+    return "us/s", "database", [_idle_process(*size)[0] for size in INSTALLATIONS]
+
+
+@slopes_by_name.register("control_process_bytes")
+def control_process_bytes() -> tuple[str, str, list[Point]]:
+    """Measure the resident memory of an idle proxy that holds all members of its databases."""
+    return "B", "database", [_idle_process(*size)[1] for size in INSTALLATIONS]
+
+
+@functools.cache
+def _idle_process(databases: int, fleets: tuple[str, ...]) -> tuple[Point, Point]:
+    from bramleyrill_standins.processes import Estate
+
+    with Estate(databases=databases, proxies=1, fleets=fleets, together=True) as estate:
+        time.sleep(IDLE_SETTLE_S)
+        pid = estate.proxies[0].process.pid
+        before = processor_seconds(pid)
+        time.sleep(IDLE_S)
+        used = (processor_seconds(pid) - before) / IDLE_S * 1e6
+        size = len(estate.groups)
+        return Point(size, used), Point(size, float(resident_bytes(pid)))
