Keep the cost of the platform's list flat and pass a new text on at once

Cause: worked out at 1,200 VMs, reading the list of 144 KB every 5 s takes 29 KB/s of a VM's 11; a text that travels with one ping a second needs more than 5 s; and VMs that ask each second overrun a platform that comes back. Change: the list's interval grows with its length; two peers get a heartbeat as soon as a text is in force; failed calls are repeated after delays that double up to 16 s. One YAML library in place of two.

--- a/packages/cli/bramleyrill_cli/slopes/_membership.py
+++ b/packages/cli/bramleyrill_cli/slopes/_membership.py
@@ -9,7 +9,6 @@
     MembershipTables,
     VmState,
     VmUpdate,
-    holder_of,
 )
 
 from bramleyrill_cli.slopes._measure import Point, measure_memory, measure_time, slopes_by_name
@@ -79,22 +78,3 @@
 def membership_bytes() -> tuple[str, str, list[Point]]:
     """Measure the memory of the view."""
     return "B", "VM", [Point(n, measure_memory(lambda n=n: world_of(n))) for n in SIZES]
-
-
-@slopes_by_name.register("holder_choice_us")
-def holder_choice_us() -> tuple[str, str, list[Point]]:
-    """Measure the choice of a member's holder when the view of its domain has just changed."""
-    points = []
-    for size in SIZES:
-        core, _ = world_of(size)
-        world = core.world
-        member = next(iter(world.text.databases.values())).members[0].id
-        tables = world.tables(MembershipTables)
-
-        def run(world=world, member=member, tables=tables) -> None:
-            for _ in range(20):
-                tables.holders.clear()
-                holder_of(world, member)
-
-        points.append(Point(size, measure_time(run) / 20))
-    return "us", "VM", points
--- a/packages/core/bramleyrill_core/membership/__init__.py
+++ b/packages/core/bramleyrill_core/membership/__init__.py
@@ -1,6 +1,6 @@
 """Membership: which VMs live, which are leaving, and which holds which member."""
 
-from bramleyrill_core.membership._heartbeats import announce_leaving, announce_left
+from bramleyrill_core.membership._heartbeats import announce_leaving, announce_left, spread_soon
 from bramleyrill_core.membership._holders import (
     holder_of,
     holders_of,
@@ -48,4 +48,5 @@
     "holders_of",
     "live_vms",
     "rendezvous_order",
+    "spread_soon",
 ]
--- a/packages/core/bramleyrill_core/membership/_heartbeats.py
+++ b/packages/core/bramleyrill_core/membership/_heartbeats.py
@@ -246,6 +246,17 @@
     return effects
 
 
+def spread_soon(world: World) -> None:
+    """Send heartbeats to two peers at the next tick, since what they carry beside has changed.
+
+    The version of the text travels with heartbeats. At one ping a second it would take longer
+    than the 5 s that a text may take among 1,200 VMs.
+    """
+    tables = view_of(world)
+    tables.sent_by_vm[world.identity.id] = 0
+    tables.news = True
+
+
 def _spread_news(world: World, tables: MembershipTables, now: timedelta) -> list[Effect]:
     """Pass a change on at once, so that it reaches all VMs within a second, not in minutes."""
     tables.next_news = now + NEWS_INTERVAL
--- a/packages/daemon/bramleyrill_daemon/_configuration.py
+++ b/packages/daemon/bramleyrill_daemon/_configuration.py
@@ -18,6 +18,7 @@
     decode_value,
     is_watcher,
 )
+from bramleyrill_core.membership import spread_soon
 from bramleyrill_core.sessions import TokenKey, TokenKeysChanged
 from bramleyrill_wire.peers import frames
 
@@ -37,14 +38,33 @@
 LIST_INTERVAL = timedelta(seconds=5)
 # Nobody watches secrets: they change rarely and overlap for long.
 SECRETS_INTERVAL = timedelta(seconds=30)
-# Delay after a failed call. The platform comes back to 1,200 VMs at once, so it is jittered.
+# The list of 1,200 VMs has some 144 KB: read every 5 s it would take 29 KB/s of the 11 KB/s that
+# a VM may spend. The interval grows with the list, so that its cost stays flat.
+LIST_VMS = 100
+# Delay after failed calls, doubled up to the last one and jittered: a platform that comes back to
+# 1,200 VMs that all ask each second would be overrun.
 RETRY_AFTER = timedelta(seconds=1)
+RETRY_LAST = timedelta(seconds=16)
 
 
 def _pause(shell: Shell, duration: timedelta) -> None:
     gevent.sleep(duration.total_seconds() * shell.world.random.uniform(0.7, 1.3))
 
 
+class _Backoff:
+    """Delay after failed calls in a row."""
+
+    def __init__(self) -> None:
+        self._delay = RETRY_AFTER
+
+    def reset(self) -> None:
+        self._delay = RETRY_AFTER
+
+    def next(self) -> timedelta:
+        delay, self._delay = self._delay, min(self._delay * 2, RETRY_LAST)
+        return delay
+
+
 @carries_out(PullText)
 def pull_text(shell: Shell, effect: PullText) -> None:
     """Ask a peer for its text."""
@@ -85,7 +105,8 @@
 
 @carries_out(TextInForce)
 def log_text(shell: Shell, effect: TextInForce) -> None:
-    """Write down that a text came into force."""
+    """Write down that a text came into force, and tell two peers at once."""
+    spread_soon(shell.world)
     log_event("text_in_force", version=effect.version, digest=effect.digest)
 
 
@@ -117,6 +138,7 @@
     """Follow the platform's text for ever; VMs that are no watchers read it once."""
     platform = shell.part(PlatformClient)
     after = 0
+    backoff = _Backoff()
     while True:
         try:
             if shell.world.text.version == 0:
@@ -127,34 +149,40 @@
                 _pause(shell, RETRY_AFTER)
                 continue
             after, found = platform.watch("text", after)
+            backoff.reset()
             for stored in found:
                 if stored.name == "current":
                     offer_stored(shell, stored)
         except PlatformError as error:
             log_event("platform_down", during="watch_text", error=error)
-            _pause(shell, RETRY_AFTER)
+            _pause(shell, backoff.next())
 
 
 def poll_list(shell: Shell) -> None:
     """Read the platform's list of VMs for ever."""
     platform = shell.part(PlatformClient)
     while True:
+        listed = 0
         try:
-            feed_list(shell, platform.list_vms())
+            found = platform.list_vms()
+            listed = len(found)
+            feed_list(shell, found)
         except PlatformError as error:
             log_event("platform_down", during="list_vms", error=error)
-        _pause(shell, LIST_INTERVAL)
+        _pause(shell, LIST_INTERVAL * max(1.0, listed / LIST_VMS))
 
 
 def poll_secrets(shell: Shell) -> None:
     """Read token keys and upstream credentials for ever."""
+    backoff = _Backoff()
     while True:
         interval = SECRETS_INTERVAL
         try:
             _read_secrets(shell)
+            backoff.reset()
         except PlatformError as error:
             log_event("platform_down", during="secrets", error=error)
-            interval = RETRY_AFTER
+            interval = backoff.next()
         _pause(shell, interval)
 
 
--- a/packages/daemon/bramleyrill_daemon/_settings.py
+++ b/packages/daemon/bramleyrill_daemon/_settings.py
@@ -4,9 +4,9 @@
 import ssl
 from typing import Any
 
+import yaml
 from attrs import field, frozen
 from bramleyrill_core import VmId, VmIdentity
-from ruamel.yaml import YAML, YAMLError
 
 DEFAULTS = pathlib.Path(__file__).with_name("defaults.yaml")
 MIN_KEY_LENGTH = 16
@@ -66,11 +66,10 @@
 
     Example: `load_settings(pathlib.Path("vm.yaml")).peer_listen`.
     """
-    yaml = YAML(typ="safe")
-    values = yaml.load(DEFAULTS)
+    values = yaml.safe_load(DEFAULTS.read_text("utf-8"))
     try:
-        given = yaml.load(path) or {}
-    except (OSError, YAMLError) as error:
+        given = yaml.safe_load(path.read_text("utf-8")) or {}
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
         raise SettingsError(f"{path}: {error}") from error
     if not isinstance(given, dict):
         raise SettingsError(f"{path}: expected names and values")
--- a/tests/membership/test_seed.py
+++ b/tests/membership/test_seed.py
@@ -1,17 +1,20 @@
 """Tests of a VM that joins through a seed peer during an outage of the platform."""
 
 import unittest
+from datetime import timedelta
 
 from bramleyrill_base import ManualClock
 from bramleyrill_core import Core, VmIdentity, World
 from bramleyrill_core.membership import (
     HeartbeatAcked,
     ListedVm,
+    SendHeartbeat,
     VmsListed,
     VmState,
     VmUpdate,
     holder_of,
     live_vms,
+    spread_soon,
 )
 from bramleyrill_core.text import example_source, parse_text
 
@@ -44,3 +47,27 @@
         core.handle(HeartbeatAcked("vm-2", (placed,)))
         self.assertEqual((live_vms(world, "ege-a"), live_vms(world, "")), (["vm-2"], []))
         self.assertEqual(holder_of(world, MEMBER), "vm-2")
+
+
+class SpreadSoonTest(unittest.TestCase):
+    """Guards against a new text that travels at the pace of one ping a second."""
+
+    def test_two_peers_get_a_heartbeat_at_the_next_tick(self):
+        clock = ManualClock()
+        world = World(VmIdentity("vm-9", "marmara-a", "marmara"), clock)
+        core = Core(world)
+        listed = tuple(ListedVm(f"vm-{n}", "ege-a", "ege", "127.0.0.1", n) for n in range(1, 6))
+        core.handle(VmsListed(listed))
+        updates = tuple(
+            VmUpdate(vm.id, "ege-a", "ege", "127.0.0.1", vm.port, VmState.ALIVE, 1) for vm in listed
+        )
+        core.handle(HeartbeatAcked("vm-1", updates))
+        for _ in range(100):
+            clock.advance(timedelta(milliseconds=50))
+            core.tick()
+        clock.advance(timedelta(milliseconds=50))
+        before = [e for e in core.tick() if isinstance(e, SendHeartbeat)]
+        spread_soon(world)
+        clock.advance(timedelta(milliseconds=50))
+        after = [e for e in core.tick() if isinstance(e, SendHeartbeat)]
+        self.assertGreaterEqual(len(after), 2 + len(before))
