Work the capacity page out from measured slopes, and floors at the entry VM

Change: docs/CAPACITY.md with tables filled from docs/capacity/slopes.json and a test that compares them; requests outside transactions pass policy_for_vm's queue, with the waiting shared by holder and entry.

--- a/packages/cli/bramleyrill_cli/benches/_config.py
+++ b/packages/cli/bramleyrill_cli/benches/_config.py
@@ -3,7 +3,7 @@
 import time
 
 from bramleyrill_cli._app import bench
-from bramleyrill_cli.benches._figures import machine, summarize
+from bramleyrill_cli._figures import machine, summarize
 
 LIMIT_S = 20.0
 POLL_S = 0.02
--- a/packages/cli/bramleyrill_cli/benches/_drain.py
+++ b/packages/cli/bramleyrill_cli/benches/_drain.py
@@ -5,8 +5,8 @@
 import gevent
 
 from bramleyrill_cli._app import bench
-from bramleyrill_cli.benches._client import BenchCaller, CallError
-from bramleyrill_cli.benches._figures import machine, summarize
+from bramleyrill_cli._client import BenchCaller, CallError
+from bramleyrill_cli._figures import machine, summarize
 
 CALLERS = 6
 PAUSE_S = 0.01
--- a/packages/cli/bramleyrill_cli/benches/_failover.py
+++ b/packages/cli/bramleyrill_cli/benches/_failover.py
@@ -9,8 +9,8 @@
 from attrs import define, field
 
 from bramleyrill_cli._app import bench
-from bramleyrill_cli.benches._client import BenchCaller
-from bramleyrill_cli.benches._figures import machine, summarize
+from bramleyrill_cli._client import BenchCaller
+from bramleyrill_cli._figures import machine, summarize
 
 PARTS = ("detect", "ask", "survey", "fence", "wait", "promote")
 WRITERS = 4
--- a/packages/cli/bramleyrill_cli/benches/_path.py
+++ b/packages/cli/bramleyrill_cli/benches/_path.py
@@ -7,8 +7,8 @@
 from attrs import frozen
 
 from bramleyrill_cli._app import bench
-from bramleyrill_cli.benches._client import BenchCaller
-from bramleyrill_cli.benches._figures import Latencies, machine, processor_seconds, summarize
+from bramleyrill_cli._client import BenchCaller
+from bramleyrill_cli._figures import Latencies, machine, processor_seconds, summarize
 
 CALLER_COUNTS = (1, 10, 100)
 STATEMENT = "SELECT 1"
--- a/packages/cli/bramleyrill_cli/benches/_slopes.py
+++ b/packages/cli/bramleyrill_cli/benches/_slopes.py
@@ -10,8 +10,8 @@
 from cyclopts import Parameter
 
 from bramleyrill_cli._app import bench
-from bramleyrill_cli.benches._figures import machine
-from bramleyrill_cli.slopes import Slope, fit, slopes_by_name
+from bramleyrill_cli._figures import machine
+from bramleyrill_cli.slopes import Slope, fill_page, fit, slopes_by_name
 
 
 @bench.command
@@ -19,6 +19,7 @@
     *,
     only: Annotated[str, Parameter(help="Run slopes whose name has this in it.")] = "",
     write: Annotated[Path | None, Parameter(help="File to write the results to.")] = None,
+    page: Annotated[Path | None, Parameter(help="Page whose tables to fill.")] = None,
 ) -> int:
     """Run each role's real code at several sizes and fit a line to what it costs.
 
@@ -31,6 +32,8 @@
     write
         JSON file to write machine, date, commit and slopes to; earlier slopes that are not run
         this time stay in it.
+    page
+        Capacity page whose tables are filled from that file.
     """
     results: dict[str, Slope] = {}
     for name, measurement in slopes_by_name.by_name.items():
@@ -45,6 +48,10 @@
         )
     if write is not None:
         _write(write, results)
+        if page is not None:
+            page.write_text(
+                fill_page(page.read_text("utf-8"), json.loads(write.read_text())), "utf-8"
+            )
     return 0
 
 
--- a/packages/cli/bramleyrill_cli/slopes/__init__.py
+++ b/packages/cli/bramleyrill_cli/slopes/__init__.py
@@ -1,6 +1,7 @@
 """Slopes: what one more session, statement, member or VM costs, measured on the real code."""
 
 from bramleyrill_cli.slopes import _configuration, _control, _membership, _processes, _sessions
+from bramleyrill_cli.slopes._capacity import fill_page, slope_table, target_table
 from bramleyrill_cli.slopes._measure import (
     Point,
     Slope,
@@ -18,8 +19,11 @@
     "_membership",
     "_processes",
     "_sessions",
+    "fill_page",
     "fit",
     "measure_memory",
     "measure_time",
+    "slope_table",
     "slopes_by_name",
+    "target_table",
 ]
--- a/packages/cli/bramleyrill_cli/slopes/_processes.py
+++ b/packages/cli/bramleyrill_cli/slopes/_processes.py
@@ -6,8 +6,8 @@
 import gevent
 import gevent.pool
 
-from bramleyrill_cli.benches._client import BenchCaller
-from bramleyrill_cli.benches._figures import processor_seconds, resident_bytes
+from bramleyrill_cli._client import BenchCaller
+from bramleyrill_cli._figures import processor_seconds, resident_bytes
 from bramleyrill_cli.slopes._measure import Point, slopes_by_name
 
 SESSIONS = (1000, 2000, 3000, 4000, 5000, 6000)
--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -12,10 +12,11 @@
 
 from bramleyrill_daemon._answers import STATUS_SQL, AnswerScanner
 from bramleyrill_daemon._exchange import Chunk, ExchangeClosed, Outcome, Request
-from bramleyrill_daemon._member import CANCELED, NO_TIME, MemberDesk
+from bramleyrill_daemon._member import NO_TIME, MemberDesk
 from bramleyrill_daemon._permits import PermitDesk, Refusal
 from bramleyrill_daemon._pool import PoolShell
 from bramleyrill_daemon._upstream import UpstreamConnection, query_frame
+from bramleyrill_daemon._waiters import CANCELED
 
 STATUS_QUERY = query_frame(STATUS_SQL)
 CANCEL_TIMEOUT = timedelta(seconds=2)
--- a/packages/daemon/bramleyrill_daemon/_member.py
+++ b/packages/daemon/bramleyrill_daemon/_member.py
@@ -3,7 +3,7 @@
 import itertools
 from datetime import timedelta
 
-from bramleyrill_base import ErrorKind, Problem
+from bramleyrill_base import Problem
 from bramleyrill_core import (
     DatabaseId,
     MemberId,
@@ -15,19 +15,15 @@
 )
 from bramleyrill_core.admission import (
     AdmissionQueue,
-    Queued,
-    Refused,
     Request,
-    Started,
     WorkClass,
     policy_for_member,
 )
-from gevent.hub import Waiter, get_hub
 
 from bramleyrill_daemon._answers import read_status, row_values
+from bramleyrill_daemon._waiters import Waiters
 
 NO_TIME = timedelta()
-CANCELED = Problem(ErrorKind.CANCELED)
 
 
 class MemberDesk:
@@ -46,8 +42,7 @@
         self._ids = itertools.count(1)
         fleet, service = fleet_of(member), service_of(member)
         self._classes = {rank: WorkClass(fleet, service, rank) for rank in Rank}
-        self._waiting: dict[int, Waiter] = {}
-        self._run_callback = get_hub().loop.run_callback
+        self._waiters = Waiters()
         self._status_row = b""
         self._status: MemberStatus | None = None
 
@@ -62,32 +57,30 @@
 
     def admit(self, ticket: Request) -> tuple[Problem | None, bool]:
         """Wait for a slot for a new request."""
-        return self._wait(self._queue.offer(ticket))
+        return self._waiters.wait(self._queue.offer(ticket))
 
     def readmit(self, ticket: Request, deadline: timedelta) -> tuple[Problem | None, bool]:
         """Wait for a slot for the next statement of a transaction."""
-        return self._wait(self._queue.resume(ticket._replace(deadline=deadline)))
+        return self._waiters.wait(self._queue.resume(ticket._replace(deadline=deadline)))
 
     def pause(self, ticket: Request) -> None:
         """Give the slot back while a transaction is idle."""
-        self._wake(self._queue.pause(ticket.id))
+        self._waiters.wake(self._queue.pause(ticket.id))
 
     def leave(self, ticket: Request) -> None:
         """Give the slot back for good."""
-        self._wake(self._queue.finish(ticket.id))
+        self._waiters.wake(self._queue.finish(ticket.id))
 
     def withdraw(self, ticket: Request) -> None:
         """Take a request out of the queue; its waiting greenlet gets CANCELED."""
-        self._wake(self._queue.withdraw(ticket.id))
-        waiting = self._waiting.pop(ticket.id, None)
-        if waiting is not None:
-            self._run_callback(waiting.switch, CANCELED)
+        self._waiters.wake(self._queue.withdraw(ticket.id))
+        self._waiters.cancel(ticket.id)
 
     def tick(self) -> None:
         """Refuse what waited past its deadline, and follow changes of the text."""
         if self._world.text is not self._text:
             self._follow_text()
-        self._wake(self._queue.tick())
+        self._waiters.wake(self._queue.tick())
 
     def _follow_text(self) -> None:
         self._text = self._world.text
@@ -101,21 +94,3 @@
             self._status = read_status(row_values(row))
             self._status_row = row
         return self._status
-
-    def _wait(self, outcome: Started | Queued | Refused) -> tuple[Problem | None, bool]:
-        if type(outcome) is Started:
-            return None, False
-        if type(outcome) is Refused:
-            return outcome.problem, False
-        waiting = self._waiting[outcome.id] = Waiter()
-        try:
-            return waiting.get(), True
-        finally:
-            self._waiting.pop(outcome.id, None)
-
-    def _wake(self, outcomes: list[Started | Refused]) -> None:
-        for outcome in outcomes:
-            waiting = self._waiting.pop(outcome.id, None)
-            if waiting is not None:
-                problem = None if type(outcome) is Started else outcome.problem
-                self._run_callback(waiting.switch, problem)
--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -23,6 +23,7 @@
 
 from bramleyrill_daemon._exchange import ExchangeClosed, Executor
 from bramleyrill_daemon.front._caller import CallerSocket, gone_callers
+from bramleyrill_daemon.front._entry import EntryDesk
 from bramleyrill_daemon.front._identity import Identity
 from bramleyrill_daemon.front._limits import FrontLimits, Pulse
 from bramleyrill_daemon.front._login import authenticate, read_start
@@ -86,6 +87,7 @@
         self.executor = executor
         self.limits = limits or FrontLimits()
         self.pulse = Pulse()
+        self.entry = EntryDesk(world)
         self.record = record or self._record
         self.sessions: dict[int, CallerSession] = {}
         self._tls = tls
@@ -276,6 +278,7 @@
             self.pulse.beat()
             try:
                 self._check_handshakes()
+                self.entry.tick()
                 self._check_busy()
                 self._check_sessions()
             except Exception:
--- a/packages/daemon/bramleyrill_daemon/front/_request.py
+++ b/packages/daemon/bramleyrill_daemon/front/_request.py
@@ -8,6 +8,7 @@
 from attrs import define
 from bramleyrill_base import ErrorKind, Problem, is_not_run
 from bramleyrill_core import NO_MARK, Mark, StatementClass
+from bramleyrill_core.admission import WorkClass
 from bramleyrill_core.membership import holder_of
 from bramleyrill_core.retries import may_retry, note_request
 from bramleyrill_core.routing import Route, next_route, note_primary, route
@@ -112,10 +113,25 @@
         return problem
 
     def _run_alone(self, session, work: Work, started: timedelta) -> Problem | None:
+        """Run a request that is no part of an open transaction, once the VM lets it in."""
+        row, entry = session.row, self._front.entry
+        deadline = started + self._front.policy_of(session).deadline
+        ticket = entry.ticket(WorkClass(row.fleet, row.service, row.rank), deadline)
+        session.ticket = ticket
+        problem = entry.admit(ticket)
+        if problem is not None:
+            return problem
+        try:
+            return self._run_admitted(session, work, started, deadline)
+        finally:
+            entry.leave(ticket)
+
+    def _run_admitted(
+        self, session, work: Work, started: timedelta, deadline: timedelta
+    ) -> Problem | None:
         world, row = self._world, session.row
         service = f"{row.fleet}/{row.service}"
         note_request(world, service)
-        deadline = started + self._front.policy_of(session).deadline
         repeatable = row.repeatable or work.kind in _HARMLESS
         may_have_run = False
         redirects = 0
--- a/packages/daemon/bramleyrill_daemon/front/_session.py
+++ b/packages/daemon/bramleyrill_daemon/front/_session.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from bramleyrill_base import ErrorKind, Problem
 from bramleyrill_core import StatementClass
+from bramleyrill_core.admission import Request
 from bramleyrill_core.sessions import Session
 from bramleyrill_wire import postgres as pg
 
@@ -56,6 +57,7 @@
     secret: int
     splitter: pg.FrameSplitter
     exchange: Exchange | None = None
+    ticket: Request | None = None
     status: bytes = _IDLE
     failed: Problem | None = None
     prepared: dict[str, Prepared] | None = None
@@ -146,6 +148,8 @@
             self.canceled = True
             if self.exchange is not None:
                 self.exchange.cancel()
+            elif self.ticket is not None:
+                self.front.entry.cancel(self.ticket)
 
     def _answer(self, frames: bytes) -> None:
         self.caller.send(frames + pg.ready_for_query(self.status))
--- /dev/null
+++ b/tests/base/test_capacity_page.py
@@ -0,0 +1,28 @@
+"""Tests of the capacity page against the committed results."""
+
+import json
+import pathlib
+import unittest
+
+from bramleyrill_cli.slopes import slope_table, slopes_by_name, target_table
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+class CapacityPageTest(unittest.TestCase):
+    """Guards against a page that quotes other figures than those of a run."""
+
+    def setUp(self):
+        self.page = (ROOT / "docs/CAPACITY.md").read_text("utf-8")
+        self.results = json.loads((ROOT / "docs/capacity/slopes.json").read_text())
+
+    def test_page_quotes_the_results_file(self):
+        self.assertIn(slope_table(self.results), self.page)
+        self.assertIn(target_table(self.results), self.page)
+
+    def test_each_slope_was_run(self):
+        self.assertEqual(set(self.results["slopes"]), set(slopes_by_name.by_name))
+
+    def test_figures_name_their_run(self):
+        for key in ("machine", "date", "commit"):
+            self.assertTrue(self.results[key])
