--- a/packages/daemon/bramleyrill_daemon/_credentials.py
+++ b/packages/daemon/bramleyrill_daemon/_credentials.py
@@ -56,6 +56,7 @@
             user=account.user,
             password=account.password,
             tls=self._context() if service.upstream_tls else None,
+            application=self._world.identity.id,
         )
 
     def _context(self) -> ssl.SSLContext:
--- a/packages/daemon/bramleyrill_daemon/_holder.py
+++ b/packages/daemon/bramleyrill_daemon/_holder.py
@@ -8,6 +8,7 @@
 from bramleyrill_core import NO_MARK, MemberRole, MemberStatus, StatementClass
 from bramleyrill_core.admission import Request as AdmissionRequest
 from bramleyrill_core.routing import Route, check_read, confirm_read
+from bramleyrill_wire import postgres
 from returns.result import Failure
 
 from bramleyrill_daemon._answers import STATUS_SQL, AnswerScanner
@@ -15,10 +16,10 @@
 from bramleyrill_daemon._member import NO_TIME, MemberDesk
 from bramleyrill_daemon._permits import PermitDesk, Refusal
 from bramleyrill_daemon._pool import PoolShell
-from bramleyrill_daemon._upstream import UpstreamConnection, query_frame
+from bramleyrill_daemon._upstream import UpstreamConnection
 from bramleyrill_daemon._waiters import CANCELED
 
-STATUS_QUERY = query_frame(STATUS_SQL)
+STATUS_QUERY = postgres.query(STATUS_SQL)
 CANCEL_TIMEOUT = timedelta(seconds=2)
 # A wait for a connection is interrupted to see whether another member has become primary.
 LEASE_SLICE = timedelta(milliseconds=100)
--- a/packages/daemon/bramleyrill_daemon/_upstream.py
+++ b/packages/daemon/bramleyrill_daemon/_upstream.py
@@ -1,29 +1,26 @@
 """Connections to upstream members: dial, startup and log-in, small queries, cancel."""
 
-import struct
+from collections import deque
 from collections.abc import Iterator
 from datetime import timedelta
 from ssl import SSLContext
 
 import gevent
 from attrs import frozen
+from bramleyrill_wire import postgres
 from gevent import socket
-from scramp import ScramClient, ScramException
+from returns.pipeline import is_successful
 
 from bramleyrill_daemon._answers import row_values
 
 READ_BYTES = 65536
-PROTOCOL_VERSION = 196608
-SSL_REQUEST = 80877103
-CANCEL_REQUEST = 80877102
 # Answers to log-in and group calls are small; a larger frame there is a fault of the upstream.
 MAX_CONTROL_FRAME = 1024 * 1024
 # Data that the upstream's machine has not acknowledged for this long means the connection is gone.
 USER_TIMEOUT_MS = 4000
 KEEPALIVE_IDLE_S = 2
 
-_HEADER = struct.Struct("!ci")
-_INT = struct.Struct("!i")
+_DATA_ROW, _ERROR, _READY, _AUTHENTICATION, _KEY_DATA = b"DEZRK"
 
 
 class UpstreamError(Exception):
@@ -37,7 +34,7 @@
 
 @frozen
 class UpstreamLogin:
-    """Address and credentials of a member's server."""
+    """Address and credentials of a member's server; `application` tells it which VM connects."""
 
     host: str
     port: int
@@ -45,22 +42,7 @@
     user: str
     password: str
     tls: SSLContext | None = None
-
-
-def frame(kind: bytes, body: bytes) -> bytes:
-    """Return a typed message."""
-    return _HEADER.pack(kind, len(body) + 4) + body
-
-
-def query_frame(sql: str) -> bytes:
-    """Return a simple query message."""
-    return frame(b"Q", sql.encode() + b"\0")
-
-
-def error_fields(body: bytes) -> dict[str, str]:
-    """Return the fields of an ErrorResponse by their one-letter codes."""
-    parts = body.split(b"\0")
-    return {part[:1].decode(): part[1:].decode("utf-8", "replace") for part in parts if part}
+    application: str = "bramleyrill"
 
 
 class UpstreamConnection:
@@ -81,8 +63,8 @@
         self.pid = 0
         self.secret = 0
         self.closed = False
-        self._proved = False
-        self._received = b""
+        self._splitter = postgres.FrameSplitter(limit=MAX_CONTROL_FRAME)
+        self._pending: deque[tuple[int, bytes]] = deque()
 
     @classmethod
     def dial(cls, login: UpstreamLogin, timeout: timedelta) -> "UpstreamConnection":
@@ -97,7 +79,7 @@
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
                 if login.tls is not None:
-                    sock.sendall(struct.pack("!ii", 8, SSL_REQUEST))
+                    sock.sendall(postgres.encryption_request())
                     if sock.recv(1) != b"S":
                         raise UpstreamError("08001", "upstream offers no TLS")
                     sock = login.tls.wrap_socket(sock, server_hostname=login.host)
@@ -115,14 +97,13 @@
         error = None
         try:
             with gevent.Timeout(timeout.total_seconds(), TimeoutError("query timed out")):
-                self.sock.sendall(query_frame(sql))
-                for kind, body in self._frames():
-                    if kind == b"D":
-                        rows.append(row_values(body))
-                    elif kind == b"E":
-                        fields = error_fields(body)
-                        error = UpstreamError(fields.get("C", "XX000"), fields.get("M", ""))
-                    elif kind == b"Z":
+                self.sock.sendall(postgres.query(sql))
+                for kind, frame in self._frames():
+                    if kind == _DATA_ROW:
+                        rows.append(row_values(frame[5:]))
+                    elif kind == _ERROR:
+                        error = _error_of(frame)
+                    elif kind == _READY:
                         break
         except OSError:
             self.close()
@@ -163,7 +144,7 @@
 
     def has_unread(self) -> bool:
         """Tell whether the upstream closed an idle connection or sent something unasked."""
-        if self._received:
+        if self._pending or not self._splitter.between_frames:
             return True
         try:
             self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -178,7 +159,7 @@
         try:
             address = (self.login.host, self.login.port)
             with socket.create_connection(address, timeout=timeout.total_seconds()) as sock:
-                sock.sendall(struct.pack("!iiii", 16, CANCEL_REQUEST, self.pid, self.secret))
+                sock.sendall(postgres.cancel_request(self.pid, self.secret))
                 sock.recv(1)
         except OSError:
             pass
@@ -188,71 +169,44 @@
         self.closed = True
         self.sock.close()
 
-    def _frames(self) -> Iterator[tuple[bytes, bytes]]:
-        """Yield received messages as (kind, body); for log-in and control queries only."""
-        received = self._received
-        self._received = b""
+    def _frames(self) -> Iterator[tuple[int, bytes]]:
+        """Yield received frames with their kind; for log-in and control queries only."""
         while True:
-            while len(received) >= 5:
-                kind, length = _HEADER.unpack_from(received)
-                if not 4 <= length <= MAX_CONTROL_FRAME:
-                    raise ConnectionError("malformed frame from upstream")
-                if len(received) < length + 1:
-                    break
-                body = received[5 : length + 1]
-                received = received[length + 1 :]
-                # Kept before the yield, since the caller stops at the frame it waits for.
-                self._received = received
-                yield kind, body
+            while self._pending:
+                yield self._pending.popleft()
             data = self.sock.recv(READ_BYTES)
             if not data:
                 raise ConnectionError("closed by upstream")
-            received += data
+            try:
+                self._pending.extend(self._splitter.feed(data))
+            except postgres.FrameError as error:
+                raise ConnectionError("malformed frame from upstream") from error
 
     def _log_in(self) -> None:
         login = self.login
-        pairs = ("user", login.user, "database", login.database, "client_encoding", "UTF8")
-        body = b"".join(item.encode() + b"\0" for item in pairs) + b"\0"
-        self.sock.sendall(struct.pack("!ii", len(body) + 8, PROTOCOL_VERSION) + body)
-        scram: ScramClient | None = None
-        for kind, body in self._frames():
-            if kind == b"R":
-                scram = self._authenticate(body, scram)
-            elif kind == b"K":
-                self.pid, self.secret = struct.unpack("!ii", body)
-            elif kind == b"E":
-                fields = error_fields(body)
-                raise UpstreamError(fields.get("C", "XX000"), fields.get("M", ""))
-            elif kind == b"Z":
+        parameters = {
+            "user": login.user,
+            "database": login.database,
+            "client_encoding": "UTF8",
+            "application_name": login.application,
+        }
+        self.sock.sendall(postgres.startup_message(parameters))
+        client = postgres.ClientLogin(login.user, login.password, clear_text=True)
+        for kind, frame in self._frames():
+            if kind == _AUTHENTICATION:
+                answer = client.answer(frame)
+                if not is_successful(answer):
+                    raise UpstreamError("28000", answer.failure().detail)
+                if answer.unwrap():
+                    self.sock.sendall(answer.unwrap())
+            elif kind == _KEY_DATA:
+                self.pid, self.secret = postgres.read_key_data(frame)
+            elif kind == _ERROR:
+                raise _error_of(frame)
+            elif kind == _READY:
                 return
 
-    def _authenticate(self, body: bytes, scram: ScramClient | None) -> ScramClient | None:
-        """Answer one authentication request."""
-        (code,) = _INT.unpack_from(body)
-        try:
-            if code == 0:
-                if scram is not None and not self._proved:
-                    raise UpstreamError(
-                        "28000", "upstream did not prove that it knows the password"
-                    )
-                return None
-            if code == 3:
-                self.sock.sendall(frame(b"p", self.login.password.encode() + b"\0"))
-                return None
-            if code == 10:
-                scram = ScramClient(["SCRAM-SHA-256"], self.login.user, self.login.password)
-                first = scram.get_client_first().encode()
-                head = b"SCRAM-SHA-256\0" + _INT.pack(len(first))
-                self.sock.sendall(frame(b"p", head + first))
-                return scram
-            if code == 11 and scram is not None:
-                scram.set_server_first(body[4:].decode())
-                self.sock.sendall(frame(b"p", scram.get_client_final().encode()))
-                return scram
-            if code == 12 and scram is not None:
-                scram.set_server_final(body[4:].decode())
-                self._proved = True
-                return scram
-        except (ScramException, UnicodeDecodeError) as error:
-            raise UpstreamError("28P01", f"log-in failed: {error}") from error
-        raise UpstreamError("28000", f"authentication method {code} is not supported")
+
+def _error_of(frame: bytes) -> UpstreamError:
+    fields = postgres.read_fields(frame)
+    return UpstreamError(fields.get("C", "XX000"), fields.get("M", ""))
--- a/tests/succession/callers.py
+++ b/tests/succession/callers.py
@@ -48,7 +48,7 @@
     busy: bool = False
 
 
-class Broken(AssertionError):
+class BrokenPromiseError(AssertionError):
     """A promise was broken."""
 
 
@@ -86,10 +86,10 @@
     def check_leader(self, leader):
         primaries = [m.term for m in self.members.values() if m.role is MemberRole.PRIMARY]
         if len(primaries) != len(set(primaries)):
-            raise Broken("two primaries of one term")
+            raise BrokenPromiseError("two primaries of one term")
         missing = set(self.durable) - {payload for _, payload in leader.log}
         if missing and leader.term == self.newest_term():
-            raise Broken(f"{leader.name} leads without durable entries {missing}")
+            raise BrokenPromiseError(f"{leader.name} leads without durable entries {missing}")
 
     def newest_term(self):
         return max((term for _, term, _ in self.promotions), default=1)
@@ -102,7 +102,7 @@
         if caller.token and not caller.forgetful:
             token = apply_setting(world, session, "bramleyrill.token", caller.token)
             if token != Success(None):
-                raise Broken("a genuine token was refused")
+                raise BrokenPromiseError("a genuine token was refused")
 
     def session(self, caller):
         return self.world(caller.vm).tables(SessionTables).sessions.by_id[caller.id]
@@ -139,7 +139,9 @@
     def refuse(self, caller, kind):
         if kind is ErrorKind.LOST_ENTRY:
             if not caller.read.union(caller.written) - caller.met:
-                raise Broken(f"caller {caller.id} told of a loss although nothing is lost")
+                raise BrokenPromiseError(
+                    f"caller {caller.id} told of a loss although nothing is lost"
+                )
             self.told_lost += 1
             caller.written.clear()
             caller.read.clear()
@@ -250,7 +252,9 @@
             self.check_read_answer(caller, visible, due, snapshot, "primary")
         else:
             if status.term < self.newest_term():
-                raise Broken(f"term {status.term} acknowledged after {self.promotions[-1]}")
+                raise BrokenPromiseError(
+                    f"term {status.term} acknowledged after {self.promotions[-1]}"
+                )
             caller.token = judged.unwrap()
             caller.written.append(payload)
             self.acknowledged.append((self.now, payload))
@@ -263,7 +267,11 @@
             caller.read |= snapshot
         missing = set(visible) - snapshot
         if missing:
-            raise Broken(f"caller {caller.id} does not see its writes {missing} at a {where}")
+            raise BrokenPromiseError(
+                f"caller {caller.id} does not see its writes {missing} at a {where}"
+            )
         stale = (set(due) & self.kept()) - snapshot
         if stale:
-            raise Broken(f"read at a {where} lacks {stale}, acknowledged before its age")
+            raise BrokenPromiseError(
+                f"read at a {where} lacks {stale}, acknowledged before its age"
+            )
--- a/tests/succession/test_promises.py
+++ b/tests/succession/test_promises.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.succession.callers import Broken, CallerSimulation
+from tests.succession.callers import BrokenPromiseError, CallerSimulation
 from tests.succession.simulation import NAMES
 
 # Rules that the simulation breaks a promise without. The check behind a read covers for the one
@@ -63,7 +63,7 @@
         for seed in range(10):
             try:
                 simulation = run_with_faults(seed, 12)
-            except Broken as broken:
+            except BrokenPromiseError as broken:
                 self.fail(f"seed {seed}: {broken}")
             totals["acknowledged"] += len(simulation.acknowledged)
             totals["promotions"] += len(simulation.promotions)
@@ -89,6 +89,6 @@
     def test_rules_are_needed(self):
         """Guards against a simulation that would pass without the rules."""
         for rules in NEEDED:
-            with self.assertRaises(Broken, msg=rules):
+            with self.assertRaises(BrokenPromiseError, msg=rules):
                 for seed in range(40):
                     run_with_faults(seed, 12, rules)
