Start the statement path for the prepared platform

Cause: the users' machines speak a line protocol and a store of their own; nothing of the product runs there. Adds the adapter under platform/, decisions in the core (statements, catalog, freshness, leadership, placement, staged admission) and a gevent shell in packages/entry.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 # Two commands: `make demo` shows the system at work, `make test` checks it.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := base core wire daemon cli standins
+PACKAGES := base core wire entry daemon cli standins
 empty :=
 space := $(empty) $(empty)
 # Workspace sources come before installed ones, so that a second work tree can share the environment.
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p))):$(CURDIR)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p))):$(CURDIR)/platform:$(CURDIR)
 TOOLS := black cryptography ddsketch hypothesis nose2 pg8000 psycopg[binary] ruff setuptools trustme wheel
 
 .PHONY: env format check test demo
--- a/packages/core/bramleyrill_core/admission/__init__.py
+++ b/packages/core/bramleyrill_core/admission/__init__.py
@@ -9,6 +9,7 @@
     simulate_flood,
     to_lines,
 )
+from bramleyrill_core.admission._stages import MemberAdmission
 from bramleyrill_core.admission._values import (
     AdmissionPolicy,
     ClassPolicy,
@@ -25,6 +26,7 @@
     "ClassPolicy",
     "FloodPlan",
     "FloodResult",
+    "MemberAdmission",
     "RankResult",
     "Queued",
     "Refused",
--- /dev/null
+++ b/packages/core/bramleyrill_core/admission/_stages.py
@@ -0,0 +1,147 @@
+"""Admission at one member: work that can be on time first, late work with what is left.
+
+It answers a load beyond the member's slots. First come, first served would make everything late
+in a long burst; here requests that can still meet their latency target go first, and those that
+cannot wait behind them until their patience ends.
+"""
+
+from collections.abc import Hashable
+from datetime import timedelta
+
+from attrs import define
+from bramleyrill_base import Clock
+
+from bramleyrill_core._values import Rank
+from bramleyrill_core.admission._queue import AdmissionQueue
+from bramleyrill_core.admission._values import (
+    AdmissionPolicy,
+    ClassPolicy,
+    Queued,
+    Refused,
+    Request,
+    Started,
+    WorkClass,
+)
+
+LATE_RANK = Rank.LEAST_URGENT
+# Statements of ranks below urgent share one queue, so that the longest waiting goes first.
+_QUEUE_LIMIT = 512
+# Late work gets this share of the slots, so that a long burst does not starve it.
+LATE_FLOOR = 0.05
+URGENT_FLOOR = 0.2
+EVERYDAY_FLOOR = 0.2
+
+
+@define(eq=False)
+class _Staged:
+    """A request that waits or runs: until when it may wait, and whether it is late."""
+
+    patience_until: timedelta
+    late: bool
+
+
+class MemberAdmission:
+    """Queue in front of a member's slots with an on-time and a late stage.
+
+    Calls and outcomes are those of `AdmissionQueue`.
+
+    Example:
+
+        admission = MemberAdmission("pieces", 2, timedelta(milliseconds=15), clock)
+        admission.offer(1, Rank.URGENT, on_time_until, patience_until)
+    """
+
+    def __init__(self, service: str, slots: int, expected: timedelta, clock: Clock) -> None:
+        self._service = service
+        self._clock = clock
+        floors = {
+            Rank.URGENT: URGENT_FLOOR,
+            Rank.EVERYDAY: EVERYDAY_FLOOR,
+            LATE_RANK: LATE_FLOOR,
+        }
+        classes = {
+            self._class_of(rank): ClassPolicy(floor, _QUEUE_LIMIT) for rank, floor in floors.items()
+        }
+        self._policy = AdmissionPolicy(slots, classes, adaptive=False, expected=expected)
+        self._queue = AdmissionQueue(self._policy, clock)
+        self._staged: dict[Hashable, _Staged] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a slot."""
+        return self._queue.waiting
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests hold a slot."""
+        return self._queue.in_flight
+
+    def offer(
+        self,
+        request_id: Hashable,
+        rank: Rank,
+        on_time_until: timedelta,
+        patience_until: timedelta,
+    ) -> Started | Queued | Refused:
+        """Take in a request that is on time if it starts by `on_time_until`."""
+        now = self._clock.monotonic()
+        rank = min(rank, Rank.EVERYDAY)
+        if on_time_until > now:
+            request = Request(request_id, self._class_of(rank), on_time_until)
+            outcome = self._queue.offer(request)
+            if type(outcome) is not Refused:
+                self._staged[request_id] = _Staged(patience_until, False)
+                return outcome
+        return self._offer_late(request_id, patience_until)
+
+    def finish(self, request_id: Hashable) -> list[Started | Refused]:
+        """Give back the slot of a request that ended; return what follows."""
+        self._staged.pop(request_id, None)
+        return self._restage(self._queue.finish(request_id))
+
+    def pause(self, request_id: Hashable) -> list[Started | Refused]:
+        """Give back the slot of a transaction that is idle between statements."""
+        return self._restage(self._queue.pause(request_id))
+
+    def resume(
+        self, request_id: Hashable, rank: Rank, patience_until: timedelta
+    ) -> Started | Queued | Refused:
+        """Ask for a slot for the next statement of a paused transaction."""
+        rank = min(rank, Rank.EVERYDAY)
+        self._staged[request_id] = _Staged(patience_until, True)
+        return self._queue.resume(Request(request_id, self._class_of(rank), patience_until))
+
+    def withdraw(self, request_id: Hashable) -> list[Started | Refused]:
+        """Forget a request in any state."""
+        self._staged.pop(request_id, None)
+        return self._restage(self._queue.withdraw(request_id))
+
+    def tick(self) -> list[Started | Refused]:
+        """Move requests that cannot be on time any more; refuse those out of patience."""
+        return self._restage(self._queue.tick())
+
+    def _restage(self, outcomes: list[Started | Refused]) -> list[Started | Refused]:
+        found: list[Started | Refused] = []
+        for outcome in outcomes:
+            staged = self._staged.get(outcome.id)
+            if type(outcome) is not Refused or staged is None or staged.late:
+                found.append(outcome)
+                continue
+            again = self._offer_late(outcome.id, staged.patience_until)
+            if type(again) is not Queued:
+                found.append(again)
+        return found
+
+    def _offer_late(
+        self, request_id: Hashable, patience_until: timedelta
+    ) -> Started | Queued | Refused:
+        request = Request(request_id, self._class_of(LATE_RANK), patience_until)
+        outcome = self._queue.offer(request)
+        if type(outcome) is Refused:
+            self._staged.pop(request_id, None)
+        else:
+            self._staged[request_id] = _Staged(patience_until, True)
+        return outcome
+
+    def _class_of(self, rank: Rank) -> WorkClass:
+        return WorkClass("", self._service, rank)
--- /dev/null
+++ b/packages/core/bramleyrill_core/catalog/__init__.py
@@ -0,0 +1,26 @@
+"""Configuration in force and the members that serve it."""
+
+from bramleyrill_core.catalog._model import (
+    EMPTY_CATALOG,
+    Address,
+    Catalog,
+    Consistency,
+    DatabaseRoute,
+    MemberEntry,
+    MemberState,
+    ServiceEntry,
+)
+from bramleyrill_core.catalog._tables import MemberRow, MemberTable
+
+__all__ = [
+    "EMPTY_CATALOG",
+    "Address",
+    "Catalog",
+    "Consistency",
+    "DatabaseRoute",
+    "MemberEntry",
+    "MemberRow",
+    "MemberState",
+    "MemberTable",
+    "ServiceEntry",
+]
--- /dev/null
+++ b/packages/core/bramleyrill_core/leadership/__init__.py
@@ -0,0 +1,30 @@
+"""Who may appoint the primary of a service, when, and whom."""
+
+from bramleyrill_core.leadership._duty import (
+    DUTY_LEASE,
+    DutyRecord,
+    DutyView,
+    next_record,
+)
+from bramleyrill_core.leadership._successor import Candidate, choose_successor
+from bramleyrill_core.leadership._suspicion import (
+    REFUSED_AFTER,
+    SUSPECT_AFTER,
+    Evidence,
+    Verdict,
+    judge_primary,
+)
+
+__all__ = [
+    "DUTY_LEASE",
+    "REFUSED_AFTER",
+    "SUSPECT_AFTER",
+    "Candidate",
+    "DutyRecord",
+    "DutyView",
+    "Evidence",
+    "Verdict",
+    "choose_successor",
+    "judge_primary",
+    "next_record",
+]
--- /dev/null
+++ b/packages/core/bramleyrill_core/placement/_reads.py
@@ -0,0 +1,77 @@
+"""Order of the members that may serve a read: the nearest that does not keep it waiting."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from attrs import define
+from bramleyrill_base import Table
+
+from bramleyrill_core.catalog._model import MemberEntry
+
+# Estimates of the way there and back.
+SAME_DOMAIN = timedelta(milliseconds=1)
+SAME_REGION = timedelta(milliseconds=4)
+OTHER_REGION = timedelta(milliseconds=42)
+# The primary's slots are needed for what only it can do.
+PRIMARY_PENALTY = timedelta(milliseconds=40)
+# A wait that was reported this long ago counts half.
+WAIT_HALF_LIFE = timedelta(milliseconds=300)
+# A member that failed or lags is asked last for this long.
+AVOID_FOR = timedelta(milliseconds=300)
+
+
+@define(eq=False)
+class ReadRow:
+    """The wait that a member last reported, and until when it is avoided."""
+
+    wait: timedelta = timedelta()
+    noted_at: timedelta = timedelta()
+    avoid_until: timedelta = timedelta()
+
+
+class ReadPlacement:
+    """What this VM knows of the members' queues; rows are made on first use."""
+
+    def __init__(self, domain: str, region_by_domain: dict[str, str]) -> None:
+        self._domain = domain
+        self._region_by_domain = region_by_domain
+        self.rows: Table[str, ReadRow] = Table()
+
+    def note_wait(self, member: str, wait: timedelta, now: timedelta) -> None:
+        """Note the wait that a request had, or would have had, at a member."""
+        row = self._row(member)
+        row.wait, row.noted_at = wait, now
+
+    def avoid(self, member: str, now: timedelta) -> None:
+        """Ask a member last for a moment."""
+        self._row(member).avoid_until = now + AVOID_FOR
+
+    def distance(self, domain: str) -> timedelta:
+        """Return the estimated way to a failure domain and back."""
+        if domain == self._domain:
+            return SAME_DOMAIN
+        region = self._region_by_domain.get(domain)
+        if region is not None and region == self._region_by_domain.get(self._domain):
+            return SAME_REGION
+        return OTHER_REGION
+
+    def order(
+        self, members: Iterable[MemberEntry], primary: str | None, now: timedelta
+    ) -> list[MemberEntry]:
+        """Return the members by expected time of a read, avoided ones last."""
+        return sorted(members, key=lambda member: self._cost(member, primary, now))
+
+    def _cost(
+        self, member: MemberEntry, primary: str | None, now: timedelta
+    ) -> tuple[bool, timedelta, str]:
+        cost = self.distance(member.domain) + member.warming / 100
+        if member.id == primary:
+            cost += PRIMARY_PENALTY
+        row = self.rows.get(member.id)
+        if row is None:
+            return False, cost, member.id
+        cost += row.wait * 0.5 ** ((now - row.noted_at) / WAIT_HALF_LIFE)
+        return now < row.avoid_until, cost, member.id
+
+    def _row(self, member: str) -> ReadRow:
+        return self.rows.get(member) or self.rows.add(member, ReadRow())
--- /dev/null
+++ b/packages/entry/bramleyrill_entry/_front.py
@@ -0,0 +1,57 @@
+"""The listener for callers and the sessions that are open."""
+
+import gevent
+from bramleyrill_base import log_event
+from bramleyrill_core.catalog import Address
+from gevent.server import StreamServer
+
+from bramleyrill_entry._metrics import EntryMetrics
+from bramleyrill_entry._router import Router
+from bramleyrill_entry._session import CallerSession
+from bramleyrill_entry._state import EntryState
+
+# A full queue drops the opening packet, which is sent again only after a second.
+BACKLOG = 1024
+# Descriptors that are kept for members, peers and the platform.
+KEPT_DESCRIPTORS = 600
+
+
+class Front:
+    """Accept callers; `sessions` holds the open ones."""
+
+    def __init__(self, state: EntryState, router: Router, metrics: EntryMetrics) -> None:
+        self.sessions: set[CallerSession] = set()
+        self._state = state
+        self._router = router
+        self._metrics = metrics
+        self._limit = max(state.settings.max_descriptors - KEPT_DESCRIPTORS, 64)
+        self._server = StreamServer(state.settings.caller_listen, self._serve, backlog=BACKLOG)
+
+    def start(self) -> None:
+        """Start to accept."""
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Close the listener; open sessions go on."""
+        self._server.stop(timeout=0)
+
+    def close_idle(self) -> int:
+        """Close the sessions that are between operations; return how many."""
+        return sum(session.close_if_idle() for session in list(self.sessions))
+
+    def abort_transactions(self, reason: str) -> None:
+        """End the open transactions that have no statement in progress."""
+        for session in list(self.sessions):
+            session.abort_transaction(reason)
+
+    def _serve(self, sock: gevent.socket.socket, address: Address) -> None:
+        if len(self.sessions) >= self._limit:
+            log_event("session_refused", reason="too many sessions", open=len(self.sessions))
+            sock.close()
+            return
+        session = CallerSession(sock, self._state, self._router, self._metrics)
+        self.sessions.add(session)
+        try:
+            session.serve()
+        finally:
+            self.sessions.discard(session)
--- /dev/null
+++ b/packages/entry/bramleyrill_entry/_http.py
@@ -0,0 +1,47 @@
+"""HTTP listeners: the balancer's readiness probe, and the metrics."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from gevent.pywsgi import WSGIServer
+
+from bramleyrill_entry._metrics import EntryMetrics
+from bramleyrill_entry._settings import EntrySettings
+
+StartResponse = Callable[..., Any]
+
+
+class HttpListeners:
+    """Serve `GET /ready` on one address and `GET /metrics` on another."""
+
+    def __init__(
+        self, settings: EntrySettings, is_ready: Callable[[], bool], metrics: EntryMetrics
+    ) -> None:
+        self._is_ready = is_ready
+        self._metrics = metrics
+        self._servers = [
+            WSGIServer(settings.ready_listen, self._answer_ready, log=None, error_log=None),
+            WSGIServer(settings.metrics_listen, self._answer_metrics, log=None, error_log=None),
+        ]
+
+    def start(self) -> None:
+        """Start to accept."""
+        for server in self._servers:
+            server.start()
+
+    def _answer_ready(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        if environ["PATH_INFO"] != "/ready":
+            return _answer(start, "404 Not Found", b"")
+        if self._is_ready():
+            return _answer(start, "200 OK", b"{}")
+        return _answer(start, "503 Service Unavailable", b"{}")
+
+    def _answer_metrics(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        if environ["PATH_INFO"] != "/metrics":
+            return _answer(start, "404 Not Found", b"")
+        return _answer(start, "200 OK", self._metrics.render())
+
+
+def _answer(start: StartResponse, status: str, body: bytes) -> Iterable[bytes]:
+    start(status, [("Content-Length", str(len(body)))])
+    return [body]
--- /dev/null
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -0,0 +1,124 @@
+"""Settings of one entry VM, read from YAML."""
+
+import pathlib
+from typing import Any
+
+import yaml
+from attrs import field, frozen
+from bramleyrill_core.catalog import Address
+
+SETTINGS_VARIABLE = "BRAMLEYRILL_CONFIG"
+
+
+class SettingsError(Exception):
+    """The settings cannot be used; the message lists every fault, one a line."""
+
+
+@frozen
+class EntrySettings:
+    """Settings of one VM.
+
+    `region_by_domain` covers all failure domains. `grace_s` is how long a process may go on after
+    it was asked to stop.
+    """
+
+    id: str
+    domain: str
+    region_by_domain: dict[str, str]
+    caller_listen: Address
+    ready_listen: Address
+    peer_listen: Address
+    metrics_listen: Address
+    seed_peers: tuple[Address, ...]
+    platform: Address
+    duties: Address
+    grace_s: float
+    max_descriptors: int = field(default=4096)
+
+
+def parse_address(text: Any) -> Address:
+    """Return host and port of `host:port`; raise ValueError."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not host:port")
+    return host, int(port)
+
+
+def load_settings(path: pathlib.Path) -> EntrySettings:
+    """Read a settings file; raise SettingsError that names all faults."""
+    try:
+        values = yaml.safe_load(path.read_text("utf-8"))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    if not isinstance(values, dict):
+        raise SettingsError(f"{path}: expected names and values")
+    return _Reader(path, values).read()
+
+
+class _Reader:
+    """Read one value after the other and collect what is wrong."""
+
+    def __init__(self, path: pathlib.Path, values: dict[str, Any]) -> None:
+        self._path = path
+        self._values = values
+        self._faults: list[str] = []
+
+    def read(self) -> EntrySettings:
+        settings = EntrySettings(
+            id=self._text("id"),
+            domain=self._text("domain"),
+            region_by_domain=self._names("domains"),
+            caller_listen=self._address("caller_listen"),
+            ready_listen=self._address("ready_listen"),
+            peer_listen=self._address("peer_listen"),
+            metrics_listen=self._address("metrics_listen"),
+            seed_peers=self._addresses("seed_peers"),
+            platform=self._address("platform"),
+            duties=self._address("duties"),
+            grace_s=self._number("grace_s"),
+            max_descriptors=int(self._number("max_descriptors")),
+        )
+        if self._faults:
+            raise SettingsError("\n".join(f"{self._path}: {fault}" for fault in self._faults))
+        return settings
+
+    def _text(self, name: str) -> str:
+        value = self._values.get(name)
+        if not isinstance(value, str) or not value:
+            self._faults.append(f"{name}: expected a text")
+            return ""
+        return value
+
+    def _number(self, name: str) -> float:
+        value = self._values.get(name)
+        if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+            self._faults.append(f"{name}: expected a number above 0")
+            return 0.0
+        return float(value)
+
+    def _names(self, name: str) -> dict[str, str]:
+        value = self._values.get(name)
+        if not isinstance(value, dict):
+            self._faults.append(f"{name}: expected failure domains and their regions")
+            return {}
+        return {str(key): str(item) for key, item in value.items()}
+
+    def _address(self, name: str) -> Address:
+        try:
+            return parse_address(self._values.get(name))
+        except ValueError as error:
+            self._faults.append(f"{name}: {error}")
+            return "", 0
+
+    def _addresses(self, name: str) -> tuple[Address, ...]:
+        value = self._values.get(name) or []
+        if not isinstance(value, list):
+            self._faults.append(f"{name}: expected a list")
+            return ()
+        found = []
+        for item in value:
+            try:
+                found.append(parse_address(item))
+            except ValueError as error:
+                self._faults.append(f"{name}: {error}")
+        return tuple(found)
--- /dev/null
+++ b/packages/entry/bramleyrill_entry/_stop.py
@@ -0,0 +1,68 @@
+"""Planned stop: leave the balancer, let work finish, close what is idle, exit."""
+
+from datetime import timedelta
+
+import gevent
+from bramleyrill_base import log_event
+from bramleyrill_core.placement import VmTable
+
+from bramleyrill_entry._desks import Desks
+from bramleyrill_entry._front import Front
+from bramleyrill_entry._gossip import Gossip
+from bramleyrill_entry._peers import PeerNet
+from bramleyrill_entry._state import EntryState
+
+# The balancer asks once a second and turns away after two misses.
+TURNED_AWAY = timedelta(seconds=2.6)
+# Shares of the grace: open transactions have half of it, and some of it is kept for the exit.
+TRANSACTIONS_SHARE = 0.5
+EXIT_SHARE = 0.9
+POLL = timedelta(milliseconds=50)
+
+
+class PlannedStop:
+    """Carry out one stop."""
+
+    def __init__(self, state: EntryState, front: Front, desks: Desks, net: PeerNet) -> None:
+        self._state = state
+        self._front = front
+        self._desks = desks
+        self._net = net
+
+    def run(self) -> None:
+        """Return once nothing is in progress, or shortly before the grace ends."""
+        state = self._state
+        started_at = state.now()
+        grace = timedelta(seconds=state.settings.grace_s)
+        state.stopping = True
+        log_event("stop_requested", sessions=len(self._front.sessions))
+        self._announce(state.vms)
+        while True:
+            elapsed = state.now() - started_at
+            if elapsed >= TRANSACTIONS_SHARE * grace:
+                self._front.abort_transactions("shutting down")
+            if elapsed >= min(TURNED_AWAY, EXIT_SHARE * grace):
+                self._front.close_idle()
+                if self._is_done():
+                    break
+            if elapsed >= EXIT_SHARE * grace:
+                break
+            gevent.sleep(POLL.total_seconds())
+        self._front.stop_accepting()
+        log_event(
+            "stopped",
+            sessions=len(self._front.sessions),
+            running=state.requests_running,
+            took=state.now() - started_at,
+        )
+
+    def _announce(self, vms: VmTable) -> None:
+        """Tell the other VMs, so that they send nothing new here."""
+        own = vms.own
+        vms.own = type(own)(own.id, own.domain, own.address, own.started_ms, leaving=True)
+        gossip = self._net.services[Gossip]
+        for row in vms.vms.rows():
+            gevent.spawn(gossip.ping, row.entry.id)
+
+    def _is_done(self) -> bool:
+        return not self._front.sessions and not self._desks.busy()
--- /dev/null
+++ b/packages/wire/bramleyrill_wire/entries/_codec.py
@@ -0,0 +1,24 @@
+"""Frames between the entry VMs of the statement path."""
+
+import pathlib
+
+import thriftpy2
+
+from bramleyrill_wire._framing import MAX_FRAME, FrameCodec, FrameSplitter
+
+PROTOCOL = 1
+
+frames = thriftpy2.load(
+    str(pathlib.Path(__file__).resolve().parent.parent / "entries.thrift"),
+    module_name="bramleyrill_entries_thrift",
+)
+
+_codec = FrameCodec(frames)
+encode = _codec.encode
+
+
+class FrameBuffer(FrameSplitter):
+    """Split received bytes into frames of the statement path."""
+
+    def __init__(self, max_frame: int = MAX_FRAME) -> None:
+        super().__init__(_codec, max_frame)
