--- a/packages/entry/bramleyrill_entry/_desk.py
+++ b/packages/entry/bramleyrill_entry/_desk.py
@@ -31,12 +31,17 @@
 
 @define(eq=False)
 class OpenExchange:
-    """A transaction that is open at the member, on the connection that it keeps."""
+    """A transaction that is open at the member, on the connection that it keeps.
+
+    `wrote` tells that a statement of it has written: only then does its COMMIT prove that the
+    member still leads.
+    """
 
     ticket: int
     connection: UpstreamConnection
     used_at: timedelta
     running: bool = False
+    wrote: bool = False
 
 
 class _NotSentError(Exception):
@@ -230,8 +235,7 @@
             connection.state.prepared.discard(statement.prepared)
         if answer.code is AnswerCode.READ_ONLY and request.exchange == SINGLE:
             return RunResult(problem=RunProblem.NOT_PRIMARY)
-        committed = statement.kind is StatementKind.COMMIT or statement.writes
-        if answer.succeeded and committed and request.fence:
+        if answer.succeeded and request.exchange == SINGLE and statement.writes:
             self._note_proof(answer, sent_at)
         return RunResult(answer)
 
@@ -313,6 +317,7 @@
         self, key: ExchangeKey, exchange: OpenExchange, request: RunRequest
     ) -> RunResult:
         exchange.running = True
+        sent_at = self._state.now()
         try:
             result = self._ask(exchange.connection, request)
         finally:
@@ -321,6 +326,9 @@
         answer = result.answer
         if answer is not None:
             exchange.connection.in_transaction = answer.state is not TransactionState.IDLE
+            if request.statement.kind is StatementKind.COMMIT and exchange.wrote:
+                self._note_commit(answer, sent_at)
+            exchange.wrote = exchange.wrote or (answer.succeeded and request.statement.writes)
         if answer is not None and answer.state is TransactionState.OPEN:
             result.exchange_open = True
             self._deliver(self._work, self._work.pause(exchange.ticket))
@@ -328,6 +336,10 @@
         self._close_exchange(key, exchange)
         return result
 
+    def _note_commit(self, answer: Answer, sent_at: timedelta) -> None:
+        if answer.succeeded:
+            self._note_proof(answer, sent_at)
+
     def _close_exchange(self, key: ExchangeKey, exchange: OpenExchange) -> None:
         if self._exchanges.pop(key, None) is None:
             return
