--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the statement path on the prepared platform."""
--- /dev/null
+++ b/tests/entry/test_leadership.py
@@ -0,0 +1,101 @@
+"""Who may appoint a primary, when, and whom."""
+
+import unittest
+from datetime import timedelta
+
+from bramleyrill_core import Mark
+from bramleyrill_core.leadership import (
+    DUTY_LEASE,
+    REFUSED_AFTER,
+    SUSPECT_AFTER,
+    Candidate,
+    DutyRecord,
+    DutyView,
+    Evidence,
+    Verdict,
+    choose_successor,
+    judge_primary,
+    next_record,
+)
+
+MS = timedelta(milliseconds=1)
+
+
+class DutyTest(unittest.TestCase):
+    def test_unread_duty_is_not_taken(self):
+        """A VM that does not know the record cannot know whether its lease runs."""
+        self.assertFalse(DutyView().may_take("vm1", 100 * DUTY_LEASE))
+
+    def test_other_holder_keeps_the_duty_for_a_lease(self):
+        """Two holders must not take turns within a lease."""
+        view = DutyView()
+        view.note(DutyRecord("vm2", 4, "m1"), 17, 1000 * MS)
+        self.assertFalse(view.may_take("vm1", 1000 * MS + DUTY_LEASE - MS))
+        self.assertTrue(view.may_take("vm1", 1000 * MS + DUTY_LEASE))
+
+    def test_record_that_changed_starts_the_lease_again(self):
+        """The holder acted in between."""
+        view = DutyView()
+        view.note(DutyRecord("vm2", 4, "m1"), 17, 1000 * MS)
+        view.note(DutyRecord("vm2", 5, "m2"), 18, 5000 * MS)
+        self.assertFalse(view.may_take("vm1", 1000 * MS + DUTY_LEASE))
+
+    def test_same_record_read_again_does_not(self):
+        """Reading must not keep the duty held for ever."""
+        view = DutyView()
+        view.note(DutyRecord("vm2", 4, "m1"), 17, 1000 * MS)
+        view.note(DutyRecord("vm2", 4, "m1"), 17, 5000 * MS)
+        self.assertTrue(view.may_take("vm1", 1000 * MS + DUTY_LEASE))
+
+    def test_token_rises_with_every_other_order(self):
+        """A late order of the same holder must lose against a later one."""
+        first = next_record(None, "vm1", "m2")
+        second = next_record(first, "vm1", "m3")
+        third = next_record(second, "vm2", "m3")
+        tokens = [first.fencing_token, second.fencing_token, third.fencing_token]
+        self.assertEqual(tokens, [1, 2, 3])
+
+    def test_repeated_order_keeps_its_token(self):
+        """The repetition of an unanswered order is the same order."""
+        first = next_record(None, "vm1", "m2")
+        self.assertEqual(next_record(first, "vm1", "m2"), first)
+
+    def test_value_of_another_writer_is_no_record(self):
+        for value in (None, [], {"holder": "vm1"}, {"holder": 1, "token": 2, "member": "m"}):
+            self.assertIsNone(DutyRecord.from_value(value))
+
+
+class SuccessorTest(unittest.TestCase):
+    def test_term_goes_before_position(self):
+        """A longer log of an older term was cut off by the newer one."""
+        candidates = [Candidate("m1", Mark(1, 900), True), Candidate("m2", Mark(2, 5), True)]
+        self.assertEqual(choose_successor(candidates), "m2")
+
+    def test_member_that_leaves_is_not_chosen(self):
+        candidates = [Candidate("m1", Mark(1, 9), False), Candidate("m2", Mark(1, 5), True)]
+        self.assertEqual(choose_successor(candidates), "m2")
+
+    def test_planned_change_waits_for_the_last_entry(self):
+        """Ordering a replica that lacks entries would roll them back."""
+        candidates = [Candidate("m1", Mark(1, 9), True)]
+        self.assertIsNone(choose_successor(candidates, Mark(1, 10)))
+        self.assertEqual(choose_successor(candidates, Mark(1, 9)), "m1")
+
+
+class SuspicionTest(unittest.TestCase):
+    def test_silence_towards_one_vm_replaces_nobody(self):
+        """Entries that only the primary has would be lost although others still reach it."""
+        self.assertIs(judge_primary(Evidence(10 * SUSPECT_AFTER)), Verdict.CHECK)
+
+    def test_silence_towards_all_replaces(self):
+        evidence = Evidence(SUSPECT_AFTER, checked=True)
+        self.assertIs(judge_primary(evidence), Verdict.REPLACE)
+
+    def test_refused_connection_shortens_the_wait(self):
+        self.assertIs(
+            judge_primary(Evidence(REFUSED_AFTER, checked=True, refused=True)), Verdict.REPLACE
+        )
+        self.assertIs(judge_primary(Evidence(REFUSED_AFTER, checked=True)), Verdict.CHECK)
+
+    def test_young_proof_is_enough(self):
+        self.assertIs(judge_primary(Evidence(REFUSED_AFTER - MS)), Verdict.FINE)
--- /dev/null
+++ b/tests/entry/test_placement.py
@@ -0,0 +1,122 @@
+"""Which VM holds a member, and which member serves a read."""
+
+import unittest
+from datetime import timedelta
+
+from bramleyrill_core import MemberRole
+from bramleyrill_core.catalog import MemberEntry, MemberState, MemberTable
+from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable, holder_candidates
+
+MS = timedelta(milliseconds=1)
+REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+
+
+def member(name, domain="north-a", role=MemberRole.REPLICA, revision=1, **changes):
+    values = {
+        "id": name,
+        "service": "pieces",
+        "address": ("10.0.0.1", 1),
+        "domain": domain,
+        "slots": 2,
+        "state": MemberState.READY,
+        "role": role,
+        "revision": revision,
+    }
+    return MemberEntry(**(values | changes))
+
+
+def vm(name, domain="north-a", started_ms=1, leaving=False):
+    return VmEntry(name, domain, ("10.0.0.2", 2), started_ms, leaving)
+
+
+class HolderTest(unittest.TestCase):
+    def setUp(self):
+        self.vms = VmTable(vm("own", "south-a"))
+        for name in ("vm1", "vm2", "vm3"):
+            self.vms.note(vm(name), 0 * MS)
+
+    def test_vms_of_the_domain_come_first_and_this_vm_last(self):
+        candidates = holder_candidates(self.vms, member("m1"), 0 * MS)
+        self.assertEqual(set(candidates[:3]), {"vm1", "vm2", "vm3"})
+        self.assertEqual(candidates[3], "own")
+
+    def test_failed_vm_is_left_out_until_its_suspension_ends(self):
+        """A holder that is gone must not stop its database."""
+        first = holder_candidates(self.vms, member("m1"), 0 * MS)[0]
+        self.vms.note_failed(first, 0 * MS)
+        self.assertNotIn(first, holder_candidates(self.vms, member("m1"), 100 * MS))
+        self.assertEqual(holder_candidates(self.vms, member("m1"), 600 * MS)[0], first)
+
+    def test_leaving_vm_gets_no_new_work(self):
+        first = holder_candidates(self.vms, member("m1"), 0 * MS)[0]
+        self.vms.note(vm(first, leaving=True), 0 * MS)
+        self.assertNotIn(first, holder_candidates(self.vms, member("m1"), 0 * MS))
+
+    def test_vm_that_started_again_takes_work_again(self):
+        """The leaving mark belongs to one start of the process."""
+        self.vms.note(vm("vm1", leaving=True), 0 * MS)
+        self.assertFalse(self.vms.note(vm("vm1"), 0 * MS))
+        self.assertTrue(self.vms.note(vm("vm1", started_ms=2), 0 * MS))
+        self.assertIn("vm1", holder_candidates(self.vms, member("m1"), 0 * MS))
+
+
+class ReadOrderTest(unittest.TestCase):
+    def setUp(self):
+        self.placement = ReadPlacement("north-a", REGIONS)
+        self.members = [member("near"), member("region", "north-b"), member("far", "south-a")]
+
+    def order(self, now=0 * MS, primary=None):
+        return [row.id for row in self.placement.order(self.members, primary, now)]
+
+    def test_nearest_first(self):
+        self.assertEqual(self.order(), ["near", "region", "far"])
+
+    def test_primary_is_spared(self):
+        """Only the primary can serve writes."""
+        self.assertEqual(self.order(primary="near"), ["region", "near", "far"])
+
+    def test_queue_moves_reads_elsewhere_and_back(self):
+        self.placement.note_wait("near", 200 * MS, 0 * MS)
+        self.assertEqual(self.order()[-1], "near")
+        self.assertEqual(self.order(5000 * MS)[0], "near")
+
+    def test_member_that_failed_is_asked_last(self):
+        self.placement.avoid("near", 0 * MS)
+        self.assertEqual(self.order()[-1], "near")
+        self.assertEqual(self.order(400 * MS)[0], "near")
+
+
+class MemberTableTest(unittest.TestCase):
+    def setUp(self):
+        self.table = MemberTable()
+        self.table.put(member("m1", role=MemberRole.PRIMARY, revision=5))
+        self.table.put(member("m2", revision=6))
+
+    def test_entry_names_the_primary_until_a_term_is_proved(self):
+        self.assertEqual(self.table.primary_of("pieces").entry.id, "m1")
+        self.table.prove_primary("pieces", "m2", 2)
+        self.assertEqual(self.table.primary_of("pieces").entry.id, "m2")
+
+    def test_stale_entry_does_not_bring_the_old_primary_back(self):
+        """A crashed primary's entry still says primary when another leads."""
+        self.table.prove_primary("pieces", "m2", 2)
+        self.table.put(member("m1", role=MemberRole.PRIMARY, revision=9))
+        self.assertEqual(self.table.primary_of("pieces").entry.id, "m2")
+
+    def test_proof_of_an_older_term_is_ignored(self):
+        self.table.prove_primary("pieces", "m2", 3)
+        self.assertFalse(self.table.prove_primary("pieces", "m1", 2))
+
+    def test_lapsed_entry_is_used_until_the_grace_ends(self):
+        """Entries that lapse while the store is away are back within two seconds."""
+        self.table.lapse("m2", 0 * MS)
+        self.assertEqual(self.table.drop_lapsed(2400 * MS), [])
+        self.table.put(member("m2", revision=7))
+        self.assertEqual(self.table.drop_lapsed(9000 * MS), [])
+        self.table.lapse("m2", 0 * MS)
+        self.assertEqual(self.table.drop_lapsed(2500 * MS), ["m2"])
+
+    def test_draining_member_is_dropped_with_its_entry(self):
+        self.table.put(member("m2", revision=8, state=MemberState.DRAINING))
+        self.table.lapse("m2", 0 * MS)
+        self.assertIsNone(self.table.members.get("m2"))
--- /dev/null
+++ b/tests/entry/test_stages.py
@@ -0,0 +1,59 @@
+"""Admission at a member under more load than its slots can take."""
+
+import unittest
+from datetime import timedelta
+
+from bramleyrill_base import ManualClock
+from bramleyrill_core import Rank
+from bramleyrill_core.admission import MemberAdmission, Queued, Refused, Started
+
+MS = timedelta(milliseconds=1)
+
+
+class StagesTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.admission = MemberAdmission("pieces", 1, 10 * MS, self.clock)
+
+    def offer(self, number, on_time=100, patience=1000, rank=Rank.EVERYDAY):
+        now = self.clock.monotonic()
+        return self.admission.offer(number, rank, now + on_time * MS, now + patience * MS)
+
+    def test_request_that_can_still_be_on_time_goes_before_a_late_one(self):
+        """First come, first served makes every request late in a long burst."""
+        self.assertIsInstance(self.offer(1), Started)
+        self.assertIsInstance(self.offer(2, on_time=0), Queued)
+        self.assertIsInstance(self.offer(3), Queued)
+        self.assertEqual([item.id for item in self.admission.finish(1)], [3])
+        self.assertEqual([item.id for item in self.admission.finish(3)], [2])
+
+    def test_request_that_becomes_late_waits_on(self):
+        """Late service is worth more to a caller than a refusal."""
+        self.offer(1)
+        self.offer(2, on_time=20)
+        self.clock.advance(50 * MS)
+        self.assertEqual(self.admission.tick(), [])
+        self.assertEqual(self.admission.finish(1), [Started(2)])
+
+    def test_request_out_of_patience_is_refused(self):
+        self.offer(1)
+        self.offer(2, on_time=20, patience=40)
+        self.clock.advance(25 * MS)
+        self.admission.tick()
+        self.clock.advance(25 * MS)
+        outcomes = self.admission.tick()
+        self.assertEqual([type(item) for item in outcomes], [Refused])
+
+    def test_urgent_goes_first(self):
+        self.offer(1)
+        self.offer(2)
+        self.offer(3, rank=Rank.URGENT)
+        self.assertEqual(self.admission.finish(1), [Started(3)])
+
+    def test_transaction_gives_its_slot_back_between_statements(self):
+        self.offer(1)
+        self.offer(2)
+        self.assertEqual(self.admission.pause(1), [Started(2)])
+        now = self.clock.monotonic()
+        self.assertIsInstance(self.admission.resume(1, Rank.EVERYDAY, now + 100 * MS), Queued)
+        self.assertEqual(self.admission.finish(2), [Started(1)])
