Listen before the imports, wait for the first configuration, and check connections in less time

Processes also refused connections for some 0.3 s while importing. Also: the check of a silent connection used up the whole wait for a connection; a test with a member that goes silent showed it (UNREACHABLE instead of a redial). Ruled out: the store; it answered within 10 ms of the start.

--- a/packages/entry/bramleyrill_entry/__init__.py
+++ b/packages/entry/bramleyrill_entry/__init__.py
@@ -3,10 +3,20 @@
 
 def main() -> None:
     """Run the process with the settings file that the environment names."""
-    # Blocking calls of libraries must yield, so the patch comes before any other import.
+    from bramleyrill_entry._listen import open_listeners
+    from bramleyrill_entry._settings import SettingsError, settings_from_environment
+
+    try:
+        settings = settings_from_environment()
+        listeners = open_listeners(settings)
+    except (SettingsError, OSError) as error:
+        from bramleyrill_entry._output import end_with_error
+
+        end_with_error("start_failed", error)
+    # Blocking calls of libraries must yield, so the patch comes before the imports that use them.
     from gevent import monkey
 
     monkey.patch_all()
     from bramleyrill_entry._process import run
 
-    run()
+    run(settings, listeners)
--- a/packages/entry/bramleyrill_entry/_desk.py
+++ b/packages/entry/bramleyrill_entry/_desk.py
@@ -13,7 +13,7 @@
 from gevent.event import AsyncResult
 
 from bramleyrill_entry._exchange import SINGLE, Opens, RunProblem, RunRequest, RunResult
-from bramleyrill_entry._pool import CONTROL_TIMEOUT, UpstreamPool
+from bramleyrill_entry._pool import CONTROL_TIMEOUT, LEASE_TIMEOUT, UpstreamPool
 from bramleyrill_entry._state import EntryState
 from bramleyrill_entry._upstream import UpstreamConnection, UpstreamError, UpstreamTimeoutError
 
@@ -121,7 +121,7 @@
     def prove(self) -> RunProblem | None:
         """Prove by an empty transaction that the member leads; return why it is not proved."""
         try:
-            connection = self.pool.lease(CONTROL_TIMEOUT)
+            connection = self.pool.lease(LEASE_TIMEOUT)
         except UpstreamError:
             return RunProblem.UNREACHABLE
         try:
@@ -190,7 +190,7 @@
     def _on_connection(self, request: RunRequest) -> RunResult:
         for _ in range(ATTEMPTS):
             try:
-                connection = self.pool.lease(CONTROL_TIMEOUT)
+                connection = self.pool.lease(LEASE_TIMEOUT)
             except UpstreamError:
                 return RunResult(problem=RunProblem.UNREACHABLE)
             try:
@@ -269,7 +269,7 @@
             if read_only and floor is None:
                 return RunResult(problem=RunProblem.NO_PROOF)
             try:
-                connection = self.pool.lease(CONTROL_TIMEOUT)
+                connection = self.pool.lease(LEASE_TIMEOUT)
             except UpstreamError:
                 return RunResult(problem=RunProblem.UNREACHABLE)
             try:
--- a/packages/entry/bramleyrill_entry/_front.py
+++ b/packages/entry/bramleyrill_entry/_front.py
@@ -1,5 +1,7 @@
 """The listener for callers and the sessions that are open."""
 
+import socket
+
 import gevent
 from bramleyrill_base import log_event
 from bramleyrill_core.catalog import Address
@@ -8,10 +10,8 @@
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._router import Router
 from bramleyrill_entry._session import CallerSession
-from bramleyrill_entry._state import EntryState
+from bramleyrill_entry._state import EntryState, adopt
 
-# A full queue drops the opening packet, which is sent again only after a second.
-BACKLOG = 1024
 # Descriptors that are kept for members, peers and the platform.
 KEPT_DESCRIPTORS = 600
 
@@ -19,13 +19,19 @@
 class Front:
     """Accept callers; `sessions` holds the open ones."""
 
-    def __init__(self, state: EntryState, router: Router, metrics: EntryMetrics) -> None:
+    def __init__(
+        self,
+        state: EntryState,
+        router: Router,
+        metrics: EntryMetrics,
+        listener: socket.socket,
+    ) -> None:
         self.sessions: set[CallerSession] = set()
         self._state = state
         self._router = router
         self._metrics = metrics
         self._limit = max(state.settings.max_descriptors - KEPT_DESCRIPTORS, 64)
-        self._server = StreamServer(state.settings.caller_listen, self._serve, backlog=BACKLOG)
+        self._server = StreamServer(adopt(listener), self._serve)
 
     def start(self) -> None:
         """Start to accept."""
--- a/packages/entry/bramleyrill_entry/_http.py
+++ b/packages/entry/bramleyrill_entry/_http.py
@@ -5,8 +5,9 @@
 
 from gevent.pywsgi import WSGIServer
 
+from bramleyrill_entry._listen import Listeners
 from bramleyrill_entry._metrics import EntryMetrics
-from bramleyrill_entry._settings import EntrySettings
+from bramleyrill_entry._state import adopt
 
 StartResponse = Callable[..., Any]
 
@@ -15,13 +16,13 @@
     """Serve `GET /ready` on one address and `GET /metrics` on another."""
 
     def __init__(
-        self, settings: EntrySettings, is_ready: Callable[[], bool], metrics: EntryMetrics
+        self, listeners: Listeners, is_ready: Callable[[], bool], metrics: EntryMetrics
     ) -> None:
         self._is_ready = is_ready
         self._metrics = metrics
         self._servers = [
-            WSGIServer(settings.ready_listen, self._answer_ready, log=None, error_log=None),
-            WSGIServer(settings.metrics_listen, self._answer_metrics, log=None, error_log=None),
+            WSGIServer(adopt(listeners.ready), self._answer_ready, log=None, error_log=None),
+            WSGIServer(adopt(listeners.metrics), self._answer_metrics, log=None, error_log=None),
         ]
 
     def start(self) -> None:
--- a/packages/entry/bramleyrill_entry/_output.py
+++ b/packages/entry/bramleyrill_entry/_output.py
@@ -2,7 +2,9 @@
 
 import logging
 import os
+import sys
 from collections import deque
+from typing import NoReturn
 
 import gevent
 from absl import logging as absl_logging
@@ -12,6 +14,7 @@
 MAX_WAITING_LINES = 4000
 FLUSH_INTERVAL_S = 0.05
 _MAX_WRITE = 65536
+EXIT_NOT_STARTED = 2
 
 
 class OutputHandler(logging.Handler):
@@ -73,3 +76,11 @@
     root.addHandler(handler)
     os.set_blocking(1, False)
     return handler
+
+
+def end_with_error(event: str, error: Exception) -> NoReturn:
+    """Log why the process cannot start, and end it."""
+    output = set_up_output()
+    log_event(event, reason=error)
+    output.write_waiting()
+    sys.exit(EXIT_NOT_STARTED)
--- a/packages/entry/bramleyrill_entry/_peers.py
+++ b/packages/entry/bramleyrill_entry/_peers.py
@@ -1,5 +1,6 @@
 """Links to other entry VMs: dialed on demand, accepted, and kept by VM id."""
 
+import socket
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -14,7 +15,7 @@
 from gevent.server import StreamServer
 
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError, vm_frame
-from bramleyrill_entry._state import EntryState
+from bramleyrill_entry._state import EntryState, adopt
 
 DIAL_TIMEOUT = timedelta(milliseconds=600)
 
@@ -30,13 +31,15 @@
     `services` holds the parts of the process that handlers need, by type.
     """
 
-    def __init__(self, state: EntryState, services: dict[type, Any]) -> None:
+    def __init__(
+        self, state: EntryState, services: dict[type, Any], listener: socket.socket
+    ) -> None:
         self.state = state
         self.services = services
         self.lost_hooks: list[Callable[[str], None]] = []
         self._links: dict[str, PeerLink] = {}
         self._dials: dict[str, AsyncResult] = {}
-        self._server = StreamServer(state.settings.peer_listen, self._accept, backlog=256)
+        self._server = StreamServer(adopt(listener), self._accept)
 
     def start(self) -> None:
         """Accept links."""
--- a/packages/entry/bramleyrill_entry/_pool.py
+++ b/packages/entry/bramleyrill_entry/_pool.py
@@ -15,6 +15,9 @@
 DIAL_TIMEOUT = timedelta(seconds=1)
 # Statements that do no work are answered at once by a member that is there.
 CONTROL_TIMEOUT = timedelta(milliseconds=400)
+# The check of a connection is shorter than the wait for one, so that another can be dialed.
+CHECK_TIMEOUT = timedelta(milliseconds=250)
+LEASE_TIMEOUT = timedelta(seconds=1)
 # A connection that was quiet for this long may have gone silent; it is checked before use.
 CHECK_AFTER = timedelta(milliseconds=500)
 # Each dial takes one of the member's slots for a while.
@@ -120,8 +123,8 @@
         if self._clock.monotonic() - connection.answered_at < CHECK_AFTER:
             return True
         try:
-            connection.ask(lines.OWN_ID, lines.BEGIN_READ_ONLY_TEXT, CONTROL_TIMEOUT)
-            connection.ask(lines.OWN_ID, lines.ROLLBACK_TEXT, CONTROL_TIMEOUT)
+            connection.ask(lines.OWN_ID, lines.BEGIN_READ_ONLY_TEXT, CHECK_TIMEOUT)
+            connection.ask(lines.OWN_ID, lines.ROLLBACK_TEXT, CHECK_TIMEOUT)
         except UpstreamError as error:
             log_event("upstream_check_failed", member=self.member.id, reason=error)
             self.discard(connection)
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -1,9 +1,7 @@
 """Start the parts of the process, and end them on a signal."""
 
 import os
-import pathlib
 import signal
-import sys
 from datetime import timedelta
 from typing import Any
 
@@ -18,17 +16,13 @@
 from bramleyrill_entry._front import Front
 from bramleyrill_entry._gossip import PING_INTERVAL, Gossip
 from bramleyrill_entry._http import HttpListeners
+from bramleyrill_entry._listen import Listeners
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._output import set_up_output
 from bramleyrill_entry._peers import PeerNet
 from bramleyrill_entry._proofs import PROOF_INTERVAL, ProofKeeper
 from bramleyrill_entry._router import Router
-from bramleyrill_entry._settings import (
-    SETTINGS_VARIABLE,
-    EntrySettings,
-    SettingsError,
-    load_settings,
-)
+from bramleyrill_entry._settings import EntrySettings
 from bramleyrill_entry._state import EntryState, every
 from bramleyrill_entry._stop import PlannedStop
 from bramleyrill_entry._supervisor import TICK, Supervisor
@@ -42,13 +36,12 @@
 
 DESK_TICK = timedelta(milliseconds=20)
 MAINTENANCE_INTERVAL = timedelta(milliseconds=500)
-EXIT_BAD_SETTINGS = 2
 
 
 class EntryProcess:
     """All parts of one process."""
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, listeners: Listeners) -> None:
         clock = SystemClock()
         own = VmEntry(settings.id, settings.domain, settings.peer_listen, unix_ms())
         self.state = EntryState(
@@ -58,13 +51,13 @@
             ReadPlacement(settings.domain, settings.region_by_domain),
         )
         services: dict[type, Any] = {}
-        self.net = PeerNet(self.state, services)
+        self.net = PeerNet(self.state, services, listeners.peers)
         self.desks = services[Desks] = Desks(self.state)
         self.gossip = services[Gossip] = Gossip(self.net)
         self.metrics = EntryMetrics(clock)
         self.executor = Executor(self.net, self.desks)
         router = Router(self.state, self.executor, self.metrics)
-        self.front = Front(self.state, router, self.metrics)
+        self.front = Front(self.state, router, self.metrics, listeners.callers)
         self.store = StoreClient(settings.platform)
         duties = DutyClient(settings.duties)
         self.supervisor = Supervisor(
@@ -74,7 +67,7 @@
         self.configuration = ConfigurationWatch(self.state, self.store)
         self.members = MemberWatch(self.state, self.store)
         self.registration = VmRegistration(self.state, self.store)
-        self.http = HttpListeners(settings, self.is_ready, self.metrics)
+        self.http = HttpListeners(listeners, self.is_ready, self.metrics)
         self.net.lost_hooks.append(self.desks.end_all)
 
     def is_ready(self) -> bool:
@@ -121,17 +114,11 @@
         self.metrics.set_gauge("configuration_version", self.state.catalog.version)
 
 
-def run() -> None:
+def run(settings: EntrySettings, listeners: Listeners) -> None:
     """Run until a signal ends the process."""
     output = set_up_output()
     gevent.spawn(output.flush_forever)
-    try:
-        settings = load_settings(pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "")))
-    except SettingsError as error:
-        log_event("settings_rejected", reason=error)
-        output.write_waiting()
-        sys.exit(EXIT_BAD_SETTINGS)
-    process = EntryProcess(settings)
+    process = EntryProcess(settings, listeners)
     stop = Event()
     gevent.signal_handler(signal.SIGTERM, stop.set)
     gevent.signal_handler(signal.SIGINT, stop.set)
--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -21,6 +21,9 @@
 from bramleyrill_entry._state import EntryState
 
 OPEN_TIMEOUT = timedelta(seconds=10)
+# A process that has just started waits this long for the configuration before it says that a
+# database is unknown; callers give up on an unanswered OPEN after 2 s.
+FIRST_CATALOG_WAIT = timedelta(seconds=1.8)
 # A caller that does not read its answer for this long loses the session.
 SEND_TIMEOUT = timedelta(seconds=15)
 USER_TIMEOUT_MS = 20_000
@@ -94,6 +97,10 @@
         if not isinstance(message, lines.OpenSession):
             self._sock.sendall(lines.encode_refusal(AnswerCode.MALFORMED, "OPEN expected"))
             return False
+        if self._state.catalog.version == 0:
+            self._state.catalog_changed.wait(FIRST_CATALOG_WAIT.total_seconds())
+        if self._state.catalog.version == 0:
+            return False
         if message.database not in self._state.catalog.routes_by_database:
             log_event(
                 "session_refused",
--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -1,14 +1,16 @@
 """Settings of one entry VM, read from YAML."""
 
+import os
 import pathlib
 from typing import Any
 
 import yaml
 from attrs import field, frozen
-from bramleyrill_core.catalog import Address
 
 SETTINGS_VARIABLE = "BRAMLEYRILL_CONFIG"
 
+Address = tuple[str, int]
+
 
 class SettingsError(Exception):
     """The settings cannot be used; the message lists every fault, one a line."""
@@ -55,6 +57,11 @@
     return _Reader(path, values).read()
 
 
+def settings_from_environment() -> EntrySettings:
+    """Read the settings file that the environment names; raise SettingsError."""
+    return load_settings(pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "")))
+
+
 class _Reader:
     """Read one value after the other and collect what is wrong."""
 
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -1,9 +1,11 @@
 """What this VM believes: configuration, members, proofs, other VMs."""
 
+import socket
 from datetime import timedelta
 from typing import Any
 
 import gevent
+import gevent.socket
 from attrs import define, field
 from bramleyrill_base import Clock, log_event
 from bramleyrill_core import VmId
@@ -39,7 +41,8 @@
     """The tables that the parts of the process share.
 
     `catalog_body` is the configuration in force as the platform keeps it, for peers that ask.
-    `primary_changed` fires when another member is taken for a primary.
+    `primary_changed` fires when another member is taken for a primary, `catalog_changed` when a
+    version comes into force.
     """
 
     settings: EntrySettings
@@ -51,6 +54,7 @@
     members: MemberTable = field(factory=MemberTable)
     proofs: ProofTable = field(factory=ProofTable)
     primary_changed: Signal = field(factory=Signal)
+    catalog_changed: Signal = field(factory=Signal)
     # Entry VMs that took over a stop or a reload read these.
     stopping: bool = False
     requests_running: int = 0
@@ -76,6 +80,7 @@
             routes=len(catalog.routes_by_database),
         )
         self.catalog, self.catalog_body = catalog, body
+        self.catalog_changed.fire()
         return True
 
     def note_proof(
@@ -111,3 +116,8 @@
             gevent.sleep(interval.total_seconds())
 
     return gevent.spawn(loop)
+
+
+def adopt(sock: socket.socket) -> gevent.socket.socket:
+    """Return the cooperative form of a socket that was opened before gevent was imported."""
+    return gevent.socket.socket(sock.family, sock.type, fileno=sock.detach())
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/prepared/__init__.py
@@ -0,0 +1,6 @@
+"""Stand-in of the users' prepared platform: members with the line protocol, store, duty call."""
+
+from bramleyrill_standins.prepared._group import LineGroup, LineMember
+from bramleyrill_standins.prepared._store import PreparedPlatform
+
+__all__ = ["LineGroup", "LineMember", "PreparedPlatform"]
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -0,0 +1,250 @@
+"""Members of one service that speak the line protocol and replicate a common log."""
+
+import itertools
+from collections.abc import Iterable
+from datetime import timedelta
+
+import gevent
+from attrs import define, field
+from gevent.event import Event
+from gevent.server import StreamServer
+
+NO_DELAY = timedelta()
+
+
+@define(eq=False)
+class Entry:
+    """One commit in a log: the term that it was made in and the items that it wrote."""
+
+    term: int
+    data: dict[str, str]
+
+
+@define(eq=False)
+class Run:
+    """A statement that a member ran, for tests to look at."""
+
+    member: str
+    statement_id: str
+    text: str
+
+
+class LineMember:
+    """One member: a listener, a log, and faults that tests switch on.
+
+    `silent` keeps it from answering, `lose_answers` lets it run statements and close instead of
+    answering, `lag` delays what it applies, `work` is how long a statement takes.
+    """
+
+    def __init__(self, group: "LineGroup", name: str) -> None:
+        self.group = group
+        self.name = name
+        self.log: list[Entry] = []
+        self.silent = False
+        self.lose_answers = False
+        self.lag = NO_DELAY
+        self.work = NO_DELAY
+        self.connections = 0
+        self.dialed = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return where the member listens."""
+        return "127.0.0.1", self._server.server_port
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether the member is the primary."""
+        return self.group.primary is self
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Return the term and number of the last entry."""
+        return self.group.term, len(self.log)
+
+    def stop(self) -> None:
+        """Refuse connections from now on."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _address) -> None:
+        self.connections += 1
+        self.dialed += 1
+        try:
+            LineSession(self, sock).serve()
+        except OSError:
+            pass
+        finally:
+            self.connections -= 1
+
+
+class LineGroup:
+    """A primary and its replicas.
+
+    Example: `group = LineGroup("pieces", ["m1", "m2"])`, then `group.promote("m2")`.
+    """
+
+    def __init__(self, service: str, names: Iterable[str], max_connections: int = 16) -> None:
+        self.service = service
+        self.max_connections = max_connections
+        self.term = 1
+        self.runs: list[Run] = []
+        self.members_by_name = {name: LineMember(self, name) for name in names}
+        self.primary: LineMember | None = next(iter(self.members_by_name.values()))
+        self.changed = Event()
+
+    def promote(self, name: str) -> None:
+        """Let a member lead the next term; others lose what it does not have."""
+        member = self.members_by_name[name]
+        self.term += 1
+        self.primary = member
+        for other in self.members_by_name.values():
+            other.log = list(member.log)
+
+    def commit(self, data: dict[str, str]) -> None:
+        """Append to the primary's log, and to those of the replicas after their lag."""
+        entry = Entry(self.term, data)
+        self.primary.log.append(entry)
+        for member in self.members_by_name.values():
+            if member is not self.primary:
+                gevent.spawn_later(member.lag.total_seconds(), member.log.append, entry)
+
+    def runs_of(self, statement_id: str) -> list[Run]:
+        """Return where a statement ran."""
+        return [run for run in self.runs if run.statement_id == statement_id]
+
+    def close(self) -> None:
+        """Stop all members."""
+        for member in self.members_by_name.values():
+            member.stop()
+
+
+_signatures = itertools.count(1)
+
+
+@define(eq=False)
+class LineSession:
+    """One connection to a member."""
+
+    member: LineMember
+    sock: object
+    values: dict[str, str] = field(factory=dict)
+    prepared: dict[str, str] = field(factory=dict)
+    state: str = "I"
+    plain: bool = False
+    pending: dict[str, str] = field(factory=dict)
+
+    def serve(self) -> None:
+        """Serve until the connection ends."""
+        reader = self.sock.makefile("rb")
+        fields = reader.readline().decode().split()
+        if not self._greet(fields):
+            return
+        for line in reader:
+            if self.member.silent:
+                continue
+            _, statement_id, text = line.decode().rstrip("\r\n").split(" ", 2)
+            lines = self._run(statement_id, text)
+            if lines is None:
+                return
+            self._send(*lines, f"READY {self.state} {self._position()}")
+
+    def _greet(self, fields: list[str]) -> bool:
+        group = self.member.group
+        if self.member.silent:
+            Event().wait()
+        if fields[1] != group.service or (len(fields) > 3 and fields[3] != self.member.name):
+            self._send("ERROR WRONGNODE other")
+            return False
+        if self.member.connections > group.max_connections:
+            self._send("ERROR MAXCONN full")
+            return False
+        self._send(f"READY I {self._position()}")
+        return True
+
+    def _run(self, statement_id: str, text: str) -> list[str] | None:
+        words = text.split(" ")
+        if words[0] == "SYNCPOS":
+            term, _, number = words[1].partition(".")
+            if (int(term), int(number)) > self.member.position:
+                return ["ERROR LAGGING behind"]
+            words = words[2:]
+        handler = getattr(self, f"_{words[0].lower()}", None)
+        if handler is None:
+            return ["ERROR MALFORMED unknown"]
+        if words[0] in ("READ", "WRITE", "EXECUTE", "COMMIT"):
+            self.member.group.runs.append(Run(self.member.name, statement_id, text))
+            gevent.sleep(self.member.work.total_seconds())
+        lines = handler(words[1:])
+        if self.member.lose_answers and statement_id != "-":
+            return None
+        return lines
+
+    def _begin(self, words: list[str]) -> list[str]:
+        if not words and not self.member.leads:
+            return ["ERROR READONLY replica"]
+        self.state, self.plain = "T", not words
+        return ["COMPLETE -"]
+
+    def _rollback(self, _words: list[str]) -> list[str]:
+        self.state = "I"
+        self.pending.clear()
+        return ["COMPLETE -"]
+
+    def _commit(self, _words: list[str]) -> list[str]:
+        self.state = "I"
+        if self.pending and not self.member.leads:
+            self.pending.clear()
+            return ["ERROR READONLY replaced"]
+        if self.pending:
+            self.member.group.commit(dict(self.pending))
+        self.pending.clear()
+        return [f"COMPLETE s{next(_signatures)}"]
+
+    def _read(self, words: list[str]) -> list[str]:
+        for entry in reversed(self.member.log):
+            if words[0] in entry.data:
+                return [f"ROW {entry.data[words[0]]}", f"COMPLETE s{next(_signatures)}"]
+        return [f"COMPLETE s{next(_signatures)}"]
+
+    def _write(self, words: list[str]) -> list[str]:
+        if not self.member.leads:
+            self.state = "E" if self.state == "T" else "I"
+            return ["ERROR READONLY replica"]
+        if self.state == "T":
+            self.pending[words[0]] = " ".join(words[1:])
+        else:
+            self.member.group.commit({words[0]: " ".join(words[1:])})
+        return [f"COMPLETE s{next(_signatures)}"]
+
+    def _execute(self, words: list[str]) -> list[str]:
+        kind = self.prepared.get(words[0])
+        if kind is None:
+            return ["ERROR NOSTMT unknown"]
+        return self._write(words[1:]) if kind == "WRITE" else self._read(words[1:])
+
+    def _prepare(self, words: list[str]) -> list[str]:
+        self.prepared[words[0]] = words[1]
+        return ["COMPLETE -"]
+
+    def _set(self, words: list[str]) -> list[str]:
+        self.values[words[0]] = " ".join(words[1:])
+        return ["COMPLETE -"]
+
+    def _reset(self, _words: list[str]) -> list[str]:
+        self.values.clear()
+        self.prepared.clear()
+        return ["COMPLETE -"]
+
+    def _status(self, _words: list[str]) -> list[str]:
+        role = "primary" if self.member.leads else "replica"
+        term, number = self.member.position
+        return [f"ROW {role} {term} {term}.{number} 0 0 0 {self.member.connections}", "COMPLETE -"]
+
+    def _position(self) -> str:
+        term, number = self.member.position
+        return f"{term}.{number}"
+
+    def _send(self, *lines: str) -> None:
+        self.sock.sendall("".join(f"{line}\r\n" for line in lines).encode())
--- /dev/null
+++ b/packages/standins/bramleyrill_standins/prepared/_store.py
@@ -0,0 +1,169 @@
+"""The platform's store and its call that appoints a primary, over HTTP."""
+
+import json
+from typing import Any
+from urllib.parse import parse_qs
+
+from attrs import define, field
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from bramleyrill_standins.prepared._group import LineGroup
+
+
+@define(eq=False)
+class _Stored:
+    name: str
+    created: int
+    revision: int
+    value: Any
+
+    def to_body(self) -> dict[str, Any]:
+        meta = {
+            "name": self.name,
+            "revision": self.revision,
+            "createdRev": self.created,
+            "finalizers": [],
+            "deletionPending": False,
+        }
+        return {"meta": meta, "spec": self.value, "status": None}
+
+
+@define(eq=False)
+class PreparedPlatform:
+    """Objects by kind and name with a common revision, and the members that can be appointed.
+
+    `unavailable` answers every call with 503; `lose_answers` carries writes out and closes
+    without an answer; `forget_history` makes older watches fail.
+    """
+
+    groups_by_service: dict[str, LineGroup] = field(factory=dict)
+    revision: int = 1
+    unavailable: bool = False
+    lose_answers: bool = False
+    orders: list[tuple[str, str, str, int]] = field(factory=list)
+    _objects: dict[tuple[str, str], _Stored] = field(factory=dict)
+    _history: list[tuple[int, str, _Stored, bool]] = field(factory=list)
+    _oldest: int = 0
+    _changed: Event = field(factory=Event)
+    _server: WSGIServer | None = None
+
+    def start(self) -> tuple[str, int]:
+        """Listen and return the address."""
+        self._server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
+        self._server.start()
+        return "127.0.0.1", self._server.server_port
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop(timeout=0)
+
+    def put(self, kind: str, name: str, value: Any) -> None:
+        """Write an object as the operator or a member does."""
+        stored = self._objects.get((kind, name))
+        self.revision += 1
+        created = stored.created if stored else self.revision
+        self._note(kind, _Stored(name, created, self.revision, value), False)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        stored = self._objects.get((kind, name))
+        if stored is not None:
+            self.revision += 1
+            self._note(kind, _Stored(name, stored.created, self.revision, stored.value), True)
+
+    def value(self, kind: str, name: str) -> Any:
+        """Return the value of an object, or None."""
+        stored = self._objects.get((kind, name))
+        return stored.value if stored else None
+
+    def forget_history(self) -> None:
+        """Drop the changes so far."""
+        self._history.clear()
+        self._oldest = self.revision
+
+    def _note(self, kind: str, stored: _Stored, deleted: bool) -> None:
+        if deleted:
+            self._objects.pop((kind, stored.name), None)
+        else:
+            self._objects[kind, stored.name] = stored
+        self._history.append((self.revision, kind, stored, deleted))
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    def _serve(self, environ: dict[str, Any], start: Any) -> list[bytes]:
+        status, body = 503, {}
+        if not self.unavailable:
+            query = {key: values[0] for key, values in parse_qs(environ["QUERY_STRING"]).items()}
+            path = environ["PATH_INFO"].strip("/").split("/")
+            data = environ["wsgi.input"].read()
+            status, body = self._call(environ, path, query, json.loads(data) if data else {})
+            if self.lose_answers and environ["REQUEST_METHOD"] != "GET":
+                environ["wsgi.input"].socket.close()
+                return []
+        start(f"{status} -", [("Content-Type", "application/json")])
+        return [json.dumps(body).encode()]
+
+    def _call(
+        self, environ: dict[str, Any], path: list[str], query: dict[str, str], body: Any
+    ) -> tuple[int, Any]:
+        if path == ["failover"]:
+            return self._appoint(environ, body)
+        method, kind, *name = environ["REQUEST_METHOD"], *path[1:]
+        if method == "GET" and "watch" in query:
+            return self._watch(kind, int(query["watch"]), int(query["waitMs"]))
+        if method == "GET" and not name:
+            items = [
+                item.to_body()
+                for (other, _), item in sorted(self._objects.items())
+                if other == kind
+            ]
+            return 200, {"items": items, "hasMore": False, "storeRevision": self.revision}
+        key = name[0] if name else body["meta"]["name"]
+        return self._one(method, kind, key, body)
+
+    def _one(self, method: str, kind: str, name: str, body: Any) -> tuple[int, Any]:
+        stored = self._objects.get((kind, name))
+        if method == "POST":
+            if stored is not None:
+                return 409, stored.to_body()
+            self.put(kind, name, body["spec"])
+            return 200, self._objects[kind, name].to_body()
+        if stored is None:
+            return 404, {}
+        if method == "GET":
+            return 200, stored.to_body()
+        if method == "DELETE":
+            self.remove(kind, name)
+            return 200, {}
+        if body["meta"].get("revision", stored.revision) != stored.revision:
+            return 409, stored.to_body()
+        self.put(kind, name, body["spec"])
+        return 200, self._objects[kind, name].to_body()
+
+    def _watch(self, kind: str, since: int, wait_ms: int) -> tuple[int, Any]:
+        if since < self._oldest:
+            return 410, {}
+        events = self._events(kind, since)
+        if not events:
+            self._changed.wait(wait_ms / 1000)
+            events = self._events(kind, since)
+        return 200, {"events": events, "storeRevision": self.revision}
+
+    def _events(self, kind: str, since: int) -> list[Any]:
+        return [
+            {"object": stored.to_body(), "deleted": deleted}
+            for revision, other, stored, deleted in self._history
+            if revision > since and other == kind
+        ]
+
+    def _appoint(self, environ: dict[str, Any], body: Any) -> tuple[int, Any]:
+        token = int(environ["HTTP_BRAMLEYRILL_FENCING_TOKEN"])
+        holder = environ["HTTP_BRAMLEYRILL_LEASE_HOLDER"]
+        service, member = body["backend"], body["id"]
+        earlier = [order[3] for order in self.orders if order[0] == service]
+        if earlier and token < max(earlier):
+            return 409, {}
+        self.orders.append((service, member, holder, token))
+        self.groups_by_service[service].promote(member)
+        return 200, {}
--- /dev/null
+++ b/tests/entry/test_desk.py
@@ -0,0 +1,178 @@
+"""Holder side against stand-in members: proofs, transactions, connections, lost answers."""
+
+import time
+import unittest
+from datetime import timedelta
+from unittest import mock
+
+import gevent
+from bramleyrill_core import Mark
+from bramleyrill_core.statements import AnswerCode, Prepared
+from bramleyrill_entry import _pool
+from bramleyrill_entry._desks import Desks
+from bramleyrill_entry._exchange import Opens, RunProblem
+from bramleyrill_standins.prepared import LineGroup
+
+from tests.entry.places import SERVICE, make_state, request, statement
+
+MS = timedelta(milliseconds=1)
+AGE = timedelta(seconds=2)
+SECOND = timedelta(seconds=1)
+
+
+class DeskTest(unittest.TestCase):
+    def setUp(self):
+        self.group = LineGroup(SERVICE, ["m1", "m2"])
+        self.addCleanup(self.group.close)
+        self.state = make_state(self.group)
+        self.desks = Desks(self.state)
+        self.addCleanup(self.desks.close)
+
+    def run_at(self, member, text, number="q1", **changes):
+        return self.desks.run("vm1", request(text, member, number, **changes))
+
+    def open_transaction(self, member, text, exchange=7, opens=Opens.READ_WRITE, **changes):
+        return self.run_at(member, text, exchange=exchange, opens=opens, **changes)
+
+
+class ProofTest(DeskTest):
+    def test_fenced_read_does_not_run_at_a_replica(self):
+        """An entry that still calls a replaced member primary must not cause a stale read."""
+        self.assertIs(self.run_at("m2", "READ a").problem, RunProblem.NOT_PRIMARY)
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def test_fenced_read_proves_the_position(self):
+        self.run_at("m1", "WRITE a 1", "q0")
+        self.assertEqual(self.run_at("m1", "READ a").answer.rows, ["1"])
+        self.assertEqual(self.state.proofs.of(SERVICE).newest.mark, Mark(1, 1))
+
+    def test_commit_of_a_read_only_transaction_proves_nothing(self):
+        """A replica's COMMIT was taken for a proof that it leads: stale reads on a calm day."""
+        self.run_at("m1", "WRITE a 1", "q0")
+        gevent.sleep(0.01)
+        opened = self.open_transaction(
+            "m2", "READ a", opens=Opens.READ_ONLY, fence=False, max_staleness=AGE
+        )
+        self.assertTrue(opened.exchange_open)
+        newest = self.state.proofs.of(SERVICE).newest
+        self.assertTrue(self.run_at("m2", "COMMIT", exchange=7).answer.succeeded)
+        self.assertIs(self.state.proofs.of(SERVICE).newest, newest)
+        self.assertEqual(self.state.members.primary_of(SERVICE).entry.id, "m1")
+
+    def test_bounded_read_without_a_proof_does_not_run(self):
+        result = self.run_at("m2", "READ a", fence=False, max_staleness=AGE)
+        self.assertIs(result.problem, RunProblem.NO_PROOF)
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def test_replica_that_lags_behind_the_proof_refuses(self):
+        self.group.members_by_name["m2"].lag = AGE
+        self.run_at("m1", "WRITE a 1", "q0")
+        result = self.run_at("m2", "READ a", fence=False, max_staleness=AGE)
+        self.assertIs(result.answer.code, AnswerCode.TOO_STALE)
+
+    def test_own_write_is_required_beyond_the_proof(self):
+        """Read-your-writes: the session's mark counts although the age would allow less."""
+        self.assertIsNone(self.desks.desk_for("m1").prove())
+        mark = Mark(1, 5)
+        result = self.run_at("m2", "READ a", fence=False, max_staleness=AGE, mark=mark)
+        self.assertIs(result.answer.code, AnswerCode.TOO_STALE)
+
+
+class TransactionTest(DeskTest):
+    def test_statements_of_a_transaction_share_a_connection(self):
+        self.open_transaction("m1", "WRITE a 1")
+        self.run_at("m1", "READ a", "other", fence=True)
+        self.run_at("m1", "WRITE b 2", exchange=7)
+        self.assertEqual(self.group.primary.log, [])
+        self.assertTrue(self.run_at("m1", "COMMIT", exchange=7).answer.succeeded)
+        self.assertEqual(self.group.primary.log[0].data, {"a": "1", "b": "2"})
+
+    def test_ended_transaction_leaves_nothing(self):
+        """A caller that vanished must not have its open transaction committed by the next one."""
+        self.open_transaction("m1", "WRITE a 1")
+        self.desks.end("vm1", 7)
+        gevent.sleep(0.02)
+        self.assertTrue(self.run_at("m1", "WRITE b 2").answer.succeeded)
+        self.assertEqual([entry.data for entry in self.group.primary.log], [{"b": "2"}])
+
+    def test_unknown_transaction_does_not_run(self):
+        result = self.run_at("m1", "WRITE a 1", exchange=99)
+        self.assertIs(result.problem, RunProblem.NO_EXCHANGE)
+        self.assertEqual(self.group.runs, [])
+
+    def test_peer_that_is_gone_has_its_transactions_ended(self):
+        self.desks.run("vm2", request("WRITE a 1", "m1", exchange=3, opens=Opens.READ_WRITE))
+        self.desks.end_all("vm2")
+        self.assertEqual(self.desks.transactions_open(), 0)
+
+    def test_resting_transactions_leave_slots_to_others(self):
+        """Callers pause inside transactions; a slot that waits with them serves nobody."""
+        for exchange in range(1, 5):
+            self.open_transaction("m1", f"WRITE a{exchange} 1", exchange=exchange)
+        self.assertTrue(self.run_at("m1", "WRITE b 2").answer.succeeded)
+
+
+class ConnectionTest(DeskTest):
+    def test_values_of_one_session_do_not_reach_the_next(self):
+        self.run_at("m1", "WRITE a 1", values={"zone": "utc"})
+        self.run_at("m1", "WRITE b 1", values={"lang": "tr"})
+        connection = self.desks.desk_for("m1").pool.lease(SECOND)
+        self.assertEqual(connection.state.values, {"lang": "tr"})
+
+    def test_sessions_with_one_name_for_two_shapes_run_their_own(self):
+        """Names of prepared statements collide between sessions."""
+        for writes, expected in ((True, "WRITE"), (False, "READ")):
+            prepared = Prepared(writes, "shape")
+            text = statement("EXECUTE s1 a 5" if writes else "EXECUTE s1 a", expected, prepared)
+            self.assertTrue(self.run_at("m1", text).answer.succeeded)
+        self.assertEqual(self.group.primary.log[0].data, {"a": "5"})
+        self.assertNotEqual(*(self.group.runs_of(n)[0].text.split()[1] for n in ("WRITE", "READ")))
+
+    def test_write_whose_answer_is_lost_is_not_repeated(self):
+        """A doubled entry bills a client twice."""
+        self.group.primary.lose_answers = True
+        self.assertIs(self.run_at("m1", "WRITE a 1").problem, RunProblem.LOST)
+        self.assertEqual(len(self.group.runs_of("q1")), 1)
+
+    def test_connection_that_went_silent_is_replaced_before_a_write(self):
+        """A write on a silent connection would end with an unknown outcome."""
+        self.run_at("m1", "WRITE a 1", "q0")
+        member = self.group.primary
+        with mock.patch.object(_pool, "CHECK_AFTER", timedelta()):
+            member.silent = True
+            job = gevent.spawn(self.run_at, "m1", "WRITE b 2")
+            gevent.sleep(0.1)
+            member.silent = False
+            self.assertTrue(job.get().answer.succeeded)
+        self.assertEqual(len(self.group.runs_of("q1")), 1)
+
+    def test_member_that_refuses_connections_is_reported_at_once(self):
+        """What cannot be served is refused at once, not at its deadline."""
+        self.group.members_by_name["m2"].stop()
+        started = time.monotonic()
+        result = self.run_at("m2", "READ a", patience_left=60 * SECOND)
+        self.assertIs(result.problem, RunProblem.UNREACHABLE)
+        self.assertLess(time.monotonic() - started, 30)
+
+    def test_member_at_another_address_gets_a_new_desk(self):
+        """An address that another service took over answers for the wrong data."""
+        self.run_at("m1", "WRITE a 1", "q0")
+        desk = self.desks.desk_for("m1")
+        other = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(other.close)
+        entry = self.state.members.members.get("m1").entry
+        moved = type(entry)(
+            entry.id,
+            entry.service,
+            other.primary.address,
+            entry.domain,
+            entry.slots,
+            entry.state,
+            entry.role,
+            born=entry.born + 1,
+            revision=entry.revision + 1,
+        )
+        self.state.members.put(moved)
+        self.assertIsNot(self.desks.desk_for("m1"), desk)
+        self.assertTrue(self.run_at("m1", "WRITE b 1").answer.succeeded)
+        self.assertEqual(len(other.runs_of("q1")), 1)
