--- a/packages/core/bramleyrill_core/catalog/_tables.py
+++ b/packages/core/bramleyrill_core/catalog/_tables.py
@@ -43,12 +43,14 @@
     """Members by id and primaries by service.
 
     A primary is believed by its own entry until an answer inside a plain transaction proves a
-    term; after that only a higher term, or an entry that changed later, replaces it.
+    term; after that only a higher term, or an entry that changed later, replaces it. `revision`
+    is the newest revision that any entry had.
     """
 
     def __init__(self) -> None:
         self.members: Table[str, MemberRow] = Table()
         self.primaries: Table[str, PrimaryRow] = Table()
+        self.revision = 0
 
     def replace_all(self, entries: list[MemberEntry], now: timedelta) -> None:
         """Take over a complete list."""
@@ -61,6 +63,7 @@
 
     def put(self, entry: MemberEntry) -> None:
         """Take over one entry, unless a newer one of the member is known."""
+        self.revision = max(self.revision, entry.revision)
         row = self.members.get(entry.id)
         if row is None:
             row = self.members.add(entry.id, MemberRow(entry, role_revision=entry.revision))
--- a/packages/core/bramleyrill_core/placement/__init__.py
+++ b/packages/core/bramleyrill_core/placement/__init__.py
@@ -1,7 +1,7 @@
 """Which VM holds a member's connections, and which member serves a read."""
 
-from bramleyrill_core.placement._holders import holder_candidates
+from bramleyrill_core.placement._holders import holder_candidates, watches_closely
 from bramleyrill_core.placement._reads import ReadPlacement
 from bramleyrill_core.placement._vms import VmEntry, VmRow, VmTable
 
-__all__ = ["ReadPlacement", "VmEntry", "VmRow", "VmTable", "holder_candidates"]
+__all__ = ["ReadPlacement", "VmEntry", "VmRow", "VmTable", "holder_candidates", "watches_closely"]
--- a/packages/core/bramleyrill_core/placement/_holders.py
+++ b/packages/core/bramleyrill_core/placement/_holders.py
@@ -11,6 +11,16 @@
 from bramleyrill_core.membership._holders import rendezvous_order
 from bramleyrill_core.placement._vms import VmTable
 
+# So many VMs of a failure domain follow the platform closely; the others learn from them when
+# their own connection to it went silent.
+CLOSE_WATCHERS = 2
+
+
+def watches_closely(vms: VmTable, now: timedelta) -> bool:
+    """Tell whether this VM is one of its failure domain's close watchers of the platform."""
+    near = [VmId(vm.id) for vm in vms.usable(now) if vm.domain == vms.own.domain]
+    return VmId(vms.own.id) in rendezvous_order("watch", near)[:CLOSE_WATCHERS]
+
 
 def holder_candidates(vms: VmTable, member: MemberEntry, now: timedelta) -> list[str]:
     """Return the VMs to ask for work at `member`, first choice first.
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -3,6 +3,7 @@
 import json
 import random
 import zlib
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -17,8 +18,11 @@
 PING_INTERVAL = timedelta(milliseconds=500)
 PING_TIMEOUT = timedelta(milliseconds=900)
 PULL_TIMEOUT = timedelta(seconds=2)
-# Up to this many other VMs, each is pinged every time; of more, this many are picked at random.
-PINGED_AT_ONCE = 4
+BEHIND_LIMIT = timedelta(seconds=1)
+# VMs of this failure domain that are pinged each time, picked at random.
+PINGED_NEAR = 2
+# A VM of another failure domain is pinged with this chance each time: its bytes cost more.
+FAR_CHANCE = 0.3
 
 
 class Gossip:
@@ -28,11 +32,18 @@
         self._net = net
         self._state = net.state
         self._pulling = False
+        self._behind = False
+        self.behind_hooks: list[Callable[[], None]] = []
 
     def ping_some(self) -> None:
         """Ping a few VMs."""
-        rows = self._state.vms.vms.rows()
-        for row in random.sample(rows, min(PINGED_AT_ONCE, len(rows))):
+        domain = self._state.settings.domain
+        near = [row for row in self._state.vms.vms if row.entry.domain == domain]
+        far = [row for row in self._state.vms.vms if row.entry.domain != domain]
+        chosen = random.sample(near, min(PINGED_NEAR, len(near)))
+        if far and (not near or random.random() < FAR_CHANCE):
+            chosen.append(random.choice(far))
+        for row in chosen:
             gevent.spawn(self.ping, row.entry.id)
 
     def ping(self, vm: str) -> None:
@@ -46,6 +57,7 @@
                     catalog_version=state.catalog.version,
                     vms_known=len(state.vms.entries()),
                     vm=vm_frame(state.vms.own),
+                    members_revision=state.members.revision,
                 ),
                 PING_TIMEOUT,
             )
@@ -56,7 +68,7 @@
         state.vms.note_heard(vm, now)
         for entry in state.vms.note_all(map(read_vm, [answer.vm, *(answer.vms or ())]), now):
             log_event("vm_known", vm=entry.id, domain=entry.domain, leaving=entry.leaving, via=vm)
-        self.note_version(vm, answer.catalog_version)
+        self.note_versions(vm, answer.catalog_version, answer.members_revision)
 
     def greet_seeds(self) -> None:
         """Dial the seed addresses as long as no other VM is known."""
@@ -66,12 +78,28 @@
             if address != self._state.settings.peer_listen:
                 gevent.spawn(self._greet, address)
 
-    def note_version(self, vm: str, version: int) -> None:
-        """Pull the configuration from a VM that has a newer one."""
+    def note_versions(self, vm: str, version: int, members_revision: int) -> None:
+        """Follow a VM that knows a newer configuration, or newer entries of members.
+
+        The configuration is pulled from it. Entries are read from the platform again if this VM
+        is still behind after a moment: its watch may wait on a connection that went silent.
+        """
+        if members_revision > self._state.members.revision and not self._behind:
+            self._behind = True
+            gevent.spawn_later(BEHIND_LIMIT.total_seconds(), self._renew, members_revision)
         if version > self._state.catalog.version and not self._pulling:
             self._pulling = True
             gevent.spawn(self._pull, vm)
 
+    def _renew(self, members_revision: int) -> None:
+        self._behind = False
+        if self._state.members.revision < members_revision:
+            log_event(
+                "members_behind", revision=self._state.members.revision, known=members_revision
+            )
+            for hook in self.behind_hooks:
+                hook()
+
     def _greet(self, address: tuple[str, int]) -> None:
         try:
             entry = self._net.greet_address(address)
@@ -98,7 +126,9 @@
         now = net.state.now()
         net.state.vms.note(read_vm(frame.vm), now)
         net.state.vms.note_heard(link.peer.id, now)
-        net.services[Gossip].note_version(link.peer.id, frame.catalog_version)
+        net.services[Gossip].note_versions(
+            link.peer.id, frame.catalog_version, frame.members_revision or 0
+        )
     link.send(pong(net, frame.call, frame.vms_known if frame.vm else len(net.state.vms.entries())))
 
 
--- a/packages/entry/bramleyrill_entry/_peers.py
+++ b/packages/entry/bramleyrill_entry/_peers.py
@@ -164,4 +164,5 @@
         catalog_version=net.state.catalog.version,
         vms=listed,
         vm=vm_frame(net.state.vms.own),
+        members_revision=net.state.members.revision,
     )
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -69,6 +69,7 @@
         self.registration = VmRegistration(self.state, self.store)
         self.http = HttpListeners(listeners, self.is_ready, self.metrics)
         self.net.lost_hooks.append(self.desks.end_all)
+        self.gossip.behind_hooks.append(self.members.watch.renew)
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -8,12 +8,13 @@
 
 import gevent
 from bramleyrill_base import log_event
-from bramleyrill_core.placement import VmEntry
+from bramleyrill_core.placement import VmEntry, watches_closely
 from bramleyrill_platform import (
     KIND_CONFIGURATION,
     KIND_MEMBERS,
     NAME_CONFIGURATION,
     Change,
+    Changes,
     ConflictError,
     DecodeError,
     HistoryLostError,
@@ -28,8 +29,10 @@
 
 from bramleyrill_entry._state import EntryState
 
-# A watch whose connection went silent is noticed after this and the call's own timeout.
-WATCH_WAIT = timedelta(seconds=3)
+# A watch whose connection went silent is noticed after its wait and the call's own timeout. VMs
+# that do not watch closely notice it by what their peers know.
+CLOSE_WAIT = timedelta(seconds=3)
+LOOSE_WAIT = timedelta(seconds=15)
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(seconds=1)
 # Objects of this system that name its VMs.
@@ -37,11 +40,20 @@
 VM_LIST_INTERVAL = timedelta(seconds=5)
 
 
+class RenewedError(Exception):
+    """Ends a call that waits, so that another is made."""
+
+
+def watch_wait(state: EntryState) -> timedelta:
+    """Return how long this VM's watches may wait."""
+    return CLOSE_WAIT if watches_closely(state.vms, state.now()) else LOOSE_WAIT
+
+
 class StoreWatch:
     """List a kind, then follow its changes; list again when the history is lost.
 
     `on_listing` and `on_change` are called with what the store returned. `answered` tells that
-    the store answered since the start.
+    the store answered since the start. `wait_for` returns how long a call may wait.
     """
 
     def __init__(
@@ -50,8 +62,11 @@
         kind: str,
         on_listing: Callable[[Listing], None],
         on_change: Callable[[Change], None],
+        wait_for: Callable[[], timedelta],
     ) -> None:
         self.answered = False
+        self._wait_for = wait_for
+        self._call: gevent.Greenlet | None = None
         self._store = store
         self._kind = kind
         self._on_listing = on_listing
@@ -82,11 +97,32 @@
             self._revision = listing.revision
             self.answered = True
             return
-        changes = self._store.watch(self._kind, self._revision, WATCH_WAIT)
+        self._call = gevent.spawn(self._watch, self._revision, self._wait_for())
+        changes = self._call.get()
+        if changes is None:
+            return
+        if isinstance(changes, StoreError):
+            raise changes
         for change in changes.changes:
             self._on_change(change)
         self._revision = changes.revision
 
+    def renew(self) -> None:
+        """Give up a call that waits and make another."""
+        call = self._call
+        if call is not None and not call.ready():
+            log_event("watch_renewed", kind=self._kind, revision=self._revision)
+            call.kill(RenewedError("the watch is renewed"), block=False)
+
+    def _watch(self, revision: int, wait: timedelta) -> Changes | StoreError | None:
+        """Make one call; return its error, as a failed greenlet would print it."""
+        try:
+            return self._store.watch(self._kind, revision, wait)
+        except RenewedError:
+            return None
+        except StoreError as error:
+            return error
+
     def _note_available(self, available: bool, reason: Any) -> None:
         if available is not self._available:
             event = "store_regained" if available else "store_lost"
@@ -99,7 +135,13 @@
 
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self._state = state
-        self.watch = StoreWatch(store, KIND_CONFIGURATION, self._take_listing, self._take_change)
+        self.watch = StoreWatch(
+            store,
+            KIND_CONFIGURATION,
+            self._take_listing,
+            self._take_change,
+            lambda: watch_wait(state),
+        )
 
     def _take_listing(self, listing: Listing) -> None:
         for stored in listing.objects:
@@ -126,7 +168,13 @@
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self._state = state
         self._members = state.members
-        self.watch = StoreWatch(store, KIND_MEMBERS, self._take_listing, self._take_change)
+        self.watch = StoreWatch(
+            store,
+            KIND_MEMBERS,
+            self._take_listing,
+            self._take_change,
+            lambda: watch_wait(state),
+        )
 
     def drop_lapsed(self) -> None:
         """Forget members whose entries did not come back."""
@@ -145,6 +193,7 @@
         entry = None if change.deleted else self._decode(change.object)
         if entry is None:
             log_event("member_entry_lapsed", member=name)
+            self._members.revision = max(self._members.revision, change.object.revision)
             self._members.lapse(name, self._state.now())
             return
         known = self._members.members.get(name)
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -14,9 +14,13 @@
 // First frame of either side of a connection.
 struct Hello { 1: i32 protocol, 2: Vm vm }
 
-struct Ping { 1: i64 call, 2: i64 catalog_version, 3: i64 vms_known, 4: Vm vm }
+struct Ping {
+  1: i64 call, 2: i64 catalog_version, 3: i64 vms_known, 4: Vm vm, 5: i64 members_revision
+}
 // `vms` is empty when the asking VM knows as many VMs.
-struct Pong { 1: i64 call, 2: i64 catalog_version, 3: list<Vm> vms, 4: Vm vm }
+struct Pong {
+  1: i64 call, 2: i64 catalog_version, 3: list<Vm> vms, 4: Vm vm, 5: i64 members_revision
+}
 
 // One statement for a member. `exchange` is 0 for a single statement, else the number of a
 // transaction, which `opens` begins: 0 goes on, 1 read and write, 2 read only. `fence` asks for
