--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -23,10 +23,10 @@
 
 # Callers whose answer is late still gain from it; beyond this they are told that it did not run.
 PATIENCE = timedelta(seconds=6)
-# A transaction that waits for its next statement holds a connection that others wait for.
+# Pause before the first repetition; each later one waits this much longer.
 RETRY_PAUSE = timedelta(milliseconds=40)
 # Bounds the work that one statement can cause.
-MAX_ATTEMPTS = 12
+MAX_ATTEMPTS = 16
 
 
 class Try(Enum):
@@ -192,7 +192,9 @@
                 return vm, row.entry.id
             if self._state.now() >= attempt.deadline:
                 return None
-            if result.problem in (RunProblem.NOT_PRIMARY, RunProblem.UNREACHABLE):
+            # The first repetition of a lost read goes out at once, on another connection.
+            lost = result.problem in (RunProblem.LOST, RunProblem.TIMED_OUT)
+            if not lost or attempt.count > 1:
                 self._wait_for_primary(attempt)
         return None
 
@@ -214,7 +216,6 @@
             return False
         pause = min(left, RETRY_PAUSE * (1 + attempt.count))
         self._state.primary_changed.wait(pause.total_seconds())
-        attempt.count += 0 if self._state.now() < attempt.deadline else 1
         return True
 
     # Both.
