--- a/packages/standins/bramleyrill_standins/prepared/_store.py
+++ b/packages/standins/bramleyrill_standins/prepared/_store.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from bramleyrill_standins.prepared._group import LineGroup
 
@@ -50,7 +50,9 @@
 
     def start(self) -> tuple[str, int]:
         """Listen and return the address."""
-        self._server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
+        self._server = WSGIServer(
+            ("127.0.0.1", 0), self._serve, log=None, error_log=None, handler_class=self._handler()
+        )
         self._server.start()
         return "127.0.0.1", self._server.server_port
 
@@ -82,6 +84,21 @@
         self._history.clear()
         self._oldest = self.revision
 
+    def _handler(self) -> type[WSGIHandler]:
+        platform = self
+
+        class Handler(WSGIHandler):
+            """Closes the connection of a write in place of an answer, if answers are lost."""
+
+            def run_application(self) -> None:
+                if not platform.lose_answers or self.environ["REQUEST_METHOD"] == "GET":
+                    super().run_application()
+                    return
+                self.application(self.environ, lambda *_: None)
+                self.close_connection = True
+
+        return Handler
+
     def _note(self, kind: str, stored: _Stored, deleted: bool) -> None:
         if deleted:
             self._objects.pop((kind, stored.name), None)
@@ -98,9 +115,6 @@
             path = environ["PATH_INFO"].strip("/").split("/")
             data = environ["wsgi.input"].read()
             status, body = self._call(environ, path, query, json.loads(data) if data else {})
-            if self.lose_answers and environ["REQUEST_METHOD"] != "GET":
-                environ["wsgi.input"].socket.close()
-                return []
         start(f"{status} -", [("Content-Type", "application/json")])
         return [json.dumps(body).encode()]
 
--- /dev/null
+++ b/tests/entry/test_store.py
@@ -0,0 +1,160 @@
+"""Client of the store and the watches that follow it, against the stand-in platform."""
+
+import unittest
+from datetime import timedelta
+
+from bramleyrill_core import MemberRole
+from bramleyrill_entry._watch import (
+    KIND_VMS,
+    ConfigurationWatch,
+    MemberWatch,
+    VmRegistration,
+)
+from bramleyrill_platform import (
+    ConflictError,
+    HistoryLostError,
+    NotFoundError,
+    StoreClient,
+    StoreError,
+    UnansweredError,
+)
+from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
+
+from tests.entry.places import SERVICE, make_state
+from tests.entry.platform_thread import PlatformThread
+from tests.entry.test_decode import ENTRY, ROUTE
+
+SHORT = timedelta(milliseconds=10)
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self):
+        self.platform = PreparedPlatform()
+        self.store = StoreClient(PlatformThread(self.platform).address)
+
+
+class ClientTest(StoreTest):
+    def test_objects(self):
+        created = self.store.create("kind", "a", {"x": 1})
+        replaced = self.store.replace("kind", "a", {"x": 2}, created.revision)
+        self.assertGreater(replaced.revision, created.revision)
+        self.assertEqual(self.store.get("kind", "a").value, {"x": 2})
+        self.assertEqual([item.name for item in self.store.list("kind").objects], ["a"])
+        self.store.delete("kind", "a")
+        with self.assertRaises(NotFoundError):
+            self.store.get("kind", "a")
+
+    def test_conditional_update_that_came_too_late(self):
+        """Operators and VMs race each other; only one of them may win."""
+        first = self.store.create("kind", "a", 1)
+        self.store.replace("kind", "a", 2, first.revision)
+        with self.assertRaises(ConflictError) as caught:
+            self.store.replace("kind", "a", 3, first.revision)
+        self.assertEqual(caught.exception.current.value, 2)
+        with self.assertRaises(ConflictError):
+            self.store.create("kind", "a", 4)
+
+    def test_lost_answer_is_told_from_a_refusal(self):
+        """A call without an answer may have been carried out; one refused was not."""
+        self.platform.lose_answers = True
+        with self.assertRaises(UnansweredError):
+            self.store.create("kind", "a", 1)
+        self.platform.lose_answers = False
+        self.platform.unavailable = True
+        with self.assertRaises(StoreError) as caught:
+            self.store.create("kind", "b", 1)
+        self.assertNotIsInstance(caught.exception, UnansweredError)
+
+    def test_watch(self):
+        revision = self.store.list("kind").revision
+        self.assertEqual(self.store.watch("kind", revision, SHORT).changes, [])
+        self.platform.put("kind", "a", 1)
+        self.platform.remove("kind", "a")
+        changes = self.store.watch("kind", revision, SHORT).changes
+        self.assertEqual([change.deleted for change in changes], [False, True])
+
+    def test_lost_history(self):
+        revision = self.store.list("kind").revision
+        self.platform.put("kind", "a", 1)
+        self.platform.forget_history()
+        with self.assertRaises(HistoryLostError):
+            self.store.watch("kind", revision, SHORT)
+
+
+class ConfigurationTest(StoreTest):
+    def setUp(self):
+        super().setUp()
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        self.state = make_state(group)
+        self.watch = ConfigurationWatch(self.state, self.store).watch
+        self.watch._wait_for = lambda: SHORT
+
+    def put(self, version, routes):
+        self.platform.put("config", "main", {"version": version, "routes": routes})
+
+    def test_version_in_force_never_goes_back(self):
+        """A listing after a lost history, or a stale peer, may bring an older version."""
+        self.put(7, [ROUTE])
+        self.watch._step()
+        self.assertEqual(self.state.catalog.version, 7)
+        self.put(6, [])
+        self.watch._step()
+        self.assertEqual(self.state.catalog.version, 7)
+        self.put(9, [])
+        self.watch._step()
+        self.assertEqual(self.state.catalog.routes_by_database, {})
+
+    def test_unreadable_configuration_leaves_the_one_in_force(self):
+        self.put(7, [ROUTE])
+        self.watch._step()
+        self.platform.put("config", "main", "garbage")
+        self.watch._step()
+        self.assertEqual(self.state.catalog.version, 7)
+
+
+class MembersTest(StoreTest):
+    def setUp(self):
+        super().setUp()
+        group = LineGroup("other", ["m9"])
+        self.addCleanup(group.close)
+        self.state = make_state(group)
+        self.members = MemberWatch(self.state, self.store)
+        self.members.watch._wait_for = lambda: SHORT
+
+    def step(self):
+        self.members.watch._step()
+
+    def test_entries_come_change_and_go(self):
+        self.platform.put("servers", "m1", ENTRY | {"dbRole": "primary"})
+        self.step()
+        self.assertIs(self.state.members.members.get("m1").entry.role, MemberRole.PRIMARY)
+        self.platform.put("servers", "m1", ENTRY | {"state": "draining"})
+        self.step()
+        self.assertFalse(self.state.members.members.get("m1").takes_work)
+        self.platform.remove("servers", "m1")
+        self.step()
+        self.assertIsNone(self.state.members.members.get("m1"))
+
+    def test_entry_of_another_writer_leaves_the_others(self):
+        self.platform.put("servers", "m1", ENTRY)
+        self.platform.put("servers", "m2", {"state": 5})
+        self.platform.put("servers", "m3", "bytes")
+        self.step()
+        self.assertIsNotNone(self.state.members.members.get("m1"))
+        self.assertIsNone(self.state.members.members.get("m2"))
+
+
+class RegistrationTest(StoreTest):
+    def test_vm_that_starts_again_replaces_its_entry(self):
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        self.platform.put(KIND_VMS, "vm1", {"host": "old"})
+        self.platform.put(KIND_VMS, "vm2", {"host": "h", "port": 5, "domain": "d", "started_ms": 3})
+        self.platform.put(KIND_VMS, "vm3", "garbage")
+        state = make_state(group)
+        registration = VmRegistration(state, self.store)
+        registration.register()
+        self.assertEqual(self.platform.value(KIND_VMS, "vm1")["host"], "127.0.0.1")
+        registration.list_vms()
+        self.assertEqual([row.entry.id for row in state.vms.vms], ["vm2"])
