Do not end a session that has read a request since its end was decided

The end of an idle session was thrown into its greenlet one loop turn after the check that it waits; a request read in between was cut. The check now runs in the hub right before the end. Three tests; two fail on the code before.

--- a/packages/daemon/bramleyrill_daemon/front/_front.py
+++ b/packages/daemon/bramleyrill_daemon/front/_front.py
@@ -125,9 +125,7 @@
         if session is None or session.leaving:
             return
         session.leaving = True
-        if session.waiting and session.between_requests:
-            end = SessionEndError(Problem(ErrorKind.SHUTTING_DOWN))
-            session.greenlet.kill(end, block=False)
+        gevent.get_hub().loop.run_callback(self._end_if_idle, session)
 
     def stop(self) -> None:
         """Cut off everything; for tests and after the drain timeout."""
@@ -149,10 +147,20 @@
     def end_idle_transactions(self) -> None:
         """End sessions whose transaction waits for its caller, with 57P01."""
         for session in list(self.sessions.values()):
-            if session.waiting and not session.between_requests:
-                session.greenlet.kill(
-                    SessionEndError(Problem(ErrorKind.SHUTTING_DOWN)), block=False
-                )
+            gevent.get_hub().loop.run_callback(self._end_if_in_transaction, session)
+
+    def _end_if_idle(self, session: CallerSession) -> None:
+        """End a session that waits between requests.
+
+        Runs in the hub, so that the session cannot read a request between the check and the end.
+        """
+        if session.waiting and session.between_requests:
+            session.greenlet.throw(SessionEndError(Problem(ErrorKind.SHUTTING_DOWN)))
+
+    def _end_if_in_transaction(self, session: CallerSession) -> None:
+        """End a session that waits inside a transaction; runs in the hub."""
+        if session.waiting and not session.between_requests:
+            session.greenlet.throw(SessionEndError(Problem(ErrorKind.SHUTTING_DOWN)))
 
     def next_request(self) -> int:
         """Return the id of a new request."""
--- /dev/null
+++ b/tests/front/test_session_end.py
@@ -0,0 +1,63 @@
+"""End of an idle session while a request of it arrives."""
+
+import unittest
+
+import gevent
+from attrs import define, field
+from bramleyrill_daemon.front import Front, FrontLimits
+
+from tests.front.fakes import FakeMember, build_world
+
+
+@define
+class RecordedGreenlet:
+    """Records how it is ended."""
+
+    ended: list = field(factory=list)
+
+    def throw(self, error):
+        self.ended.append(error)
+
+    def kill(self, error, block=True):
+        self.ended.append(error)
+
+
+@define
+class WaitingSession:
+    """A session that waits for its caller's next request."""
+
+    greenlet: RecordedGreenlet = field(factory=RecordedGreenlet)
+    leaving: bool = False
+    waiting: bool = True
+    between_requests: bool = True
+
+
+class SessionEndTest(unittest.TestCase):
+    """A planned stop told a caller 57P01 for a write that was sent on and took effect.
+
+    The session waited for a request when its end was decided, and had read one when the end was
+    delivered a moment later.
+    """
+
+    def setUp(self):
+        self.front = Front(build_world(), FakeMember(), FrontLimits(), None, lambda *_: None)
+        self.session = WaitingSession()
+        self.front.sessions[1] = self.session
+
+    def test_session_that_has_read_a_request_is_not_ended(self):
+        self.front.close_session(1)
+        self.session.waiting = False
+        gevent.sleep(0.01)
+        self.assertEqual(self.session.greenlet.ended, [])
+
+    def test_session_that_still_waits_is_ended(self):
+        self.front.close_session(1)
+        gevent.sleep(0.01)
+        self.assertEqual(len(self.session.greenlet.ended), 1)
+
+    def test_transaction_that_has_read_a_request_is_not_ended(self):
+        self.session.between_requests = False
+        self.front.end_idle_transactions()
+        self.session.waiting = False
+        gevent.sleep(0.01)
+        self.assertEqual(self.session.greenlet.ended, [])
