Run entry VMs as real processes against the stand-in platform

Eight process tests: killed, paused and stopped VMs, a store that is away, a VM that starts without it. A session with a request that was not read yet is not closed by a planned stop any more (test in test_session).

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 # Two commands: `make demo` shows the system at work, `make test` checks it.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := base core wire entry daemon cli standins
+PACKAGE_DIRS := $(foreach p,base core wire entry daemon cli standins,packages/$(p)) platform
+SOURCES := packages platform tests
 empty :=
 space := $(empty) $(empty)
 # Workspace sources come before installed ones, so that a second work tree can share the environment.
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p))):$(CURDIR)/platform:$(CURDIR)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGE_DIRS),$(CURDIR)/$(p))):$(CURDIR)
 TOOLS := black cryptography ddsketch hypothesis nose2 pg8000 psycopg[binary] ruff setuptools trustme wheel
 
 .PHONY: env format check test demo
@@ -17,19 +18,19 @@
 env: $(VENV)/.installed
 endif
 
-$(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+$(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGE_DIRS),$(p)/pyproject.toml)
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install -q -c constraints.txt $(TOOLS)
-	$(PY) -m pip install -q -c constraints.txt --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(PY) -m pip install -q -c constraints.txt --no-build-isolation $(foreach p,$(PACKAGE_DIRS),-e $(p))
 	touch $@
 
 format: env
-	$(PY) -m black -q packages tests
-	$(PY) -m ruff check -q --fix packages tests
+	$(PY) -m black -q $(SOURCES)
+	$(PY) -m ruff check -q --fix $(SOURCES)
 
 check: env
-	$(PY) -m black -q --check packages tests
-	$(PY) -m ruff check -q packages tests
+	$(PY) -m black -q --check $(SOURCES)
+	$(PY) -m ruff check -q $(SOURCES)
 
 test: check
 	$(PY) -m tests.run
--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -1,5 +1,6 @@
 """One caller's session over the line protocol."""
 
+import select
 import socket
 from datetime import timedelta
 from typing import Any
@@ -75,11 +76,9 @@
 
     def close_if_idle(self) -> bool:
         """Close the session if it has no statement or transaction in progress."""
-        if self.busy or self.in_transaction or self._waiting:
+        if self.busy or self.in_transaction or self._waiting or self._has_input():
             return False
         self.closing = True
-        # The caller sees an orderly end; what it sent a moment ago is still read and refused by
-        # the end of the connection, which promises nothing.
         self._sock.close()
         return True
 
@@ -91,6 +90,12 @@
             self._end_transaction()
             log_event("transaction_ended", database=self._session.database, reason=reason)
 
+    def _has_input(self) -> bool:
+        """Tell whether bytes of the caller wait to be read; closing now would lose them."""
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _open(self) -> bool:
         self._sock.settimeout(OPEN_TIMEOUT.total_seconds())
         message = lines.parse_caller_message(self._next_line())
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -1,8 +1,10 @@
 """Members of one service that speak the line protocol and replicate a common log."""
 
 import itertools
+import socket
 from collections.abc import Iterable
 from datetime import timedelta
+from typing import Any
 
 import gevent
 from attrs import define, field
@@ -46,6 +48,7 @@
         self.work = NO_DELAY
         self.connections = 0
         self.dialed = 0
+        self._sockets: set[Any] = set()
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
@@ -65,18 +68,23 @@
         return self.group.term, len(self.log)
 
     def stop(self) -> None:
-        """Refuse connections from now on."""
+        """End all connections and refuse others from now on."""
         self._server.stop(timeout=0)
+        for sock in list(self._sockets):
+            # Wakes the greenlet that reads it, which then closes it.
+            sock.shutdown(socket.SHUT_RDWR)
 
     def _serve(self, sock, _address) -> None:
         self.connections += 1
         self.dialed += 1
+        self._sockets.add(sock)
         try:
             LineSession(self, sock).serve()
         except OSError:
             pass
         finally:
             self.connections -= 1
+            self._sockets.discard(sock)
 
 
 class LineGroup:
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -134,6 +134,34 @@
         self.assertEqual(caller.ask("READ a")[0], "ROW 7")
 
 
+class PlannedStopTest(SessionTest):
+    def test_idle_session_is_closed(self):
+        caller = self.connect()
+        caller.line()
+        gevent.sleep(0.01)
+        self.assertTrue(self.session.close_if_idle())
+        self.assertEqual(caller.line(), "")
+
+    def test_session_with_a_request_that_was_not_read_yet_stays(self):
+        """A planned stop cuts no request, also none that has just arrived."""
+        caller = self.connect()
+        caller.line()
+        caller.send("QUERY q1 WRITE a 5")
+        self.assertFalse(self.session.close_if_idle())
+        self.assertTrue(caller.line().startswith("COMPLETE s"))
+
+    def test_session_in_a_transaction_stays_until_it_is_ended(self):
+        caller = self.connect()
+        caller.line()
+        caller.ask("BEGIN")
+        caller.ask("WRITE a 5")
+        self.assertFalse(self.session.close_if_idle())
+        self.session.abort_transaction("shutting down")
+        answer = caller.ask("COMMIT")
+        self.assertTrue(answer[0].startswith("ERROR ABORTED shutting down"))
+        self.assertEqual(self.group.primary.log, [])
+
+
 class TransactionTest(SessionTest):
     def test_commit(self):
         caller = self.connect()
--- /dev/null
+++ b/tests/processes/test_prepared.py
@@ -0,0 +1,122 @@
+"""Entry VMs of the prepared platform as real processes, with faults from outside of them."""
+
+import signal
+import time
+import unittest
+
+import gevent
+from bramleyrill_standins.prepared import DATABASE, LineCaller, PreparedEstate
+
+# Far beyond what any step takes, so that a busy machine gives the same verdict.
+LIMIT_S = 40.0
+
+
+class PreparedCase(unittest.TestCase):
+    vms = 2
+
+    def setUp(self):
+        self.estate = self.enterContext(PreparedEstate(self.vms))
+        self.group = self.estate.group
+
+    def caller(self, vm=0):
+        caller = LineCaller(self.estate.vms[vm].callers)
+        self.addCleanup(caller.close)
+        return caller
+
+    def ask_until_served(self, caller, text):
+        end = time.monotonic() + LIMIT_S
+        while time.monotonic() < end:
+            answer = caller.ask(text)
+            if answer[0].startswith(("COMPLETE", "ROW")):
+                return answer
+            gevent.sleep(0.05)
+        raise AssertionError(f"not served in {LIMIT_S} s: {answer}")
+
+    def wait_for(self, condition):
+        end = time.monotonic() + LIMIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), end)
+            gevent.sleep(0.05)
+
+
+class PathTest(PreparedCase):
+    def test_write_is_read_through_another_vm(self):
+        self.assertTrue(self.caller().ask("WRITE bowl gold")[0].startswith("COMPLETE s"))
+        self.assertEqual(self.caller(1).ask("READ bowl")[0], "ROW gold")
+
+    def test_primary_that_ended_is_replaced(self):
+        """No primary is replaced except by an order of this system."""
+        caller = self.caller()
+        caller.ask("WRITE bowl gold")
+        gevent.sleep(0.05)
+        lost = self.group.primary.name
+        self.estate.stop_member(lost)
+        self.ask_until_served(caller, "WRITE bowl lacquer")
+        self.assertNotEqual(self.group.primary.name, lost)
+        self.assertEqual(caller.ask("READ bowl")[0], "ROW lacquer")
+
+    def test_configuration_reaches_every_vm(self):
+        callers = [self.caller(vm) for vm in range(self.vms)]
+        self.estate.put_configuration(2, (DATABASE, "other-db"))
+        for vm in range(self.vms):
+            address = self.estate.vms[vm].callers
+            self.wait_for(lambda address=address: self.opens(address, "other-db"))
+        self.assertTrue(callers[0].ask("READ bowl")[0].startswith("COMPLETE"))
+
+    def opens(self, address, database):
+        caller = LineCaller(address, database)
+        caller.close()
+        return caller.greeting.startswith("READY")
+
+
+class FaultTest(PreparedCase):
+    def test_killed_vm_does_not_stop_the_others(self):
+        """The VM that holds the primary's connections may be any of them."""
+        caller = self.caller(1)
+        caller.ask("WRITE bowl gold")
+        self.estate.vms[0].kill()
+        self.ask_until_served(caller, "WRITE bowl lacquer")
+        self.estate.vms[0].start()
+        self.assertEqual(self.caller(0).ask("READ bowl")[0], "ROW lacquer")
+
+    def test_paused_vm_does_not_stop_the_others(self):
+        paused, caller = self.estate.vms[0], self.caller(1)
+        caller.ask("WRITE bowl gold")
+        paused.send_signal(signal.SIGSTOP)
+        self.addCleanup(paused.send_signal, signal.SIGCONT)
+        self.ask_until_served(caller, "WRITE bowl lacquer")
+
+    def test_planned_stop_cuts_no_request(self):
+        caller = self.caller(0)
+        for member in self.group.members_by_name.values():
+            member.work = 5 * member.work
+        stop = gevent.spawn(self.estate.vms[0].stop)
+        answers = []
+        while not stop.ready():
+            answer = caller.ask(f"WRITE bowl {len(answers)}")
+            if not answer[-1]:
+                break
+            answers.append(answer)
+            gevent.sleep(0.01)
+        self.assertEqual(stop.get(), 0)
+        self.assertFalse(self.estate.vms[0].is_ready())
+        self.assertTrue(all(answer[0].startswith("COMPLETE s") for answer in answers), answers)
+        self.assertEqual(len(self.group.primary.log), len(answers))
+
+    def test_store_that_is_away_does_not_stop_service(self):
+        caller = self.caller()
+        caller.ask("WRITE bowl gold")
+        self.estate.platform.unavailable = True
+        gevent.sleep(0.5)
+        self.assertEqual(caller.ask("READ bowl")[0], "ROW gold")
+
+    def test_vm_that_starts_while_the_store_is_away_learns_from_its_peers(self):
+        self.estate.vms[0].kill()
+        self.estate.platform.unavailable = True
+        # It has no members yet and so is not ready, but the configuration comes from a peer.
+        start = gevent.spawn(self.estate.vms[0].start)
+        self.addCleanup(start.kill)
+        self.wait_for(lambda: 'source="peer vm2"' in self.estate.vms[0].log())
+        self.estate.platform.unavailable = False
+        start.get()
+        self.assertTrue(self.caller(0).ask("READ bowl")[0].startswith("COMPLETE"))
