Pass members' entries between peers as well as the configuration

A VM that starts while the store is away knew the configuration from its peers but no member, and was never ready (seen in the process test, which then had to bring the store back). It now pulls both; so does a VM that is cut off from the store for over a second while its peers know newer entries.

--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -9,7 +9,7 @@
 
 import gevent
 from bramleyrill_base import log_event
-from bramleyrill_platform import DecodeError, decode_catalog
+from bramleyrill_platform import DecodeError, Listing, StoredObject, decode_catalog
 from bramleyrill_wire.entries import frames
 
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError, read_vm, vm_frame
@@ -34,6 +34,7 @@
         self._pulling = False
         self._behind = False
         self.behind_hooks: list[Callable[[], None]] = []
+        self.listing_hooks: list[Callable[[Listing], None]] = []
 
     def ping_some(self) -> None:
         """Ping a few VMs."""
@@ -81,24 +82,32 @@
     def note_versions(self, vm: str, version: int, members_revision: int) -> None:
         """Follow a VM that knows a newer configuration, or newer entries of members.
 
-        The configuration is pulled from it. Entries are read from the platform again if this VM
-        is still behind after a moment: its watch may wait on a connection that went silent.
+        The configuration is pulled from it. Entries are read from the platform again, and pulled
+        as well, if this VM is still behind after a moment: its watch may wait on a connection that
+        went silent, or the platform may be out of reach.
         """
         if members_revision > self._state.members.revision and not self._behind:
             self._behind = True
-            gevent.spawn_later(BEHIND_LIMIT.total_seconds(), self._renew, members_revision)
+            gevent.spawn_later(BEHIND_LIMIT.total_seconds(), self._renew, vm, members_revision)
         if version > self._state.catalog.version and not self._pulling:
             self._pulling = True
             gevent.spawn(self._pull, vm)
 
-    def _renew(self, members_revision: int) -> None:
+    def _renew(self, vm: str, members_revision: int) -> None:
         self._behind = False
-        if self._state.members.revision < members_revision:
-            log_event(
-                "members_behind", revision=self._state.members.revision, known=members_revision
-            )
-            for hook in self.behind_hooks:
-                hook()
+        if self._state.members.revision >= members_revision:
+            return
+        log_event(
+            "members_behind",
+            revision=self._state.members.revision,
+            known=members_revision,
+            vm=vm,
+        )
+        for hook in self.behind_hooks:
+            hook()
+        if not self._pulling:
+            self._pulling = True
+            self._pull(vm)
 
     def _greet(self, address: tuple[str, int]) -> None:
         try:
@@ -112,8 +121,14 @@
         try:
             push = self._net.call(vm, lambda call: frames.CatalogPull(call=call), PULL_TIMEOUT)
             body = json.loads(zlib.decompress(push.body))
-            self._state.adopt_catalog(decode_catalog(body), body, f"peer {vm}")
-        except (PeerLostError, DecodeError, ValueError, zlib.error) as error:
+            if body["configuration"] is not None:
+                catalog = decode_catalog(body["configuration"])
+                self._state.adopt_catalog(catalog, body["configuration"], f"peer {vm}")
+            if push.members_revision > self._state.members.revision:
+                objects = [StoredObject(*item) for item in body["members"]]
+                for hook in self.listing_hooks:
+                    hook(Listing(objects, push.members_revision))
+        except (PeerLostError, DecodeError, ValueError, KeyError, TypeError, zlib.error) as error:
             log_event("configuration_pull_failed", vm=vm, reason=error)
         finally:
             self._pulling = False
@@ -134,6 +149,15 @@
 
 @handlers.register("CatalogPull")
 def answer_pull(net: PeerNet, link: PeerLink, frame: Any) -> None:
-    """Send the configuration in force."""
-    body = zlib.compress(json.dumps(net.state.catalog_body).encode())
-    link.send(frames.CatalogPush(call=frame.call, version=net.state.catalog.version, body=body))
+    """Send the configuration in force and the members' entries."""
+    state = net.state
+    members = [[item.name, item.revision, item.value] for item in state.member_objects.values()]
+    body = {"configuration": state.catalog_body, "members": members}
+    link.send(
+        frames.CatalogPush(
+            call=frame.call,
+            version=state.catalog.version,
+            body=zlib.compress(json.dumps(body).encode()),
+            members_revision=state.members.revision,
+        )
+    )
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -70,6 +70,7 @@
         self.http = HttpListeners(listeners, self.is_ready, self.metrics)
         self.net.lost_hooks.append(self.desks.end_all)
         self.gossip.behind_hooks.append(self.members.watch.renew)
+        self.gossip.listing_hooks.append(self.members.take_from_peer)
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -12,6 +12,7 @@
 from bramleyrill_core.catalog import EMPTY_CATALOG, Catalog, MemberTable
 from bramleyrill_core.freshness import ProofTable
 from bramleyrill_core.placement import ReadPlacement, VmTable
+from bramleyrill_platform import StoredObject
 from gevent.event import Event
 
 from bramleyrill_entry._settings import EntrySettings
@@ -40,7 +41,8 @@
 class EntryState:
     """The tables that the parts of the process share.
 
-    `catalog_body` is the configuration in force as the platform keeps it, for peers that ask.
+    `catalog_body` is the configuration in force and `member_objects` are the members' entries, as
+    the platform keeps them, for peers that ask.
     `primary_changed` fires when another member is taken for a primary, `catalog_changed` when a
     version comes into force.
     """
@@ -51,6 +53,7 @@
     placement: ReadPlacement
     catalog: Catalog = EMPTY_CATALOG
     catalog_body: Any = None
+    member_objects: dict[str, StoredObject] = field(factory=dict, repr=False)
     members: MemberTable = field(factory=MemberTable)
     proofs: ProofTable = field(factory=ProofTable)
     primary_changed: Signal = field(factory=Signal)
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -181,15 +181,24 @@
         for member in self._members.drop_lapsed(self._state.now()):
             log_event("member_gone", member=member)
 
-    def _take_listing(self, listing: Listing) -> None:
+    def take_from_peer(self, listing: Listing) -> None:
+        """Take over the entries that a peer knows and this VM does not."""
+        self._take_listing(listing, "peer")
+
+    def _take_listing(self, listing: Listing, source: str = "store") -> None:
         entries = [entry for entry in map(self._decode, listing.objects) if entry is not None]
         before = self._primaries()
+        self._state.member_objects = {stored.name: stored for stored in listing.objects}
         self._members.replace_all(entries, self._state.now())
-        log_event("members_listed", members=len(entries), revision=listing.revision)
+        log_event("members_listed", members=len(entries), revision=listing.revision, source=source)
         self._note_primaries(before)
 
     def _take_change(self, change: Change) -> None:
         name = change.object.name
+        if change.deleted:
+            self._state.member_objects.pop(name, None)
+        else:
+            self._state.member_objects[name] = change.object
         entry = None if change.deleted else self._decode(change.object)
         if entry is None:
             log_event("member_entry_lapsed", member=name)
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -51,8 +51,9 @@
 }
 
 struct CatalogPull { 1: i64 call }
-// `body` is the configuration as the platform keeps it, compressed with zlib.
-struct CatalogPush { 1: i64 call, 2: i64 version, 3: binary body }
+// `body` is JSON compressed with zlib: the configuration and the members' entries as the platform
+// keeps them, the latter as lists of name, revision and value.
+struct CatalogPush { 1: i64 call, 2: i64 version, 3: binary body, 4: i64 members_revision }
 
 // A member was made primary.
 struct Appointed { 1: string service_name, 2: string member }
--- a/tests/processes/test_prepared.py
+++ b/tests/processes/test_prepared.py
@@ -113,10 +113,6 @@
     def test_vm_that_starts_while_the_store_is_away_learns_from_its_peers(self):
         self.estate.vms[0].kill()
         self.estate.platform.unavailable = True
-        # It has no members yet and so is not ready, but the configuration comes from a peer.
-        start = gevent.spawn(self.estate.vms[0].start)
-        self.addCleanup(start.kill)
-        self.wait_for(lambda: 'source="peer vm2"' in self.estate.vms[0].log())
-        self.estate.platform.unavailable = False
-        start.get()
+        # Ready means that configuration and members are known.
+        self.estate.vms[0].start()
         self.assertTrue(self.caller(0).ask("READ bowl")[0].startswith("COMPLETE"))
