--- a/packages/entry/bramleyrill_entry/_desk.py
+++ b/packages/entry/bramleyrill_entry/_desk.py
@@ -13,7 +13,8 @@
 from gevent.event import AsyncResult
 
 from bramleyrill_entry._exchange import SINGLE, Opens, RunProblem, RunRequest, RunResult
-from bramleyrill_entry._pool import CONTROL_TIMEOUT, LEASE_TIMEOUT, UpstreamPool
+from bramleyrill_entry._pool import LEASE_TIMEOUT, UpstreamPool
+from bramleyrill_entry._preparation import NotSentError, Preparation
 from bramleyrill_entry._state import EntryState
 from bramleyrill_entry._upstream import UpstreamConnection, UpstreamError, UpstreamTimeoutError
 
@@ -44,16 +45,13 @@
     wrote: bool = False
 
 
-class _NotSentError(Exception):
-    """The connection failed before the caller's statement was sent on it."""
-
-
 class MemberDesk:
     """Runs statements at one member for callers of all VMs."""
 
     def __init__(self, state: EntryState, member: MemberEntry, connections: int) -> None:
         self.member = member
         self.pool = UpstreamPool(member, connections, state.clock)
+        self._preparation = Preparation(self.pool)
         self._state = state
         slots = member.slots + EXTRA_IN_FLIGHT
         self._work = MemberAdmission(member.service, slots, EXPECTED_STATEMENT, state.clock)
@@ -127,7 +125,7 @@
             return RunProblem.UNREACHABLE
         try:
             answer = self._begin(connection, None, read_only=False)
-        except _NotSentError:
+        except NotSentError:
             return RunProblem.UNREACHABLE
         self.pool.give_back(connection)
         return None if answer.succeeded else RunProblem.NOT_PRIMARY
@@ -196,7 +194,7 @@
                 return RunResult(problem=RunProblem.UNREACHABLE)
             try:
                 return self._run_on(connection, request)
-            except _NotSentError:
+            except NotSentError:
                 continue
             finally:
                 self.pool.give_back(connection)
@@ -204,8 +202,8 @@
 
     def _run_on(self, connection: UpstreamConnection, request: RunRequest) -> RunResult:
         """Run a single statement; a fenced read runs in a transaction that proves the primary."""
-        self._apply_values(connection, request)
-        self._prepare(connection, request)
+        self._preparation.apply_values(connection, request.values)
+        self._preparation.prepare(connection, request.statement.prepared)
         floor = None
         if not request.fence:
             floor = self._floor(request)
@@ -274,10 +272,10 @@
             except UpstreamError:
                 return RunResult(problem=RunProblem.UNREACHABLE)
             try:
-                self._apply_values(connection, request)
-                self._prepare(connection, request)
+                self._preparation.apply_values(connection, request.values)
+                self._preparation.prepare(connection, request.statement.prepared)
                 begun = self._begin(connection, floor, read_only)
-            except _NotSentError:
+            except NotSentError:
                 continue
             if not begun.succeeded:
                 self.pool.give_back(connection)
@@ -304,9 +302,9 @@
             self._close_exchange(key, exchange)
             return _overloaded(refused, waited)
         try:
-            self._apply_values(exchange.connection, request)
-            self._prepare(exchange.connection, request)
-        except _NotSentError:
+            self._preparation.apply_values(exchange.connection, request.values)
+            self._preparation.prepare(exchange.connection, request.statement.prepared)
+        except NotSentError:
             exchange.running = False
             self._close_exchange(key, exchange)
             return RunResult(problem=RunProblem.NO_EXCHANGE, waited=waited)
@@ -351,50 +349,14 @@
         self._deliver(self._work, self._work.finish(ticket))
         self._deliver(self._transactions, self._transactions.finish(ticket))
 
-    # Preparation of a connection.
-
-    def _control(
-        self, connection: UpstreamConnection, text: str, floor: Mark | None = None
-    ) -> Answer:
-        try:
-            return connection.ask(lines.OWN_ID, text, CONTROL_TIMEOUT, floor)
-        except UpstreamError as error:
-            log_event("upstream_control_failed", member=self.member.id, reason=error)
-            self.pool.discard(connection)
-            raise _NotSentError from error
-
     def _begin(self, connection: UpstreamConnection, floor: Mark | None, read_only: bool) -> Answer:
         """Begin a transaction; a plain one proves that the member leads."""
         sent_at = self._state.now()
-        text = lines.BEGIN_READ_ONLY_TEXT if read_only else lines.BEGIN_TEXT
-        answer = self._control(connection, text, floor)
-        if answer.succeeded:
-            connection.in_transaction = True
-            if not read_only:
-                self._note_proof(answer, sent_at)
+        answer = self._preparation.begin(connection, floor, read_only)
+        if answer.succeeded and not read_only:
+            self._note_proof(answer, sent_at)
         return answer
 
-    def _apply_values(self, connection: UpstreamConnection, request: RunRequest) -> None:
-        if connection.state.needs_reset(request.values):
-            self._control_or_discard(connection, lines.RESET_TEXT)
-            connection.state.reset()
-        for name, value in connection.state.missing_values(request.values):
-            self._control_or_discard(connection, lines.set_text(name, value))
-            connection.state.values[name] = value
-
-    def _prepare(self, connection: UpstreamConnection, request: RunRequest) -> None:
-        prepared = request.statement.prepared
-        if prepared is None or prepared in connection.state.prepared:
-            return
-        self._control_or_discard(connection, lines.prepare_text(prepared))
-        connection.state.prepared.add(prepared)
-
-    def _control_or_discard(self, connection: UpstreamConnection, text: str) -> None:
-        answer = self._control(connection, text)
-        if not answer.succeeded:
-            self.pool.discard(connection)
-            raise _NotSentError(answer.code.name)
-
     def _floor(self, request: RunRequest) -> Mark | None:
         now = self._state.now()
         proved = self._state.proofs.of(request.service).floor(now, request.max_staleness)
--- a/packages/entry/bramleyrill_entry/_metrics.py
+++ b/packages/entry/bramleyrill_entry/_metrics.py
@@ -2,7 +2,6 @@
 
 from datetime import timedelta
 
-from bramleyrill_base import Clock
 from bramleyrill_core.catalog import DatabaseRoute
 from bramleyrill_core.statements import Answer
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -15,8 +14,7 @@
 class EntryMetrics:
     """What this process counts."""
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self) -> None:
         self.registry = CollectorRegistry(auto_describe=False)
         self._statements = Counter(
             "bramleyrill_statements",
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import gevent
+from attrs import evolve
 from bramleyrill_base import SystemClock, log_event
 from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable
 from bramleyrill_platform import DutyClient, StoreClient
@@ -22,7 +23,11 @@
 from bramleyrill_entry._peers import PeerNet
 from bramleyrill_entry._proofs import PROOF_INTERVAL, ProofKeeper
 from bramleyrill_entry._router import Router
-from bramleyrill_entry._settings import EntrySettings
+from bramleyrill_entry._settings import (
+    EntrySettings,
+    SettingsError,
+    settings_from_environment,
+)
 from bramleyrill_entry._state import EntryState, every
 from bramleyrill_entry._stop import PlannedStop
 from bramleyrill_entry._supervisor import TICK, Supervisor
@@ -54,7 +59,7 @@
         self.net = PeerNet(self.state, services, listeners.peers)
         self.desks = services[Desks] = Desks(self.state)
         self.gossip = services[Gossip] = Gossip(self.net)
-        self.metrics = EntryMetrics(clock)
+        self.metrics = EntryMetrics()
         self.executor = Executor(self.net, self.desks)
         router = Router(self.state, self.executor, self.metrics)
         self.front = Front(self.state, router, self.metrics, listeners.callers)
@@ -103,6 +108,18 @@
         self.desks.close()
         self.net.close()
 
+    def reload(self) -> None:
+        """Take over the settings that may change while the process runs: seeds and grace."""
+        try:
+            settings = settings_from_environment()
+        except SettingsError as error:
+            log_event("settings_rejected", reason=error)
+            return
+        self.state.settings = evolve(
+            self.state.settings, seed_peers=settings.seed_peers, grace_s=settings.grace_s
+        )
+        log_event("settings_reloaded", seeds=len(settings.seed_peers), grace_s=settings.grace_s)
+
     def _ping(self) -> None:
         self.gossip.greet_seeds()
         self.gossip.ping_some()
@@ -124,7 +141,7 @@
     stop = Event()
     gevent.signal_handler(signal.SIGTERM, stop.set)
     gevent.signal_handler(signal.SIGINT, stop.set)
-    gevent.signal_handler(signal.SIGHUP, log_event, "settings_changed")
+    gevent.signal_handler(signal.SIGHUP, process.reload)
     process.start()
     log_event("started", vm=settings.id, domain=settings.domain)
     stop.wait()
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -74,7 +74,7 @@
         attempt = self._new_attempt()
         fence = statement.writes or _needs_primary(session, route)
         request = self._request(session, route, statement)
-        if not fence and self._run_at_any(request, route, attempt):
+        if not fence and self._run_at_any(request, attempt):
             return self._finish(statement, attempt)
         request.fence = True
         self._run_at_primary(request, attempt)
@@ -95,7 +95,7 @@
         request.fence = not session.read_only or _needs_primary(session, route)
         place = None
         if not request.fence:
-            place = self._run_at_any(request, route, attempt)
+            place = self._run_at_any(request, attempt)
         if place is None:
             request.fence = True
             place = self._run_at_primary(request, attempt)
@@ -144,9 +144,7 @@
 
     # Reads that a replica may serve.
 
-    def _run_at_any(
-        self, request: RunRequest, route: DatabaseRoute, attempt: Attempt
-    ) -> tuple[str, str] | None:
+    def _run_at_any(self, request: RunRequest, attempt: Attempt) -> tuple[str, str] | None:
         """Try the members one after the other; return the place that gave the final answer."""
         request.fence = False
         state = self._state
@@ -161,7 +159,7 @@
             if state.now() >= attempt.deadline or attempt.count >= MAX_ATTEMPTS:
                 return None
             vm = self._holder(member)
-            self._prepare_attempt(request, member, attempt, route)
+            self._prepare_attempt(request, member, attempt)
             result = self._run(vm, request, attempt)
             if self._judge_read(result, member.id) is Try.DONE:
                 return vm, member.id
@@ -228,7 +226,6 @@
         request: RunRequest,
         member: MemberEntry,
         attempt: Attempt,
-        route: DatabaseRoute | None = None,
     ) -> None:
         now = self._state.now()
         elapsed = now - attempt.arrived_at
--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -105,6 +105,8 @@
         if self._state.catalog.version == 0:
             self._state.catalog_changed.wait(FIRST_CATALOG_WAIT.total_seconds())
         if self._state.catalog.version == 0:
+            log_event("session_refused", database=message.database, reason="no configuration yet")
+            self._sock.sendall(lines.encode_refusal(AnswerCode.BUSY, "starting"))
             return False
         if message.database not in self._state.catalog.routes_by_database:
             log_event(
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -8,7 +8,7 @@
 import gevent.socket
 from attrs import define, field
 from bramleyrill_base import Clock, log_event
-from bramleyrill_core import VmId
+from bramleyrill_core import Mark, VmId
 from bramleyrill_core.catalog import EMPTY_CATALOG, Catalog, MemberTable
 from bramleyrill_core.freshness import ProofTable
 from bramleyrill_core.placement import ReadPlacement, VmTable
@@ -44,7 +44,7 @@
     `catalog_body` is the configuration in force and `member_objects` are the members' entries, as
     the platform keeps them, for peers that ask.
     `primary_changed` fires when another member is taken for a primary, `catalog_changed` when a
-    version comes into force.
+    version comes into force. `stopping` is set by a planned stop.
     """
 
     settings: EntrySettings
@@ -58,7 +58,6 @@
     proofs: ProofTable = field(factory=ProofTable)
     primary_changed: Signal = field(factory=Signal)
     catalog_changed: Signal = field(factory=Signal)
-    # Entry VMs that took over a stop or a reload read these.
     stopping: bool = False
     requests_running: int = 0
 
@@ -87,7 +86,7 @@
         return True
 
     def note_proof(
-        self, service: str, member: str, term: int, mark: Any, proved_at: timedelta
+        self, service: str, member: str, term: int, mark: Mark, proved_at: timedelta
     ) -> None:
         """Take over that `member` led `term` and had `mark` when asked at `proved_at`."""
         if self.members.prove_primary(service, member, term):
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -37,7 +37,7 @@
         self.put_route()
         self.desks = Desks(self.state)
         self.addCleanup(self.desks.close)
-        metrics = EntryMetrics(self.state.clock)
+        metrics = EntryMetrics()
         executor = Executor(LocalNet(self.state, self.desks), self.desks)
         self.router = Router(self.state, executor, metrics)
         self.metrics = metrics
--- /dev/null
+++ b/tests/entry/test_settings.py
@@ -0,0 +1,53 @@
+"""Settings of an entry VM: faults are reported together, and none starts a half-set process."""
+
+import pathlib
+import tempfile
+import unittest
+
+import yaml
+from bramleyrill_entry._settings import SettingsError, load_settings
+
+GOOD = {
+    "id": "vm1",
+    "domain": "north-a",
+    "domains": {"north-a": "north"},
+    "caller_listen": "10.0.0.1:1",
+    "ready_listen": "10.0.0.1:2",
+    "peer_listen": "10.0.0.1:3",
+    "metrics_listen": "10.0.0.1:4",
+    "seed_peers": ["10.0.0.2:3"],
+    "platform": "10.0.0.9:1",
+    "duties": "10.0.0.9:2",
+    "grace_s": 6,
+    "max_descriptors": 4200,
+    "unknown": 1,
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def load(self, values):
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write(values if isinstance(values, str) else yaml.safe_dump(values))
+            file.flush()
+            return load_settings(pathlib.Path(file.name))
+
+    def test_settings(self):
+        settings = self.load(GOOD)
+        self.assertEqual(settings.caller_listen, ("10.0.0.1", 1))
+        self.assertEqual(settings.seed_peers, (("10.0.0.2", 3),))
+
+    def test_all_faults_are_named_at_once(self):
+        faulty = GOOD | {"id": "", "grace_s": "soon", "platform": "nowhere", "seed_peers": ["x"]}
+        with self.assertRaises(SettingsError) as caught:
+            self.load(faulty)
+        lines = str(caught.exception).splitlines()
+        self.assertEqual(len(lines), 4)
+        for name in ("id", "grace_s", "platform", "seed_peers"):
+            self.assertIn(f" {name}: ", "\n".join(lines))
+
+    def test_file_that_is_no_table(self):
+        for text in ("- a\n", "{", ""):
+            with self.assertRaises(SettingsError):
+                self.load(text)
+        with self.assertRaises(SettingsError):
+            load_settings(pathlib.Path("nowhere.yaml"))
