--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -49,13 +49,16 @@
 class Attempt:
     """What is known of one statement while places are tried.
 
-    `certain` tells that no attempt so far can have taken effect.
+    `single` tells that the statement is no part of a transaction. `certain` tells that no attempt so far can have taken effect, and `ran` that one may have run
+    at a member without an answer.
     """
 
     arrived_at: timedelta
     deadline: timedelta
+    single: bool
     count: int = 0
     certain: bool = True
+    ran: bool = False
     last: RunResult | None = None
 
 
@@ -71,7 +74,7 @@
         self, session: StatementSession, route: DatabaseRoute, statement: Statement
     ) -> Answer:
         """Run a statement outside a transaction."""
-        attempt = self._new_attempt()
+        attempt = self._new_attempt(single=True)
         fence = statement.writes or _needs_primary(session, route)
         request = self._request(session, route, statement)
         if not fence and self._run_at_any(request, attempt):
@@ -122,9 +125,9 @@
         """Roll back what is open of a transaction."""
         self._executor.end(transaction.vm, transaction.number)
 
-    def _new_attempt(self) -> Attempt:
+    def _new_attempt(self, single: bool = False) -> Attempt:
         now = self._state.now()
-        return Attempt(now, now + PATIENCE)
+        return Attempt(now, now + PATIENCE, single)
 
     def _request(
         self, session: StatementSession, route: DatabaseRoute, statement: Statement
@@ -242,6 +245,7 @@
         result = self._executor.run(vm, request)
         attempt.last = result
         if result.problem in (RunProblem.LOST, RunProblem.TIMED_OUT):
+            attempt.ran = True
             attempt.certain = attempt.certain and not _may_have_committed(request)
             if request.opens is not Opens.NOTHING:
                 self._executor.end(vm, request.exchange)
@@ -266,6 +270,9 @@
         if result.answer is not None:
             return _translate(result.answer)
         problem = result.problem
+        if attempt.ran and attempt.certain and attempt.single:
+            # A read that ran without an answer must not be called "not run".
+            return Answer(AnswerCode.FAILED, text="the member's answer was lost")
         if problem.not_run:
             if problem is RunProblem.NO_EXCHANGE:
                 return Answer(AnswerCode.ROLLED_BACK, text="the transaction was lost")
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -2,11 +2,13 @@
 
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 import gevent
 import gevent.socket
 from bramleyrill_core import Rank
 from bramleyrill_core.catalog import Catalog, Consistency, DatabaseRoute, ServiceEntry
+from bramleyrill_entry import _router
 from bramleyrill_entry._desks import Desks
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._metrics import EntryMetrics
@@ -239,6 +241,16 @@
         gevent.spawn_later(0.05, setattr, self.group.primary, "lose_answers", False)
         self.assertTrue(caller.ask("READ a")[0].startswith("COMPLETE s"))
 
+    def test_read_that_ran_is_not_called_not_run(self):
+        """A read ran and lost its answer; its repetition was refused and the caller told busy."""
+        caller = self.connect()
+        caller.line()
+        self.group.primary.lose_answers = True
+        with mock.patch.object(_router, "PATIENCE", timedelta(milliseconds=200)):
+            gevent.spawn_later(0.05, self.group.primary.stop)
+            answer = caller.ask("READ a")
+        self.assertTrue(answer[0].startswith("ERROR FAILED"), answer)
+
     def test_write_follows_the_primary(self):
         """A statement refused by a replaced primary did not run and goes to the new one."""
         caller = self.connect()
