--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -49,8 +49,8 @@
 class Attempt:
     """What is known of one statement while places are tried.
 
-    `single` tells that the statement is no part of a transaction. `certain` tells that no attempt so far can have taken effect, and `ran` that one may have run
-    at a member without an answer.
+    `single` tells that the statement is no part of a transaction. `certain` tells that no attempt
+    so far can have taken effect, and `ran` that one may have run at a member without an answer.
     """
 
     arrived_at: timedelta
