Repeat a read that a member failed at another, and avoid the member longer each time

Answers grey failures: members whose health answer is good and that fail part of their work. Until now a failed read went back to the caller, and a member that lost answers was avoided for 300 ms only.

--- a/packages/core/bramleyrill_core/placement/_reads.py
+++ b/packages/core/bramleyrill_core/placement/_reads.py
@@ -16,17 +16,21 @@
 PRIMARY_PENALTY = timedelta(milliseconds=40)
 # A wait that was reported this long ago counts half.
 WAIT_HALF_LIFE = timedelta(milliseconds=300)
-# A member that failed or lags is asked last for this long.
+# A member that lags, or failed once, is asked last for this long.
 AVOID_FOR = timedelta(milliseconds=300)
+# Each further failure doubles the time, each success halves it: a member that answers its health
+# check and fails part of its work keeps failing in between.
+LONGEST_AVOID = timedelta(seconds=5)
 
 
 @define(eq=False)
 class ReadRow:
-    """The wait that a member last reported, and until when it is avoided."""
+    """The wait that a member last reported, its failures, and until when it is avoided."""
 
     wait: timedelta = timedelta()
     noted_at: timedelta = timedelta()
     avoid_until: timedelta = timedelta()
+    failures: int = 0
 
 
 class ReadPlacement:
@@ -41,6 +45,13 @@
         """Note the wait that a request had, or would have had, at a member."""
         row = self._row(member)
         row.wait, row.noted_at = wait, now
+        row.failures = max(row.failures - 1, 0)
+
+    def note_failure(self, member: str, now: timedelta) -> None:
+        """Ask a member last for a while that grows with its failures."""
+        row = self._row(member)
+        row.avoid_until = now + min(AVOID_FOR * 2**row.failures, LONGEST_AVOID)
+        row.failures = min(row.failures + 2, 8)
 
     def avoid(self, member: str, now: timedelta) -> None:
         """Ask a member last for a moment."""
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -164,16 +164,21 @@
             vm = self._holder(member)
             self._prepare_attempt(request, member, attempt)
             result = self._run(vm, request, attempt)
-            if self._judge_read(result, member.id) is Try.DONE:
+            attempt.ran = attempt.ran or _failed_read(request, result)
+            if self._judge_read(request, result, member.id) is Try.DONE:
                 return vm, member.id
         return None
 
-    def _judge_read(self, result: RunResult, member: str) -> Try:
+    def _judge_read(self, request: RunRequest, result: RunResult, member: str) -> Try:
         now = self._state.now()
+        placement = self._state.placement
+        if result.problem in _MEMBER_FAULTS or _failed_read(request, result):
+            placement.note_failure(member, now)
+            return Try.NEXT
         if result.problem is None and result.answer.code not in _ELSEWHERE:
-            self._state.placement.note_wait(member, result.waited, now)
+            placement.note_wait(member, result.waited, now)
             return Try.DONE
-        self._state.placement.avoid(member, now)
+        placement.avoid(member, now)
         return Try.NEXT
 
     # Statements for the primary.
@@ -306,6 +311,16 @@
     return route.consistency is Consistency.PRIMARY
 
 
+# Problems that speak against the member, or the way to it, and not against the moment.
+_MEMBER_FAULTS = frozenset({RunProblem.UNREACHABLE, RunProblem.LOST, RunProblem.TIMED_OUT})
+
+
+def _failed_read(request: RunRequest, result: RunResult) -> bool:
+    """Tell whether a member failed a read that may be repeated at another."""
+    answer = result.answer
+    return answer is not None and answer.code is AnswerCode.FAILED and request.exchange == SINGLE
+
+
 def _may_have_committed(request: RunRequest) -> bool:
     """Tell whether a lost statement may have taken effect for good.
 
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -34,8 +34,9 @@
 class LineMember:
     """One member: a listener, a log, and faults that tests switch on.
 
-    `silent` keeps it from answering, `lose_answers` lets it run statements and close instead of
-    answering, `lag` delays what it applies, `work` is how long a statement takes.
+    `silent` keeps it from answering, `failing` lets reads fail, `lose_answers` lets it run
+    statements and close instead of answering, `lag` delays what it applies, `work` is how long a
+    statement takes.
     """
 
     def __init__(self, group: "LineGroup", name: str) -> None:
@@ -43,6 +44,7 @@
         self.name = name
         self.log: list[Entry] = []
         self.silent = False
+        self.failing = False
         self.lose_answers = False
         self.lag = NO_DELAY
         self.work = NO_DELAY
@@ -211,6 +213,8 @@
         return [f"COMPLETE s{next(_signatures)}"]
 
     def _read(self, words: list[str]) -> list[str]:
+        if self.member.failing:
+            return ["ERROR FAILED disk"]
         for entry in reversed(self.member.log):
             if words[0] in entry.data:
                 return [f"ROW {entry.data[words[0]]}", f"COMPLETE s{next(_signatures)}"]
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -85,6 +85,16 @@
         self.assertEqual(self.order()[-1], "near")
         self.assertEqual(self.order(400 * MS)[0], "near")
 
+    def test_member_that_fails_part_of_its_work_is_avoided_longer_each_time(self):
+        """Its health answer is good, and some of its answers are too."""
+        self.placement.note_failure("near", 0 * MS)
+        self.assertEqual(self.order(310 * MS)[0], "near")
+        self.placement.note_wait("near", 0 * MS, 310 * MS)
+        self.placement.note_failure("near", 310 * MS)
+        self.placement.note_failure("near", 320 * MS)
+        self.assertEqual(self.order(1000 * MS)[-1], "near")
+        self.assertEqual(self.order(9000 * MS)[0], "near")
+
 
 class MemberTableTest(unittest.TestCase):
     def setUp(self):
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -304,6 +304,15 @@
         caller.ask("READ a")
         self.assertEqual([run.member for run in self.group.runs_of("q1")], ["m2"])
 
+    def test_read_that_a_member_fails_is_served_by_another(self):
+        """Some members answer their health check and fail part of what they are sent."""
+        self.assertIsNone(self.desks.desk_for("m1").prove())
+        self.group.members_by_name["m2"].failing = True
+        caller = self.connect()
+        caller.line()
+        self.assertTrue(caller.ask("READ a")[0].startswith("COMPLETE s"))
+        self.assertEqual([run.member for run in self.group.runs_of("q1")], ["m2", "m1"])
+
     def test_read_only_transaction_runs_at_a_replica(self):
         self.assertIsNone(self.desks.desk_for("m1").prove())
         caller = self.connect()
