Wake idle processes less often

Queues are now looked at every 100 ms, output waits for a line, and a VM's place among the supervisors is kept for a second.

--- a/packages/entry/bramleyrill_entry/_output.py
+++ b/packages/entry/bramleyrill_entry/_output.py
@@ -9,6 +9,7 @@
 import gevent
 from absl import logging as absl_logging
 from bramleyrill_base import log_event, set_up_logs
+from gevent.event import Event
 
 # Lines that wait for output; more are dropped and counted.
 MAX_WAITING_LINES = 4000
@@ -30,6 +31,7 @@
         self._lines: deque[bytes] = deque()
         self._rest = b""
         self._dropped = 0
+        self._waiting = Event()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Keep a line, or count it as dropped."""
@@ -37,6 +39,7 @@
             self._dropped += 1
             return
         self._lines.append(self.format(record).encode("utf-8", "replace") + b"\n")
+        self._waiting.set()
 
     def write_waiting(self) -> None:
         """Write what the reader takes at once."""
@@ -58,10 +61,14 @@
             self._rest = self._rest[written:]
 
     def flush_forever(self) -> None:
-        """Write lines from time to time."""
+        """Write lines a moment after the first of them; sleep while there are none."""
         while True:
-            self.write_waiting()
+            self._waiting.wait()
             gevent.sleep(FLUSH_INTERVAL_S)
+            self._waiting.clear()
+            self.write_waiting()
+            if self._rest:
+                self._waiting.set()
 
 
 def set_up_output() -> OutputHandler:
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -39,7 +39,8 @@
     unix_ms,
 )
 
-DESK_TICK = timedelta(milliseconds=20)
+# Requests that waited too long are answered within this; a shorter one wakes idle processes.
+DESK_TICK = timedelta(milliseconds=100)
 MAINTENANCE_INTERVAL = timedelta(milliseconds=500)
 
 
--- a/packages/entry/bramleyrill_entry/_proofs.py
+++ b/packages/entry/bramleyrill_entry/_proofs.py
@@ -8,7 +8,7 @@
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._state import EntryState
 
-PROOF_INTERVAL = timedelta(milliseconds=100)
+PROOF_INTERVAL = timedelta(milliseconds=150)
 # Proofs are asked for when the newest is this old.
 PROOF_AGE = timedelta(milliseconds=350)
 
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -38,7 +38,9 @@
 from bramleyrill_entry._upstream import UpstreamConnection, UpstreamError
 
 KIND_DUTIES = "bramleyrill-duties"
-TICK = timedelta(milliseconds=150)
+TICK = timedelta(milliseconds=250)
+# A VM's place among the supervisors is worked out this often: it hashes every VM.
+TURN_CACHED = timedelta(seconds=1)
 # So many VMs look after a service; the second acts this much later than the first.
 SUPERVISORS = 3
 TURN = timedelta(milliseconds=700)
@@ -59,13 +61,18 @@
 
 @define(eq=False)
 class Watched:
-    """What this VM knows of a service's primary beyond the shared tables."""
+    """What this VM knows of a service's primary beyond the shared tables.
+
+    `turn` is this VM's place among the supervisors, None for no place, until `turn_until`.
+    """
 
     service: str
     duty: DutyView
     since: timedelta
     member: str = ""
     working: bool = False
+    turn: int | None = None
+    turn_until: timedelta = timedelta()
 
 
 class Supervisor:
@@ -120,7 +127,7 @@
         if row is not None and not row.takes_work:
             self._replace_draining(watched, row)
             return
-        turn = self._turn(watched.service)
+        turn = self._turn(watched)
         if turn is None:
             return
         silent_for = self._silent_for(watched)
@@ -143,11 +150,16 @@
             )
             self._replace(watched, row.entry)
 
-    def _turn(self, service: str) -> int | None:
+    def _turn(self, watched: Watched) -> int | None:
         """Return this VM's place among those that look after a service, or None."""
-        vms = [vm.id for vm in self._state.vms.usable(self._state.now())]
-        order = rendezvous_order(service, vms)[:SUPERVISORS]
-        return order.index(self._state.vm) if self._state.vm in order else None
+        now = self._state.now()
+        if now >= watched.turn_until:
+            vms = [vm.id for vm in self._state.vms.usable(now)]
+            order = rendezvous_order(watched.service, vms)[:SUPERVISORS]
+            own = self._state.vm
+            watched.turn = order.index(own) if own in order else None
+            watched.turn_until = now + TURN_CACHED
+        return watched.turn
 
     def _silent_for(self, watched: Watched) -> timedelta:
         now = self._state.now()
@@ -303,7 +315,7 @@
         """Move the lead off a member that is leaving, without losing an entry."""
         holder = holder_candidates(self._state.vms, row.entry, self._state.now())[0]
         if holder != self._state.vm:
-            turn = self._turn(watched.service)
+            turn = self._turn(watched)
             if (
                 turn is not None
                 and self._desks.draining_for(row.entry.id) > PAUSE_LIMIT / 2 + turn * TURN
