Take no requests late in a planned stop, and end busy sessions after their answer

Only idle sessions were closed, and the listener stayed open to the end. The listener now closes after 55% of the grace, and once the balancer has turned away each session ends after its answer.

--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -129,6 +129,8 @@
                 return
             if isinstance(message, Statement):
                 self._serve_one(message)
+                if self._state.closing_sessions and self.close_if_idle():
+                    return
             else:
                 reason = getattr(message, "reason", "unexpected message")
                 self._sock.sendall(lines.encode_refusal(AnswerCode.MALFORMED, reason))
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -44,7 +44,8 @@
     `catalog_body` is the configuration in force and `member_objects` are the members' entries, as
     the platform keeps them, for peers that ask.
     `primary_changed` fires when another member is taken for a primary, `catalog_changed` when a
-    version comes into force. `stopping` is set by a planned stop.
+    version comes into force. `stopping` is set by a planned stop,
+    `closing_sessions` once it ends each session after its answer.
     """
 
     settings: EntrySettings
@@ -59,6 +60,7 @@
     primary_changed: Signal = field(factory=Signal)
     catalog_changed: Signal = field(factory=Signal)
     stopping: bool = False
+    closing_sessions: bool = False
     requests_running: int = 0
 
     @property
--- a/packages/entry/bramleyrill_entry/_stop.py
+++ b/packages/entry/bramleyrill_entry/_stop.py
@@ -16,6 +16,9 @@
 TURNED_AWAY = timedelta(seconds=2.6)
 # Shares of the grace: open transactions have half of it, and some of it is kept for the exit.
 TRANSACTIONS_SHARE = 0.5
+# A balancer with too few other VMs goes on sending callers; from here on they are refused, so that
+# no request is read that the process could not answer any more.
+ACCEPT_SHARE = 0.55
 EXIT_SHARE = 0.9
 POLL = timedelta(milliseconds=50)
 
@@ -41,7 +44,10 @@
             elapsed = state.now() - started_at
             if elapsed >= TRANSACTIONS_SHARE * grace:
                 self._front.abort_transactions("shutting down")
+            if elapsed >= ACCEPT_SHARE * grace:
+                self._front.stop_accepting()
             if elapsed >= min(TURNED_AWAY, EXIT_SHARE * grace):
+                state.closing_sessions = True
                 self._front.close_idle()
                 if self._is_done():
                     break
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -152,6 +152,14 @@
         self.assertFalse(self.session.close_if_idle())
         self.assertTrue(caller.line().startswith("COMPLETE s"))
 
+    def test_busy_session_ends_after_its_answer(self):
+        """A caller that sends one request after the other had its last one cut by the exit."""
+        caller = self.connect()
+        caller.line()
+        self.state.closing_sessions = True
+        self.assertTrue(caller.ask("WRITE a 5")[0].startswith("COMPLETE s"))
+        self.assertEqual(caller.line(), "")
+
     def test_session_in_a_transaction_stays_until_it_is_ended(self):
         caller = self.connect()
         caller.line()
