Repeat failed reads, try silent members' reads elsewhere in time; add a fault soak

Ruled out: repeating failed writes, which a member may have kept.

Change: a failed read that nothing ran before is repeated, 3 runs at most. An attempt of a read gets 0.4 of the target, each further one twice the time. The time left to be on time was reduced twice from the third attempt on; it now follows from the arrival. A transaction whose first statement ran and was lost is told ABORTED in place of BUSY. Answers that lead to another attempt (LAGGING, READONLY, ...) are logged like problems. Tests in tests.entry.test_session fail without it.

soak/: three real entry processes, proxies before members and store, 17 kinds of fault that overlap, promises checked from what callers and members see, each check shown to notice a planted breach. Stand-in members start again, replicate in order, and refuse statements of a plain transaction whose lead was lost.

--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,16 @@
-# Two commands: `make demo` shows the system at work, `make test` checks it.
+# Two commands: `make demo` shows the system at work, `make test` checks it. `make demo-platform`
+# shows it on the prepared platform, `make soak` runs it under random faults.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGE_DIRS := $(foreach p,base core wire entry daemon cli standins,packages/$(p)) platform
-SOURCES := packages platform tests
+PACKAGE_DIRS := $(foreach p,base core wire entry daemon cli standins,packages/$(p)) platform soak
+SOURCES := packages platform soak tests
 empty :=
 space := $(empty) $(empty)
 # Workspace sources come before installed ones, so that a second work tree can share the environment.
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGE_DIRS),$(CURDIR)/$(p))):$(CURDIR)
 TOOLS := black cryptography ddsketch hypothesis nose2 pg8000 psycopg[binary] ruff setuptools trustme wheel
 
-.PHONY: env format check test demo
+.PHONY: env format check test demo demo-platform soak
 
 # SHARED_ENV=1 uses the environment of another work tree as it is.
 ifdef SHARED_ENV
@@ -37,3 +38,12 @@
 
 demo: env
 	$(PY) -m bramleyrill_standins.demo
+
+demo-platform: env
+	$(PY) -m bramleyrill_standins.prepared
+
+# Fresh seeds: make soak FIRST=100 COUNT=20
+FIRST ?= 1
+COUNT ?= 50
+soak: env
+	$(PY) -m bramleyrill_soak --first $(FIRST) --count $(COUNT)
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -27,6 +27,12 @@
 RETRY_PAUSE = timedelta(milliseconds=40)
 # Bounds the work that one statement can cause.
 MAX_ATTEMPTS = 16
+# A read that a member fails is run this often; a member that fails part of its work serves most
+# reads by then, and one that fails them all is told to the caller.
+FAILED_ATTEMPTS = 3
+# A read that a member does not answer within this share of the target is tried at another; each
+# further attempt has twice the time, so that a slow member still serves it.
+FIRST_ATTEMPT_SHARE = 0.4
 
 
 class Try(Enum):
@@ -51,16 +57,30 @@
 
     `single` tells that the statement is no part of a transaction. `certain` tells that no attempt
     so far can have taken effect, and `ran` that one may have run at a member without an answer.
+    `failed` counts the attempts that a member answered with a failure.
     """
 
+    route: DatabaseRoute
     arrived_at: timedelta
     deadline: timedelta
     single: bool
     count: int = 0
+    failed: int = 0
     certain: bool = True
     ran: bool = False
     last: RunResult | None = None
 
+    def run_limit(self, statement: Statement) -> timedelta:
+        """Return how long a member may take for the next attempt."""
+        limit = self.route.statement_timeout
+        if statement.writes:
+            return limit
+        return min(FIRST_ATTEMPT_SHARE * self.route.target * 2**self.count, limit)
+
+    def on_time_left(self, now: timedelta) -> timedelta:
+        """Return how long the statement may still wait and be on time."""
+        return max(self.arrived_at + self.route.target - now, timedelta())
+
 
 class Router:
     """Run the statements of this VM's sessions."""
@@ -74,7 +94,7 @@
         self, session: StatementSession, route: DatabaseRoute, statement: Statement
     ) -> Answer:
         """Run a statement outside a transaction."""
-        attempt = self._new_attempt(single=True)
+        attempt = self._new_attempt(route, single=True)
         fence = statement.writes or _needs_primary(session, route)
         request = self._request(session, route, statement)
         if not fence and self._run_at_any(request, attempt):
@@ -92,7 +112,7 @@
         self, session: StatementSession, route: DatabaseRoute, statement: Statement
     ) -> tuple[Answer, OpenTransaction | None]:
         """Run the first statement of a transaction."""
-        attempt = self._new_attempt()
+        attempt = self._new_attempt(route)
         request = self._request(session, route, statement)
         request.opens = Opens.READ_ONLY if session.read_only else Opens.READ_WRITE
         request.fence = not session.read_only or _needs_primary(session, route)
@@ -115,7 +135,7 @@
         transaction: OpenTransaction,
     ) -> tuple[Answer, bool]:
         """Run the next statement of a transaction; tell whether the transaction is still open."""
-        attempt = self._new_attempt()
+        attempt = self._new_attempt(route)
         request = self._request(session, route, statement)
         request.exchange, request.member = transaction.number, transaction.member
         result = self._run(transaction.vm, request, attempt)
@@ -125,9 +145,9 @@
         """Roll back what is open of a transaction."""
         self._executor.end(transaction.vm, transaction.number)
 
-    def _new_attempt(self, single: bool = False) -> Attempt:
+    def _new_attempt(self, route: DatabaseRoute, single: bool = False) -> Attempt:
         now = self._state.now()
-        return Attempt(now, now + PATIENCE, single)
+        return Attempt(route, now, now + PATIENCE, single)
 
     def _request(
         self, session: StatementSession, route: DatabaseRoute, statement: Statement
@@ -164,7 +184,6 @@
             vm = self._holder(member)
             self._prepare_attempt(request, member, attempt)
             result = self._run(vm, request, attempt)
-            attempt.ran = attempt.ran or _failed_read(request, result)
             if self._judge_read(request, result, member.id) is Try.DONE:
                 return vm, member.id
         return None
@@ -194,17 +213,21 @@
             vm = self._holder(row.entry)
             self._prepare_attempt(request, row.entry, attempt)
             result = self._run(vm, request, attempt)
-            if self._judge_at_primary(result, request, row) is Try.DONE:
+            if self._judge_at_primary(result, request, row, attempt) is Try.DONE:
                 return vm, row.entry.id
             if self._state.now() >= attempt.deadline:
                 return None
             # The first repetition of a lost read goes out at once, on another connection.
             lost = result.problem in (RunProblem.LOST, RunProblem.TIMED_OUT)
-            if not lost or attempt.count > 1:
+            if not lost and not _failed_read(request, result) or attempt.count > 1:
                 self._wait_for_primary(attempt)
         return None
 
-    def _judge_at_primary(self, result: RunResult, request: RunRequest, row: MemberRow) -> Try:
+    def _judge_at_primary(
+        self, result: RunResult, request: RunRequest, row: MemberRow, attempt: Attempt
+    ) -> Try:
+        if _failed_read(request, result):
+            return Try.NEXT if attempt.failed < FAILED_ATTEMPTS else Try.DONE
         if result.problem is None:
             self._state.placement.note_wait(row.entry.id, result.waited, self._state.now())
             return Try.NEXT if result.answer.code in _ELSEWHERE else Try.DONE
@@ -236,11 +259,10 @@
         attempt: Attempt,
     ) -> None:
         now = self._state.now()
-        elapsed = now - attempt.arrived_at
         request.member = member.id
         request.patience_left = max(attempt.deadline - now, timedelta())
-        if attempt.count:
-            request.on_time_left = max(request.on_time_left - elapsed, timedelta())
+        request.timeout = attempt.run_limit(request.statement)
+        request.on_time_left = attempt.on_time_left(now)
         if request.opens is not Opens.NOTHING:
             # A new number for each attempt: an earlier one may still be open at its holder.
             request.exchange = self._executor.new_exchange()
@@ -249,18 +271,21 @@
         attempt.count += 1
         result = self._executor.run(vm, request)
         attempt.last = result
+        if _failed_read(request, result):
+            attempt.ran = True
+            attempt.failed += 1
         if result.problem in (RunProblem.LOST, RunProblem.TIMED_OUT):
             attempt.ran = True
             attempt.certain = attempt.certain and not _may_have_committed(request)
             if request.opens is not Opens.NOTHING:
                 self._executor.end(vm, request.exchange)
-        if result.problem is not None:
+        if _moves_on(request, result):
             log_event(
                 "attempt_failed",
                 id=request.statement.id,
                 member=request.member,
                 vm=vm,
-                problem=result.problem,
+                problem=result.problem or result.answer.code,
                 attempt=attempt.count,
                 fence=request.fence,
             )
@@ -275,9 +300,10 @@
         if result.answer is not None:
             return _translate(result.answer)
         problem = result.problem
-        if attempt.ran and attempt.certain and attempt.single:
+        if attempt.ran and attempt.certain:
             # A read that ran without an answer must not be called "not run".
-            return Answer(AnswerCode.FAILED, text="the member's answer was lost")
+            code = AnswerCode.FAILED if attempt.single else AnswerCode.ROLLED_BACK
+            return Answer(code, text="the member's answer was lost")
         if problem.not_run:
             if problem is RunProblem.NO_EXCHANGE:
                 return Answer(AnswerCode.ROLLED_BACK, text="the transaction was lost")
@@ -315,10 +341,19 @@
 _MEMBER_FAULTS = frozenset({RunProblem.UNREACHABLE, RunProblem.LOST, RunProblem.TIMED_OUT})
 
 
+def _moves_on(request: RunRequest, result: RunResult) -> bool:
+    """Tell whether an attempt gave no answer that the caller should get as it is."""
+    if result.problem is not None or _failed_read(request, result):
+        return True
+    return result.answer.code in _ELSEWHERE
+
+
 def _failed_read(request: RunRequest, result: RunResult) -> bool:
-    """Tell whether a member failed a read that may be repeated at another."""
+    """Tell whether a member failed a read that may be repeated: nothing else ran before it."""
     answer = result.answer
-    return answer is not None and answer.code is AnswerCode.FAILED and request.exchange == SINGLE
+    first = request.exchange == SINGLE or request.opens is not Opens.NOTHING
+    reads = not request.statement.writes
+    return answer is not None and answer.code is AnswerCode.FAILED and first and reads
 
 
 def _may_have_committed(request: RunRequest) -> bool:
--- a/packages/standins/bramleyrill_standins/prepared/_estate.py
+++ b/packages/standins/bramleyrill_standins/prepared/_estate.py
@@ -120,7 +120,8 @@
         peers = [f"127.0.0.1:{port}" for port in ports[: self._count]]
         for number in range(self._count):
             others = ports[self._count + 3 * number :][:3]
-            settings = self._settings_of(number, peers, others, address)
+            store = self.store_address(number, address)
+            settings = self._settings_of(number, peers, others, store)
             self.vms.append(EntryVm(settings["id"], settings))
         for vm in self.vms:
             vm.start()
@@ -133,20 +134,21 @@
         self.group.close()
         self.platform.stop()
 
-    def put_configuration(self, version: int, databases: tuple[str, ...] = (DATABASE,)) -> None:
+    def put_configuration(self, version: int, *more_databases: str) -> None:
         """Write a configuration as the operator does."""
+        types = self.types_by_database() | dict.fromkeys(more_databases, self._consistency)
         routes = [
             {
                 "name": f"r-{database}",
                 "host": database,
-                "type": self._consistency,
+                "type": consistency,
                 "timeoutMs": 1000,
                 "targetLatencyMs": 2000,
                 "priority": 0,
                 "backend": SERVICE,
                 "maxStalenessMs": 2000,
             }
-            for database in databases
+            for database, consistency in types.items()
         ]
         backends = [{"name": SERVICE, "maxConns": self.group.max_connections}]
         value = {"version": version, "routes": routes, "backends": backends}
@@ -157,13 +159,32 @@
         self.group.members_by_name[name].stop()
         self._hidden.add(name)
 
+    def start_member(self, name: str) -> None:
+        """Start a member again that was stopped."""
+        self.group.members_by_name[name].start()
+        self._hidden.discard(name)
+
+    # What estates with something in between change.
+
+    def member_port(self, name: str) -> int:
+        """Return the port that a member's entry names."""
+        return self.group.members_by_name[name].address[1]
+
+    def store_address(self, number: int, platform: tuple[str, int]) -> tuple[str, int]:
+        """Return where the VM with this number finds the platform."""
+        return platform
+
+    def types_by_database(self) -> dict[str, str]:
+        """Return the consistency of each database that the configuration has by default."""
+        return {DATABASE: self._consistency}
+
     def _beat(self) -> None:
         """Write the members' entries whenever they change."""
         while True:
             for name, member in self.group.members_by_name.items():
                 value = {
                     "backend": SERVICE,
-                    "address": f"127.0.0.1:{member.address[1]}",
+                    "address": f"127.0.0.1:{self.member_port(name)}",
                     "zone": DOMAIN,
                     "slots": 2,
                     "state": "ready",
@@ -171,7 +192,9 @@
                     "dbRole": "primary" if member.leads else "replica",
                     "born": 1,
                 }
-                if name not in self._hidden and self.platform.value("servers", name) != value:
+                if name in self._hidden:
+                    self.platform.remove("servers", name)
+                elif self.platform.value("servers", name) != value:
                     self.platform.put("servers", name, value)
             gevent.sleep(HEARTBEAT.total_seconds())
 
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -16,10 +16,14 @@
 
 @define(eq=False)
 class Entry:
-    """One commit in a log: the term that it was made in and the items that it wrote."""
+    """One commit in a log: the term that it was made in and the items that it wrote.
+
+    `rolled_back` tells that a member without it was promoted.
+    """
 
     term: int
     data: dict[str, str]
+    rolled_back: bool = False
 
 
 @define(eq=False)
@@ -34,9 +38,9 @@
 class LineMember:
     """One member: a listener, a log, and faults that tests switch on.
 
-    `silent` keeps it from answering, `failing` lets reads fail, `lose_answers` lets it run
-    statements and close instead of answering, `lag` delays what it applies, `work` is how long a
-    statement takes.
+    `silent` keeps it from answering, `failing` lets reads fail and `failing_writes` writes,
+    `lose_answers` lets it run statements and close instead of answering, `lag` delays what it
+    receives, `work` is how long a statement takes.
     """
 
     def __init__(self, group: "LineGroup", name: str) -> None:
@@ -45,6 +49,7 @@
         self.log: list[Entry] = []
         self.silent = False
         self.failing = False
+        self.failing_writes = False
         self.lose_answers = False
         self.lag = NO_DELAY
         self.work = NO_DELAY
@@ -54,11 +59,21 @@
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
+    def start(self) -> None:
+        """Listen again after a stop, with the log that the member had."""
+        self._server = StreamServer(self.address, self._serve)
+        self._server.start()
+
     @property
     def address(self) -> tuple[str, int]:
         """Return where the member listens."""
         return "127.0.0.1", self._server.server_port
 
+    @property
+    def running(self) -> bool:
+        """Tell whether the member listens."""
+        return self._server.started
+
     @property
     def leads(self) -> bool:
         """Tell whether the member is the primary."""
@@ -90,7 +105,7 @@
 
 
 class LineGroup:
-    """A primary and its replicas.
+    """A primary and its replicas; `history` has all commits that were ever made.
 
     Example: `group = LineGroup("pieces", ["m1", "m2"])`, then `group.promote("m2")`.
     """
@@ -100,6 +115,7 @@
         self.max_connections = max_connections
         self.term = 1
         self.runs: list[Run] = []
+        self.history: list[Entry] = []
         self.members_by_name = {name: LineMember(self, name) for name in names}
         self.primary: LineMember | None = next(iter(self.members_by_name.values()))
         self.changed = Event()
@@ -107,6 +123,10 @@
     def promote(self, name: str) -> None:
         """Let a member lead the next term; others lose what it does not have."""
         member = self.members_by_name[name]
+        if member is self.primary:
+            return
+        for entry in self.primary.log[len(member.log) :]:
+            entry.rolled_back = True
         self.term += 1
         self.primary = member
         for other in self.members_by_name.values():
@@ -115,10 +135,18 @@
     def commit(self, data: dict[str, str]) -> None:
         """Append to the primary's log, and to those of the replicas after their lag."""
         entry = Entry(self.term, data)
+        self.history.append(entry)
         self.primary.log.append(entry)
+        length = len(self.primary.log)
         for member in self.members_by_name.values():
             if member is not self.primary:
-                gevent.spawn_later(member.lag.total_seconds(), member.log.append, entry)
+                lag_s = member.lag.total_seconds()
+                gevent.spawn_later(lag_s, self._receive, member, self.term, length)
+
+    def _receive(self, member: LineMember, term: int, length: int) -> None:
+        """Bring a replica's log to a length that the primary's had in a term."""
+        if term == self.term:
+            member.log.extend(self.primary.log[len(member.log) : length])
 
     def runs_of(self, statement_id: str) -> list[Run]:
         """Return where a statement ran."""
@@ -143,6 +171,7 @@
     prepared: dict[str, str] = field(factory=dict)
     state: str = "I"
     plain: bool = False
+    term: int = 0
     pending: dict[str, str] = field(factory=dict)
 
     def serve(self) -> None:
@@ -195,6 +224,7 @@
         if not words and not self.member.leads:
             return ["ERROR READONLY replica"]
         self.state, self.plain = "T", not words
+        self.term = self.member.group.term
         return ["COMPLETE -"]
 
     def _rollback(self, _words: list[str]) -> list[str]:
@@ -204,7 +234,7 @@
 
     def _commit(self, _words: list[str]) -> list[str]:
         self.state = "I"
-        if self.pending and not self.member.leads:
+        if self.pending and (not self.member.leads or self.term != self.member.group.term):
             self.pending.clear()
             return ["ERROR READONLY replaced"]
         if self.pending:
@@ -213,23 +243,36 @@
         return [f"COMPLETE s{next(_signatures)}"]
 
     def _read(self, words: list[str]) -> list[str]:
+        if self._lost_the_lead():
+            self.state = "E"
+            return ["ERROR READONLY replaced"]
         if self.member.failing:
-            return ["ERROR FAILED disk"]
+            return self._fail()
         for entry in reversed(self.member.log):
             if words[0] in entry.data:
                 return [f"ROW {entry.data[words[0]]}", f"COMPLETE s{next(_signatures)}"]
         return [f"COMPLETE s{next(_signatures)}"]
 
     def _write(self, words: list[str]) -> list[str]:
-        if not self.member.leads:
+        if not self.member.leads or self._lost_the_lead():
             self.state = "E" if self.state == "T" else "I"
             return ["ERROR READONLY replica"]
+        if self.member.failing_writes:
+            return self._fail()
         if self.state == "T":
             self.pending[words[0]] = " ".join(words[1:])
         else:
             self.member.group.commit({words[0]: " ".join(words[1:])})
         return [f"COMPLETE s{next(_signatures)}"]
 
+    def _lost_the_lead(self) -> bool:
+        """Tell whether the member led when a plain transaction began, and does no more."""
+        return self.state == "T" and self.plain and self.term != self.member.group.term
+
+    def _fail(self) -> list[str]:
+        self.state = "E" if self.state == "T" else "I"
+        return ["ERROR FAILED disk"]
+
     def _execute(self, words: list[str]) -> list[str]:
         kind = self.prepared.get(words[0])
         if kind is None:
--- a/packages/standins/bramleyrill_standins/prepared/_store.py
+++ b/packages/standins/bramleyrill_standins/prepared/_store.py
@@ -178,6 +178,9 @@
         earlier = [order[3] for order in self.orders if order[0] == service]
         if earlier and token < max(earlier):
             return 409, {}
+        group = self.groups_by_service[service]
+        if not group.members_by_name[member].running:
+            return 409, {}
         self.orders.append((service, member, holder, token))
-        self.groups_by_service[service].promote(member)
+        group.promote(member)
         return 200, {}
--- /dev/null
+++ b/soak/bramleyrill_soak/__main__.py
@@ -0,0 +1,53 @@
+"""Run soaks: `python -m bramleyrill_soak --first 1 --count 50`."""
+
+import pathlib
+import sys
+
+from cyclopts import App
+
+from bramleyrill_soak._run import SoakReport, soak
+
+app = App(name="bramleyrill-soak", help="Randomized fault soak of the entry processes.")
+
+
+@app.default
+def run(
+    first: int = 1, count: int = 1, duration_s: float = 15.0, logs: pathlib.Path | None = None
+) -> int:
+    """Run `count` seeds from `first` on.
+
+    The logs of the processes of a seed that fails go to the folder `logs`. The exit code is 1 if
+    a promise was broken.
+    """
+    failed = []
+    for seed in range(first, first + count):
+        report = soak(seed, duration_s)
+        _print(report)
+        if report.breaches:
+            failed.append(seed)
+            _keep_logs(report, logs)
+    print(f"{count - len(failed)} of {count} seeds kept all promises, broken: {failed or 'none'}")
+    return 1 if failed else 0
+
+
+def _print(report: SoakReport) -> None:
+    found = "; ".join(map(str, report.breaches[:5])) or "kept"
+    print(
+        f"seed {report.seed}: {len(report.faults)} faults, {report.served} served, "
+        f"{report.commits} commits, {found}",
+        flush=True,
+    )
+    if report.breaches:
+        print("  faults: " + ", ".join(report.faults), flush=True)
+
+
+def _keep_logs(report: SoakReport, folder: pathlib.Path | None) -> None:
+    if folder is None:
+        return
+    folder.mkdir(parents=True, exist_ok=True)
+    for vm, text in report.logs_by_vm.items():
+        (folder / f"seed-{report.seed}-{vm}.log").write_text(text)
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/soak/bramleyrill_soak/_callers.py
@@ -0,0 +1,168 @@
+"""Callers that write and read without end, and note what they were told."""
+
+import itertools
+import random
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from attrs import define
+from bramleyrill_standins.prepared import EstateError, LineCaller
+
+from bramleyrill_soak._history import Fate, History, Write
+from bramleyrill_soak._world import BOUNDED, MAX_STALENESS_S, OWN_WRITES, PRIMARY, SoakWorld
+
+PAUSE_S = 0.01
+RECONNECT_PAUSE_S = 0.1
+# How often a caller leaves in the middle of a transaction, or rolls it back.
+LEAVE_SHARE = 0.05
+ROLL_BACK_SHARE = 0.1
+
+
+class Behaviour(Protocol):
+    """One operation of a caller on its open session; it may raise OSError when that ends."""
+
+    def __call__(self, caller: "SoakCaller") -> None: ...
+
+
+behaviours_by_database: dict[str, list[Behaviour]] = {PRIMARY: [], OWN_WRITES: [], BOUNDED: []}
+
+
+def behaviour(*databases: str) -> Callable[[Behaviour], Behaviour]:
+    """Register an operation that callers of these databases carry out."""
+
+    def register(operation: Behaviour) -> Behaviour:
+        for database in databases:
+            behaviours_by_database[database].append(operation)
+        return operation
+
+    return register
+
+
+@define(eq=False)
+class SoakCaller:
+    """A caller with a key of its own, which reconnects to any VM when its session ends."""
+
+    name: str
+    database: str
+    world: SoakWorld
+    history: History
+    rng: random.Random
+    session: LineCaller | None = None
+    served: int = 0
+    served_at: float = 0.0
+    numbers: itertools.count = itertools.count(1)
+
+    @property
+    def key(self) -> str:
+        """Return the caller's own key."""
+        return f"k-{self.name}"
+
+    def run(self) -> None:
+        """Carry out operations until killed."""
+        while True:
+            try:
+                self._connect()
+                operation = self.rng.choice(behaviours_by_database[self.database])
+                operation(self)
+                gevent.sleep(PAUSE_S)
+            except (OSError, EstateError):
+                self.leave()
+                gevent.sleep(RECONNECT_PAUSE_S)
+
+    def ask(self, text: str) -> str:
+        """Send a statement and return the first message of its answer."""
+        answer = self.session.ask(text, f"{self.name}-{next(self.numbers)}")
+        if not answer[-1]:
+            raise ConnectionError("session ended")
+        return answer[0]
+
+    def begin_write(self, *keys: str) -> Write:
+        """Note a write of a value that nobody else writes."""
+        return self.history.begin(f"{self.name}.{next(self.numbers)}", *keys)
+
+    def settle(self, write: Write, answer: str) -> None:
+        """Note the answer to a write."""
+        self.history.settle(write, answer, time.monotonic())
+        if write.fate is Fate.KEPT:
+            self.note_served()
+
+    def note_served(self) -> None:
+        """Note that an operation succeeded."""
+        self.served += 1
+        self.served_at = time.monotonic()
+
+    def leave(self) -> None:
+        """Close the session."""
+        if self.session is not None:
+            self.session.close()
+            self.session = None
+
+    def _connect(self) -> None:
+        if self.session is not None:
+            return
+        vm = self.rng.choice(self.world.estate.vms)
+        self.session = LineCaller(vm.callers, self.database)
+        if not self.session.greeting.startswith("READY"):
+            raise ConnectionError(self.session.greeting)
+
+
+@behaviour(PRIMARY, OWN_WRITES)
+def write_one(caller: SoakCaller) -> None:
+    """Write the own key."""
+    write = caller.begin_write(caller.key)
+    write.fate = Fate.UNKNOWN
+    caller.settle(write, caller.ask(f"WRITE {caller.key} {write.value}"))
+
+
+@behaviour(PRIMARY, OWN_WRITES)
+def read_own(caller: SoakCaller) -> None:
+    """Read the own key, which only this caller writes."""
+    _read(caller, caller.key, time.monotonic())
+
+
+@behaviour(BOUNDED)
+def read_other(caller: SoakCaller) -> None:
+    """Read another caller's key within the bound of the database."""
+    name = caller.rng.choice(caller.world.writers)
+    _read(caller, f"k-{name}", time.monotonic() - MAX_STALENESS_S)
+
+
+@behaviour(PRIMARY)
+def read_shared(caller: SoakCaller) -> None:
+    """Read another caller's key at the primary, where nothing may be missed."""
+    _read(caller, f"k-{caller.rng.choice(caller.world.writers)}", time.monotonic())
+
+
+@behaviour(PRIMARY, OWN_WRITES)
+def write_pair(caller: SoakCaller) -> None:
+    """Write two keys in one transaction; at times roll it back or leave."""
+    keys = f"{caller.key}-left", f"{caller.key}-right"
+    write = caller.begin_write(*keys)
+    # Without a COMMIT nothing of it may be kept.
+    write.fate = Fate.REFUSED
+    if caller.ask("BEGIN").startswith("ERROR"):
+        return
+    for key in keys:
+        if caller.ask(f"WRITE {key} {write.value}").startswith("ERROR"):
+            caller.ask("ROLLBACK")
+            return
+    chance = caller.rng.random()
+    if chance < LEAVE_SHARE:
+        caller.leave()
+        return
+    if chance < LEAVE_SHARE + ROLL_BACK_SHARE:
+        caller.ask("ROLLBACK")
+        return
+    write.fate = Fate.UNKNOWN
+    caller.settle(write, caller.ask("COMMIT"))
+
+
+def _read(caller: SoakCaller, key: str, before: float) -> None:
+    floor = caller.history.must_include(key, before)
+    answer = caller.ask(f"READ {key}")
+    if answer.startswith("ERROR"):
+        return
+    caller.note_served()
+    caller.history.check_read(key, answer.partition(" ")[2] if answer[:3] == "ROW" else "", floor)
--- /dev/null
+++ b/soak/bramleyrill_soak/_world.py
@@ -0,0 +1,77 @@
+"""The prepared estate with proxies in between, and what of it is harmed at the moment."""
+
+from attrs import define, field
+from bramleyrill_standins.prepared import EntryVm, LineMember, PreparedEstate
+
+from bramleyrill_soak._proxy import LoopbackProxy
+
+PRIMARY, OWN_WRITES, BOUNDED = "primary-db", "own-db", "bounded-db"
+MAX_STALENESS_S = 2.0
+_TYPES_BY_DATABASE = {
+    PRIMARY: "primary",
+    OWN_WRITES: "read_your_writes",
+    BOUNDED: "bounded_staleness",
+}
+
+
+class SoakEstate(PreparedEstate):
+    """An estate whose members and store are reached through proxies."""
+
+    def __init__(self, vms: int) -> None:
+        super().__init__(vms)
+        self.member_proxies = {
+            name: LoopbackProxy(member.address)
+            for name, member in self.group.members_by_name.items()
+        }
+        self.store_proxies: list[LoopbackProxy] = []
+        self.ports_by_member = {
+            name: proxy.start()[1] for name, proxy in self.member_proxies.items()
+        }
+
+    def member_port(self, name: str) -> int:
+        """Return the port that a member's entry names."""
+        return self.ports_by_member[name]
+
+    def store_address(self, number: int, platform: tuple[str, int]) -> tuple[str, int]:
+        """Return where a VM finds the platform."""
+        proxy = LoopbackProxy(platform)
+        self.store_proxies.append(proxy)
+        return proxy.start()
+
+    def types_by_database(self) -> dict[str, str]:
+        """Return the databases of the soak."""
+        return _TYPES_BY_DATABASE
+
+    def __exit__(self, *reason: object) -> None:
+        super().__exit__(*reason)
+        for proxy in (*self.member_proxies.values(), *self.store_proxies):
+            proxy.stop()
+
+
+@define(eq=False)
+class SoakWorld:
+    """The estate and the things that a fault holds.
+
+    `writers` names the callers that write, `exit_codes` are those of processes that were asked to
+    stop.
+    """
+
+    estate: SoakEstate
+    writers: list[str] = field(factory=list)
+    held: set[object] = field(factory=set)
+    exit_codes: list[int] = field(factory=list)
+    version: int = 1
+
+    def put_next_configuration(self, *more_databases: str) -> None:
+        """Write another version of the configuration."""
+        self.version += 1
+        self.estate.put_configuration(self.version, *more_databases)
+
+    def calm_vms(self) -> list[EntryVm]:
+        """Return the VMs that no fault holds."""
+        return [vm for vm in self.estate.vms if vm not in self.held]
+
+    def calm_members(self) -> list[LineMember]:
+        """Return the members that no fault holds."""
+        members = self.estate.group.members_by_name.values()
+        return [member for member in members if member not in self.held]
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -44,10 +44,9 @@
         self.router = Router(self.state, executor, metrics)
         self.metrics = metrics
 
-    def put_route(self, database="pieces-db", idle=AGE):
-        route = DatabaseRoute(
-            database, SERVICE, self.consistency, Rank.URGENT, timedelta(seconds=1), AGE, AGE
-        )
+    def put_route(self, database="pieces-db", idle=AGE, target=AGE):
+        limit = timedelta(seconds=1)
+        route = DatabaseRoute(database, SERVICE, self.consistency, Rank.URGENT, limit, target, AGE)
         services = {SERVICE: ServiceEntry(SERVICE, 16)}
         version = self.state.catalog.version + 1
         self.state.catalog = Catalog(version, {database: route}, services, idle)
@@ -270,6 +269,59 @@
         self.assertEqual([run.member for run in self.group.runs_of("q2")][-1], "m2")
 
 
+class FailedReadTest(SessionTest):
+    """Some members answer their health check and fail or hold part of what they are sent."""
+
+    def test_read_that_the_primary_fails_is_repeated(self):
+        caller = self.connect()
+        caller.line()
+        self.group.primary.failing = True
+        gevent.spawn_later(0.02, setattr, self.group.primary, "failing", False)
+        self.assertTrue(caller.ask("READ a")[0].startswith("COMPLETE s"))
+
+    def test_read_that_keeps_failing_gets_the_answer_of_the_member(self):
+        caller = self.connect()
+        caller.line()
+        self.group.primary.failing = True
+        self.assertTrue(caller.ask("READ a")[0].startswith("ERROR FAILED"))
+        self.assertEqual(len(self.group.runs_of("q1")), _router.FAILED_ATTEMPTS)
+
+    def test_failed_write_is_not_repeated(self):
+        """A member that fails a write may have kept it."""
+        caller = self.connect()
+        caller.line()
+        self.group.primary.failing_writes = True
+        self.assertTrue(caller.ask("WRITE a 5")[0].startswith("ERROR FAILED"))
+        self.assertEqual(len(self.group.runs_of("q1")), 1)
+
+    def test_first_read_of_a_transaction_is_repeated(self):
+        """Nothing of the transaction ran before, so the caller need not begin again."""
+        caller = self.connect()
+        caller.line()
+        caller.ask("BEGIN")
+        self.group.primary.failing = True
+        gevent.spawn_later(0.02, setattr, self.group.primary, "failing", False)
+        self.assertTrue(caller.ask("READ a")[0].startswith("COMPLETE s"))
+        self.assertEqual(caller.ask("WRITE a 5", "q2")[-1][:7], "READY T")
+
+
+class SilentMemberTest(SessionTest):
+    consistency = Consistency.BOUNDED
+
+    def test_read_at_a_silent_member_is_on_time_at_another(self):
+        """The limit of a statement is longer than the target of a read that others can serve."""
+        target = timedelta(milliseconds=600)
+        self.put_route(target=target)
+        self.assertIsNone(self.desks.desk_for("m1").prove())
+        caller = self.connect()
+        caller.line()
+        caller.ask("READ a", "q0")
+        self.group.members_by_name["m2"].silent = True
+        asked_at = self.state.now()
+        self.assertTrue(caller.ask("READ a")[0].startswith("COMPLETE s"))
+        self.assertLess(self.state.now() - asked_at, target)
+
+
 class OwnWritesTest(SessionTest):
     consistency = Consistency.OWN_WRITES
 
@@ -321,6 +373,15 @@
         self.assertTrue(caller.ask("READ a")[0].startswith("COMPLETE s"))
         self.assertEqual([run.member for run in self.group.runs_of("q1")], ["m2", "m1"])
 
+    def test_read_only_transaction_that_a_member_fails_begins_at_another(self):
+        self.assertIsNone(self.desks.desk_for("m1").prove())
+        self.group.members_by_name["m2"].failing = True
+        caller = self.connect()
+        caller.line()
+        caller.ask("BEGIN READ")
+        self.assertTrue(caller.ask("READ a")[0].startswith("COMPLETE s"))
+        self.assertTrue(caller.ask("COMMIT", "q2")[0].startswith("COMPLETE s"))
+
     def test_read_only_transaction_runs_at_a_replica(self):
         self.assertIsNone(self.desks.desk_for("m1").prove())
         caller = self.connect()
--- a/tests/processes/test_prepared.py
+++ b/tests/processes/test_prepared.py
@@ -5,7 +5,7 @@
 import unittest
 
 import gevent
-from bramleyrill_standins.prepared import DATABASE, LineCaller, PreparedEstate
+from bramleyrill_standins.prepared import LineCaller, PreparedEstate
 
 # Far beyond what any step takes, so that a busy machine gives the same verdict.
 LIMIT_S = 40.0
@@ -57,7 +57,7 @@
 
     def test_configuration_reaches_every_vm(self):
         callers = [self.caller(vm) for vm in range(self.vms)]
-        self.estate.put_configuration(2, (DATABASE, "other-db"))
+        self.estate.put_configuration(2, "other-db")
         for vm in range(self.vms):
             address = self.estate.vms[vm].callers
             self.wait_for(lambda address=address: self.opens(address, "other-db"))
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak."""
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,96 @@
+"""The soak notices a breach of each promise; a check that never fails proves nothing."""
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from bramleyrill_soak import _run
+from bramleyrill_soak._history import History, Promise
+from bramleyrill_soak._world import SoakWorld
+from bramleyrill_standins.prepared import LineGroup
+
+KEPT = "COMPLETE s1"
+BUSY = "ERROR BUSY full"
+
+
+class PlantedBreachTest(unittest.TestCase):
+    def setUp(self):
+        self.group = LineGroup("pieces", ["m1", "m2"])
+        self.addCleanup(self.group.close)
+        self.history = History(self.group)
+
+    def write(self, value, *keys, answer=KEPT, now=1.0):
+        self.history.settle(self.history.begin(value, *keys), answer, now)
+
+    def found(self):
+        self.history.check()
+        return [breach.promise for breach in self.history.breaches]
+
+    def test_history_without_a_breach(self):
+        self.write("v1", "a", "b")
+        self.group.commit({"a": "v1", "b": "v1"})
+        self.write("v2", "a", answer=BUSY)
+        self.write("v3", "a", answer="ERROR INDOUBT lost")
+        self.assertEqual(self.history.must_include("a", 2.0), 0)
+        self.history.check_read("a", "v1", 0)
+        self.assertEqual(self.found(), [])
+
+    def test_write_that_took_effect_twice(self):
+        self.write("v1", "a")
+        self.group.commit({"a": "v1"})
+        self.group.commit({"a": "v1"})
+        self.assertEqual(self.found(), [Promise.AT_MOST_ONCE])
+
+    def test_refused_write_that_took_effect(self):
+        self.write("v1", "a", answer=BUSY)
+        self.group.commit({"a": "v1"})
+        self.assertEqual(self.found(), [Promise.TRUE_REFUSAL])
+
+    def test_acknowledged_write_that_is_nowhere(self):
+        self.write("v1", "a")
+        self.assertEqual(self.found(), [Promise.KEPT])
+
+    def test_half_a_transaction(self):
+        self.write("v1", "a", "b")
+        self.group.commit({"a": "v1"})
+        self.assertEqual(self.found(), [Promise.WHOLE_TRANSACTION])
+
+    def test_statement_that_no_caller_sent(self):
+        self.group.commit({"a": "v1"})
+        self.assertEqual(self.found(), [Promise.WHOLE_TRANSACTION])
+
+    def test_read_that_misses_a_write(self):
+        self.write("v1", "a")
+        self.group.commit({"a": "v1"})
+        self.write("v2", "a")
+        self.group.commit({"a": "v2"})
+        self.history.check_read("a", "v1", self.history.must_include("a", 2.0))
+        self.assertEqual(self.found(), [Promise.FRESH_READ])
+
+    def test_read_may_miss_what_was_acknowledged_within_the_bound(self):
+        self.write("v1", "a", now=5.0)
+        self.group.commit({"a": "v1"})
+        self.assertEqual(self.history.must_include("a", 4.0), -1)
+
+    def test_read_may_miss_what_a_promotion_rolled_back(self):
+        self.write("v1", "a")
+        self.group.commit({"a": "v1"})
+        floor = self.history.must_include("a", 2.0)
+        self.group.promote("m2")
+        self.history.check_read("a", "", floor)
+        self.assertEqual(self.found(), [])
+
+    def test_row_that_nobody_wrote(self):
+        self.history.check_read("a", "v9", -1)
+        self.assertEqual(self.found(), [Promise.OWN_ROWS])
+
+    def test_caller_that_is_not_served_again(self):
+        caller = SimpleNamespace(name="c1", served_at=0.0)
+        with mock.patch.object(_run, "SERVED_AGAIN_S", 0.1):
+            _run._wait_until_served([caller], self.history)
+        self.assertEqual(self.found(), [Promise.SERVED_AGAIN])
+
+    def test_process_that_does_not_end_in_order(self):
+        vm = SimpleNamespace(stop=lambda: -9)
+        _run._stop_all(SoakWorld(SimpleNamespace(vms=[vm])), self.history)
+        self.assertEqual(self.found(), [Promise.ORDERLY_STOP])
