Report burn from the metrics of entry VMs

The users' platform has no place that counts are asked from, and its operators have the metrics address only. New gauge bramleyrill_target_seconds, as the counters alone do not tell the target.

--- /dev/null
+++ b/packages/cli/bramleyrill_cli/_burn_metrics.py
@@ -0,0 +1,102 @@
+"""Burn rows from the metrics that entry VMs of the prepared platform serve."""
+
+from collections import Counter
+from datetime import timedelta
+from pathlib import Path
+
+import urllib3
+from attrs import define, field
+from bramleyrill_core import Rank
+from bramleyrill_core.admission import WorkClass
+from bramleyrill_core.burn import BurnRow, WindowCounts
+from prometheus_client.parser import text_string_to_metric_families
+from prometheus_client.samples import Sample
+
+HTTP_TIMEOUT_S = 5.0
+_FLEET = "-"
+_QUANTILES = (0.5, 0.99)
+
+
+class MetricsError(Exception):
+    """A source of metrics cannot be read."""
+
+
+@define(eq=False)
+class _ClassCounts:
+    """Counts of one class, summed over VMs; `by_bound` is cumulative, as in the histogram."""
+
+    offered: float = 0.0
+    served: float = 0.0
+    on_time: float = 0.0
+    target_s: float = 0.0
+    by_bound: Counter = field(factory=Counter)
+
+    def quantile(self, share: float) -> timedelta:
+        """Return the upper bound of the bucket that has the quantile."""
+        wanted = share * max(self.by_bound.values(), default=0.0)
+        bounds = [bound for bound, count in self.by_bound.items() if count >= wanted]
+        finite = [bound for bound in self.by_bound if bound != float("inf")]
+        return timedelta(seconds=min(min(bounds, default=0.0), max(finite, default=0.0)))
+
+
+def read_metrics(source: str) -> str:
+    """Return the text of a file, or of a URL; raise MetricsError."""
+    if not source.startswith("http://"):
+        try:
+            return Path(source).read_text("utf-8")
+        except OSError as error:
+            raise MetricsError(f"{source}: {error.strerror}") from error
+    try:
+        answer = urllib3.request("GET", source, timeout=HTTP_TIMEOUT_S, retries=False)
+    except urllib3.exceptions.HTTPError as error:
+        raise MetricsError(f"{source}: {error}") from error
+    if answer.status != 200:
+        raise MetricsError(f"{source}: status {answer.status}")
+    return answer.data.decode("utf-8", "replace")
+
+
+def rows_of_metrics(texts: list[str], objective: float) -> list[BurnRow]:
+    """Return the rows of several VMs' metrics, merged by service and rank.
+
+    The counts are those since each process started; both windows of a row hold them.
+
+    Example: `rows_of_metrics([read_metrics("vm1.prom")], 0.99)[0].long_burn`.
+    """
+    counts_by_class: dict[tuple[str, str], _ClassCounts] = {}
+    for text in texts:
+        for family in text_string_to_metric_families(text):
+            for sample in family.samples:
+                _take(counts_by_class, sample)
+    found = [_row(key, counts, objective) for key, counts in sorted(counts_by_class.items())]
+    return [row for row in found if row.long.offered]
+
+
+def _take(counts_by_class: dict[tuple[str, str], _ClassCounts], sample: Sample) -> None:
+    labels = sample.labels
+    if "service" not in labels or "rank" not in labels:
+        return
+    counts = counts_by_class.setdefault((labels["service"], labels["rank"]), _ClassCounts())
+    if sample.name == "bramleyrill_statements_total":
+        counts.offered += sample.value
+        counts.served += sample.value if labels["code"] == "success" else 0.0
+    elif sample.name == "bramleyrill_statements_on_time_total":
+        counts.on_time += sample.value
+    elif sample.name == "bramleyrill_target_seconds":
+        counts.target_s = sample.value
+    elif sample.name == "bramleyrill_statement_seconds_bucket":
+        counts.by_bound[float(labels["le"])] += sample.value
+
+
+def _row(key: tuple[str, str], counts: _ClassCounts, objective: float) -> BurnRow:
+    service, rank = key
+    window = WindowCounts(int(counts.offered), int(counts.served), int(counts.on_time))
+    p50, p99 = (counts.quantile(share) for share in _QUANTILES)
+    return BurnRow(
+        WorkClass(_FLEET, service, Rank[rank.upper()]),
+        timedelta(seconds=counts.target_s),
+        objective,
+        window,
+        window,
+        p50,
+        p99,
+    )
--- a/packages/entry/bramleyrill_entry/_metrics.py
+++ b/packages/entry/bramleyrill_entry/_metrics.py
@@ -35,6 +35,12 @@
             ["service", "rank"],
             registry=self.registry,
         )
+        self._target = Gauge(
+            "bramleyrill_target_seconds",
+            "Latency target of the routes of a service and rank",
+            ["service", "rank"],
+            registry=self.registry,
+        )
         self._runs = Counter(
             "bramleyrill_runs",
             "Attempts at members, by kind and outcome",
@@ -54,6 +60,7 @@
         rank = route.rank.name.lower()
         self._statements.labels(route.service, rank, answer.code.name.lower()).inc()
         self._latency.labels(route.service, rank).observe(took.total_seconds())
+        self._target.labels(route.service, rank).set(route.target.total_seconds())
         if answer.succeeded and took <= route.target:
             self._on_time.labels(route.service, rank).inc()
 
