Go to members directly when cut off; use a failed VM again only after it answered a ping

Ruled out: members out of reach (they answered direct connections) and the members' connection limit.

Change: a VM that failed gets no work until it answers a ping; gossip pings four failed ones each time, so no caller pays for the try. If the first three choices of a member have failed, the VM goes to the member itself. A ping that failed was counted twice.

--- a/packages/core/bramleyrill_core/placement/_vms.py
+++ b/packages/core/bramleyrill_core/placement/_vms.py
@@ -8,7 +8,8 @@
 
 from bramleyrill_core.catalog._model import Address
 
-# A VM that failed is left alone this long, twice as long each time it fails again.
+# A VM that failed gets no work until it answers a ping. It is pinged after this long, and after
+# twice as long each time it fails again.
 FIRST_SUSPENSION = timedelta(milliseconds=500)
 LONGEST_SUSPENSION = timedelta(seconds=4)
 # A VM that nobody reached for this long is forgotten.
@@ -39,9 +40,14 @@
     failures: int = 0
     suspended_until: timedelta = timedelta()
 
-    def usable(self, now: timedelta) -> bool:
+    @property
+    def usable(self) -> bool:
         """Tell whether new work may be sent to the VM."""
-        return not self.entry.leaving and now >= self.suspended_until
+        return not self.entry.leaving and not self.failures
+
+    def to_probe(self, now: timedelta) -> bool:
+        """Tell whether the VM failed and may be asked again whether it is there."""
+        return bool(self.failures) and now >= self.suspended_until
 
 
 class VmTable:
@@ -95,11 +101,19 @@
             self.version += 1
         return gone
 
-    def usable(self, now: timedelta) -> list[VmEntry]:
+    def usable(self) -> list[VmEntry]:
         """Return the VMs that take work, this one included unless it is leaving."""
-        found = [row.entry for row in self.vms if row.usable(now)]
+        found = [row.entry for row in self.vms if row.usable]
         return found if self.own.leaving else [*found, self.own]
 
+    def staying(self) -> list[VmRow]:
+        """Return the other VMs that are not leaving, reached or not."""
+        return [row for row in self.vms if not row.entry.leaving]
+
+    def to_probe(self, now: timedelta) -> list[str]:
+        """Return the VMs that failed and are to be asked again whether they are there."""
+        return [row.entry.id for row in self.vms if row.to_probe(now)]
+
     def entries(self) -> list[VmEntry]:
         """Return all known VMs, this one included."""
         return [self.own, *(row.entry for row in self.vms)]
--- a/packages/entry/bramleyrill_entry/_desks.py
+++ b/packages/entry/bramleyrill_entry/_desks.py
@@ -82,7 +82,7 @@
             return
         for row in self._state.members.members.rows():
             if row.takes_work and row.entry.domain == self._state.settings.domain:
-                first = holder_candidates(self._state.vms, row.entry, now)[0]
+                first = holder_candidates(self._state.vms, row.entry)[0]
                 if first == self._state.vm:
                     self.desk_for(row.entry.id).pool.warm_up()
 
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -23,6 +23,8 @@
 PINGED_NEAR = 2
 # A VM of another failure domain is pinged with this chance each time: its bytes cost more.
 FAR_CHANCE = 0.3
+# VMs that failed and are pinged each time, to see whether they take work again.
+PROBED_VMS = 4
 
 
 class Gossip:
@@ -36,15 +38,18 @@
         self.listing_hooks: list[Callable[[Listing], None]] = []
 
     def ping_some(self) -> None:
-        """Ping a few VMs."""
+        """Ping a few VMs, and some of those that failed."""
         domain = self._state.settings.domain
         near = [row for row in self._state.vms.vms if row.entry.domain == domain]
         far = [row for row in self._state.vms.vms if row.entry.domain != domain]
         chosen = random.sample(near, min(PINGED_NEAR, len(near)))
         if far and (not near or random.random() < FAR_CHANCE):
             chosen.append(random.choice(far))
-        for row in chosen:
-            gevent.spawn(self.ping, row.entry.id)
+        pinged = {row.entry.id for row in chosen}
+        failed = self._state.vms.to_probe(self._state.now())
+        pinged.update(random.sample(failed, min(PROBED_VMS, len(failed))))
+        for vm in pinged:
+            gevent.spawn(self.ping, vm)
 
     def ping(self, vm: str) -> None:
         """Ping one VM and take over what it knows."""
@@ -62,7 +67,7 @@
                 PING_TIMEOUT,
             )
         except PeerLostError:
-            state.vms.note_failed(vm, state.now())
+            # The net has noted that the VM failed.
             return
         now = state.now()
         state.vms.note_heard(vm, now)
--- a/packages/entry/bramleyrill_entry/_proofs.py
+++ b/packages/entry/bramleyrill_entry/_proofs.py
@@ -32,7 +32,7 @@
             age = state.proofs.of(service).age(now)
             if age is not None and age < PROOF_AGE:
                 continue
-            if holder_candidates(state.vms, row.entry, now)[0] == state.vm:
+            if holder_candidates(state.vms, row.entry)[0] == state.vm:
                 self._asking.add(service)
                 gevent.spawn(self._ask, service)
 
@@ -41,7 +41,7 @@
             primary = self._state.members.primary_of(service)
             if primary is None:
                 return
-            holder = holder_candidates(self._state.vms, primary.entry, self._state.now())[0]
+            holder = holder_candidates(self._state.vms, primary.entry)[0]
             self._executor.prove(holder, service)
         finally:
             self._asking.discard(service)
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -255,7 +255,7 @@
     # Both.
 
     def _holder(self, member: MemberEntry) -> str:
-        return holder_candidates(self._state.vms, member, self._state.now())[0]
+        return holder_candidates(self._state.vms, member)[0]
 
     def _prepare_attempt(
         self,
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -154,7 +154,7 @@
         """Return this VM's place among those that look after a service, or None."""
         now = self._state.now()
         if now >= watched.turn_until:
-            vms = [vm.id for vm in self._state.vms.usable(now)]
+            vms = [vm.id for vm in self._state.vms.usable()]
             order = rendezvous_order(watched.service, vms)[:SUPERVISORS]
             own = self._state.vm
             watched.turn = order.index(own) if own in order else None
@@ -171,7 +171,7 @@
         """Ask for proofs; return for how long nobody had one, and whether dials are refused."""
         service = watched.service
         vms = [row.entry.id for row in self._state.vms.vms if not row.entry.leaving]
-        holder = holder_candidates(self._state.vms, primary, self._state.now())[0]
+        holder = holder_candidates(self._state.vms, primary)[0]
         asked = [gevent.spawn(self._executor.prove, holder, service)]
         for vm in vms[:ASKED_VMS]:
             if vm != holder:
@@ -313,7 +313,7 @@
 
     def _replace_draining(self, watched: Watched, row: MemberRow) -> None:
         """Move the lead off a member that is leaving, without losing an entry."""
-        holder = holder_candidates(self._state.vms, row.entry, self._state.now())[0]
+        holder = holder_candidates(self._state.vms, row.entry)[0]
         if holder != self._state.vm:
             turn = self._turn(watched)
             if (
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -46,7 +46,7 @@
 
 def watch_wait(state: EntryState) -> timedelta:
     """Return how long this VM's watches may wait."""
-    return CLOSE_WAIT if watches_closely(state.vms, state.now()) else LOOSE_WAIT
+    return CLOSE_WAIT if watches_closely(state.vms) else LOOSE_WAIT
 
 
 class StoreWatch:
--- a/tests/entry/test_leadership.py
+++ b/tests/entry/test_leadership.py
@@ -2,6 +2,7 @@
 
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from bramleyrill_core import Mark
 from bramleyrill_core.leadership import (
@@ -14,6 +15,7 @@
     Evidence,
     Verdict,
     choose_successor,
+    explore,
     judge_primary,
     next_record,
 )
@@ -99,3 +101,22 @@
 
     def test_young_proof_is_enough(self):
         self.assertIs(judge_primary(Evidence(REFUSED_AFTER - MS)), Verdict.FINE)
+
+
+class ExplorationTest(unittest.TestCase):
+    """Late orders, lost answers, late writes, pauses and lapsed leases, in every order."""
+
+    def test_no_order_shares_its_token(self):
+        with mock.patch.multiple(explore, MOST_RECORDS=2):
+            self.assertGreater(explore.explore(), 1000)
+
+    def test_token_that_does_not_rise_for_the_same_holder_is_found(self):
+        """An order that the platform carries out late would undo a newer one."""
+
+        def without_rise(record, vm, member):
+            if record is not None and record.holder == vm:
+                return DutyRecord(vm, record.fencing_token, member)
+            return next_record(record, vm, member)
+
+        with mock.patch.multiple(explore, MOST_RECORDS=2), self.assertRaises(explore.UnsafeError):
+            explore.explore(without_rise)
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -36,28 +36,44 @@
             self.vms.note(vm(name), 0 * MS)
 
     def test_vms_of_the_domain_come_first_and_this_vm_last(self):
-        candidates = holder_candidates(self.vms, member("m1"), 0 * MS)
+        candidates = holder_candidates(self.vms, member("m1"))
         self.assertEqual(set(candidates[:3]), {"vm1", "vm2", "vm3"})
         self.assertEqual(candidates[3], "own")
 
-    def test_failed_vm_is_left_out_until_its_suspension_ends(self):
-        """A holder that is gone must not stop its database."""
-        first = holder_candidates(self.vms, member("m1"), 0 * MS)[0]
+    def test_failed_vm_is_left_out_until_it_answers_again(self):
+        """A holder that is gone must not stop its database, nor cost a caller each new try."""
+        first = holder_candidates(self.vms, member("m1"))[0]
         self.vms.note_failed(first, 0 * MS)
-        self.assertNotIn(first, holder_candidates(self.vms, member("m1"), 100 * MS))
-        self.assertEqual(holder_candidates(self.vms, member("m1"), 600 * MS)[0], first)
+        self.assertNotIn(first, holder_candidates(self.vms, member("m1")))
+        self.assertEqual(self.vms.to_probe(100 * MS), [])
+        self.assertEqual(self.vms.to_probe(600 * MS), [first])
+        self.assertNotIn(first, holder_candidates(self.vms, member("m1")))
+        self.vms.note_heard(first, 610 * MS)
+        self.assertEqual(holder_candidates(self.vms, member("m1"))[0], first)
+        self.assertEqual(self.vms.to_probe(5000 * MS), [])
+
+    def test_vm_that_is_cut_off_goes_to_the_member_itself(self):
+        """Trying the VMs of a failure domain one by one cost 0.6 s for each of 13."""
+        for name in ("vm4", "vm5", "vm6"):
+            self.vms.note(vm(name), 0 * MS)
+        ordered = holder_candidates(self.vms, member("m1"))
+        for name in ordered[:2]:
+            self.vms.note_failed(name, 0 * MS)
+        self.assertEqual(holder_candidates(self.vms, member("m1"))[0], ordered[2])
+        self.vms.note_failed(ordered[2], 0 * MS)
+        self.assertEqual(holder_candidates(self.vms, member("m1")), ["own"])
 
     def test_leaving_vm_gets_no_new_work(self):
-        first = holder_candidates(self.vms, member("m1"), 0 * MS)[0]
+        first = holder_candidates(self.vms, member("m1"))[0]
         self.vms.note(vm(first, leaving=True), 0 * MS)
-        self.assertNotIn(first, holder_candidates(self.vms, member("m1"), 0 * MS))
+        self.assertNotIn(first, holder_candidates(self.vms, member("m1")))
 
     def test_vm_that_started_again_takes_work_again(self):
         """The leaving mark belongs to one start of the process."""
         self.vms.note(vm("vm1", leaving=True), 0 * MS)
         self.assertFalse(self.vms.note(vm("vm1"), 0 * MS))
         self.assertTrue(self.vms.note(vm("vm1", started_ms=2), 0 * MS))
-        self.assertIn("vm1", holder_candidates(self.vms, member("m1"), 0 * MS))
+        self.assertIn("vm1", holder_candidates(self.vms, member("m1")))
 
 
 class ReadOrderTest(unittest.TestCase):
