--- a/packages/cli/bramleyrill_cli/_report.py
+++ b/packages/cli/bramleyrill_cli/_report.py
@@ -19,7 +19,7 @@
     key_file: KeyFile | None = None,
     metrics: Annotated[
         list[str] | None,
-        Parameter(help="File or URL of an entry VM's metrics; several may follow."),
+        Parameter(help="File or URL of an entry VM's metrics; may be repeated."),
     ] = None,
     objective: Annotated[float, Parameter(help="Share to serve in target, for --metrics.")] = 0.99,
     html: Annotated[Path | None, Parameter(help="File to write the page to.")] = None,
