Give the first read of a transaction at the primary its whole limit

Cause, found when reading the change: an attempt of a read gets 0.4 of its target, but a transaction that begins at the primary has no other attempt, so a primary that takes longer lost it with ABORTED. Now the limit of the statement applies there; the test fails without it.

--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -5,7 +5,6 @@
 
 from attrs import define
 from bramleyrill_base import log_event
-from bramleyrill_core.admission import time_to_start
 from bramleyrill_core.catalog import Consistency, DatabaseRoute, MemberEntry, MemberRow
 from bramleyrill_core.placement import holder_candidates
 from bramleyrill_core.statements import (
@@ -17,6 +16,7 @@
     TransactionState,
 )
 
+from bramleyrill_entry._attempt import Attempt
 from bramleyrill_entry._exchange import SINGLE, Opens, RunProblem, RunRequest, RunResult
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._metrics import EntryMetrics
@@ -31,9 +31,6 @@
 # A read that a member fails is run this often; a member that fails part of its work serves most
 # reads by then, and one that fails them all is told to the caller.
 FAILED_ATTEMPTS = 3
-# A read that a member does not answer within this share of the target is tried at another; each
-# further attempt has twice the time, so that a slow member still serves it.
-FIRST_ATTEMPT_SHARE = 0.4
 
 
 class Try(Enum):
@@ -52,38 +49,6 @@
     number: int
 
 
-@define(eq=False)
-class Attempt:
-    """What is known of one statement while places are tried.
-
-    `single` tells that the statement is no part of a transaction. `certain` tells that no attempt
-    so far can have taken effect, and `ran` that one may have run at a member without an answer.
-    `failed` counts the attempts that a member answered with a failure.
-    """
-
-    route: DatabaseRoute
-    arrived_at: timedelta
-    deadline: timedelta
-    single: bool
-    count: int = 0
-    failed: int = 0
-    certain: bool = True
-    ran: bool = False
-    last: RunResult | None = None
-
-    def run_limit(self, statement: Statement) -> timedelta:
-        """Return how long a member may take for the next attempt."""
-        limit = self.route.statement_timeout
-        if statement.writes:
-            return limit
-        return min(FIRST_ATTEMPT_SHARE * self.route.target * 2**self.count, limit)
-
-    def on_time_left(self, now: timedelta) -> timedelta:
-        """Return how long the statement may still wait and be on time."""
-        left = time_to_start(self.route.target, not self.single)
-        return max(self.arrived_at + left - now, timedelta())
-
-
 class Router:
     """Run the statements of this VM's sessions."""
 
@@ -266,7 +231,7 @@
         now = self._state.now()
         request.member = member.id
         request.patience_left = max(attempt.deadline - now, timedelta())
-        request.timeout = attempt.run_limit(request.statement)
+        request.timeout = attempt.run_limit(request)
         request.on_time_left = attempt.on_time_left(now)
         if request.opens is not Opens.NOTHING:
             # A new number for each attempt: an earlier one may still be open at its holder.
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -305,6 +305,17 @@
         self.assertEqual(caller.ask("WRITE a 5", "q2")[-1][:7], "READY T")
 
 
+class SlowPrimaryTest(SessionTest):
+    def test_transaction_begins_at_a_primary_that_takes_most_of_the_limit(self):
+        """No other attempt would follow, so giving up early only loses the transaction."""
+        self.put_route(target=timedelta(milliseconds=300))
+        self.group.primary.work = timedelta(milliseconds=250)
+        caller = self.connect()
+        caller.line()
+        caller.ask("BEGIN")
+        self.assertTrue(caller.ask("READ a")[0].startswith("COMPLETE s"))
+
+
 class SilentMemberTest(SessionTest):
     consistency = Consistency.BOUNDED
 
