Let the error of a message that is too large reach the driver

Cause: the proxy sent the error and ended its side while the driver was still writing 17 MB; libpq takes the end for a crash and drops the error (a test with psycopg failed with 'server closed the connection unexpectedly'). Ruled out: the length check, which raised the right error. A first try, reading on for 20 ms before the frame, still failed: the driver pauses longer between writes.

Change: read until the caller is quiet for 50 ms, send the frame, read until quiet for 300 ms or closed, then end. Callers that close on the error, as drivers do, end it at once.

--- a/packages/daemon/bramleyrill_daemon/front/_caller.py
+++ b/packages/daemon/bramleyrill_daemon/front/_caller.py
@@ -12,6 +12,10 @@
 from bramleyrill_daemon.front._replies import SessionEndError
 
 READ_SIZE = 16 << 10
+# A caller that sent nothing for this long has finished its message.
+QUIET_S = 0.05
+# After the last frame it may take longer; a caller that closes ends the wait.
+QUIET_AFTER_LAST_S = 0.3
 _POLL_RDHUP = getattr(select, "POLLRDHUP", 0x2000)
 
 
@@ -117,20 +121,36 @@
         return bool(poll.poll(0))
 
     def finish(self, last: bytes, linger: float) -> None:
-        """Send the last frame, and read on for up to `linger` seconds so that it arrives.
+        """Read what the caller still writes, then send the last frame, for `linger` seconds each.
 
-        Closing with unread input would reset the connection, and the caller might lose the frame.
+        A driver that is in the middle of a long message takes an early end of the connection for
+        a crash and loses the frame; closing with unread input would reset the connection.
         """
         try:
+            self._read_until_quiet(QUIET_S, linger)
             with gevent.Timeout(linger, False):
+                self._sock.settimeout(None)
                 self._sock.sendall(last)
-                if not self.is_tls:
+            self._read_until_quiet(QUIET_AFTER_LAST_S, linger)
+            if not self.is_tls:
+                with gevent.Timeout(linger, False):
+                    self._sock.settimeout(None)
                     self._sock.shutdown(gevent.socket.SHUT_WR)
                     while self._sock.recv(READ_SIZE):
                         pass
         except (OSError, SessionEndError):
             pass
 
+    def _read_until_quiet(self, quiet_s: float, linger: float) -> None:
+        """Read until the caller sends nothing for `quiet_s`, for at most `linger` seconds."""
+        self._sock.settimeout(quiet_s)
+        try:
+            with gevent.Timeout(linger, False):
+                while self._sock.recv(READ_SIZE):
+                    pass
+        except TimeoutError:
+            return
+
     def close(self) -> None:
         """Close the socket."""
         self._readable.stop()
--- a/tests/front/test_callers.py
+++ b/tests/front/test_callers.py
@@ -48,6 +48,13 @@
                 connection.execute("SELECT wrong", prepare=prepare)
         self.assertEqual(connection.execute("SELECT a").fetchone(), ("1",))
 
+    def test_statement_that_is_too_large_gets_its_error(self):
+        """The caller still writes when the limit is passed; a close would lose the error."""
+        connection = self.connect()
+        with self.assertRaises(psycopg.OperationalError) as caught:
+            connection.execute("SELECT '" + "x" * (17 << 20) + "'")
+        self.assertEqual(caught.exception.sqlstate, "54000", caught.exception)
+
     def test_long_answer_is_complete(self):
         rows = self.connect().execute("SELECT big 3000").fetchall()
         self.assertEqual(len(rows), 3000)
