--- /dev/null
+++ b/tests/entry/test_stop.py
@@ -0,0 +1,76 @@
+"""A planned stop: when it turns callers away, ends sessions and gives up."""
+
+import unittest
+from datetime import timedelta
+from types import SimpleNamespace
+
+import gevent
+from bramleyrill_entry._desks import Desks
+from bramleyrill_entry._gossip import Gossip
+from bramleyrill_entry._stop import PlannedStop
+from bramleyrill_standins.prepared import LineGroup
+
+from tests.entry.places import SERVICE, make_state
+
+GRACE_S = 1.0
+
+
+class FakeFront:
+    """Sessions that end when closed, unless they are busy, and the calls with their times."""
+
+    def __init__(self, now, busy):
+        self.sessions = {"busy", "idle"} if busy else {"idle"}
+        self.calls_by_name = {}
+        self._now = now
+
+    def note(self, name):
+        self.calls_by_name.setdefault(name, self._now())
+
+    def stop_accepting(self):
+        self.note("stop_accepting")
+
+    def abort_transactions(self, _reason):
+        self.note("abort_transactions")
+
+    def close_idle(self):
+        self.note("close_idle")
+        self.sessions.discard("idle")
+
+
+class PlannedStopTest(unittest.TestCase):
+    def run_stop(self, busy):
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        state = make_state(group, grace_s=GRACE_S)
+        front = FakeFront(state.now, busy)
+        net = SimpleNamespace(services={Gossip: SimpleNamespace(ping=lambda _vm: None)})
+        started_at = state.now()
+        with gevent.Timeout(10):
+            PlannedStop(state, front, Desks(state), net).run()
+        took = (state.now() - started_at) / timedelta(seconds=GRACE_S)
+        shares = {
+            name: (at - started_at) / timedelta(seconds=GRACE_S)
+            for name, at in front.calls_by_name.items()
+        }
+        return took, shares, state
+
+    def test_listener_closes_while_there_is_time_to_answer(self):
+        """Requests that were read late in a stop were cut by the exit (grown trouble-3, LOST)."""
+        took, shares, _ = self.run_stop(busy=True)
+        self.assertLess(shares["stop_accepting"], 0.8)
+        self.assertGreater(took - shares["stop_accepting"], 0.2)
+
+    def test_transactions_have_half_of_the_grace(self):
+        _, shares, _ = self.run_stop(busy=True)
+        self.assertGreaterEqual(shares["abort_transactions"], 0.5)
+
+    def test_process_ends_before_the_grace_does(self):
+        """A process that is killed at the end of the grace cuts what it answers."""
+        took, _, _ = self.run_stop(busy=True)
+        self.assertLess(took, 1.0)
+
+    def test_sessions_end_once_the_balancer_has_turned_away(self):
+        _, shares, state = self.run_stop(busy=False)
+        self.assertGreaterEqual(shares["close_idle"], 0.8)
+        self.assertTrue(state.closing_sessions)
+        self.assertTrue(state.vms.own.leaving)
