Take ports that no outgoing connection gets, and end the processes of a failed start

The estate that failed to start left its first VM running, found as a process of that time and ended.

The test now fails with the VM's log and with whether the statement ran, so that the next failure can be traced.

One holder of things in the soak in place of two alike. The product's code is unchanged.

--- a/packages/standins/bramleyrill_standins/prepared/_estate.py
+++ b/packages/standins/bramleyrill_standins/prepared/_estate.py
@@ -67,15 +67,21 @@
         except (OSError, gevent.Timeout):
             return False
 
+    @property
+    def running(self) -> bool:
+        """Tell whether the process runs."""
+        return self._child is not None and self._child.poll() is None
+
     def send_signal(self, number: int) -> None:
         """Send a signal if the process runs."""
-        if self._child is not None and self._child.poll() is None:
+        if self.running:
             os.kill(self._child.pid, number)
 
     def kill(self) -> None:
         """End the process at once."""
         self.send_signal(signal.SIGKILL)
-        self.wait()
+        if self._child is not None:
+            self.wait()
 
     def stop(self) -> int:
         """Ask the process to stop; return its exit code."""
@@ -123,8 +129,12 @@
             store = self.store_address(number, address)
             settings = self._settings_of(number, peers, others, store)
             self.vms.append(EntryVm(settings["id"], settings))
-        for vm in self.vms:
-            vm.start()
+        try:
+            for vm in self.vms:
+                vm.start()
+        except EstateError:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_: object) -> None:
--- a/packages/standins/bramleyrill_standins/processes/_process.py
+++ b/packages/standins/bramleyrill_standins/processes/_process.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import selectors
 import signal
 import socket
@@ -15,6 +16,8 @@
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 45.0
 POLL_S = 0.02
+# Below the range that Linux gives to outgoing connections, which begins at 32768.
+PORT_RANGE = (12_000, 32_000)
 LOG_TAIL_BYTES = 4000
 
 
@@ -129,15 +132,26 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return `count` ports that were free on loopback when asked for."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return `count` ports that were free on loopback when asked for.
+
+    They lie below those that the system gives to outgoing connections, which any process may be
+    given before the port is listened on.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port not in found and _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 def wait_until(condition: Callable[[], Any], what: str, limit: float = 30.0) -> Any:
--- a/soak/bramleyrill_soak/_faults.py
+++ b/soak/bramleyrill_soak/_faults.py
@@ -3,14 +3,16 @@
 import random
 import signal
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from datetime import timedelta
+from typing import TypeVar
 
 import gevent
 from bramleyrill_standins.prepared import EntryVm, LineMember
 
 from bramleyrill_soak._world import SoakWorld
 
+T = TypeVar("T")
 Fault = Callable[[SoakWorld, random.Random, float], None]
 
 faults_by_name: dict[str, Fault] = {}
@@ -28,27 +30,23 @@
 
 
 @contextmanager
-def _one_vm(world: SoakWorld, rng: random.Random) -> Iterator[EntryVm | None]:
-    """Hold a VM that no other fault holds, or none if too few are left."""
-    calm = world.calm_vms()
-    vm = rng.choice(calm) if len(calm) > SPARED else None
-    world.held.add(vm)
+def _held(world: SoakWorld, calm: list[T], rng: random.Random) -> Iterator[T | None]:
+    """Hold one of what no other fault holds, or none if too few are left."""
+    chosen = rng.choice(calm) if len(calm) > SPARED else None
+    world.held.add(chosen)
     try:
-        yield vm
+        yield chosen
     finally:
-        world.held.discard(vm)
+        world.held.discard(chosen)
 
 
-@contextmanager
-def _one_member(world: SoakWorld, rng: random.Random) -> Iterator[LineMember | None]:
-    """Hold a member that no other fault holds, at times the primary."""
-    calm = world.calm_members()
-    member = rng.choice(calm) if len(calm) > SPARED else None
-    world.held.add(member)
-    try:
-        yield member
-    finally:
-        world.held.discard(member)
+def _one_vm(world: SoakWorld, rng: random.Random) -> AbstractContextManager[EntryVm | None]:
+    return _held(world, world.calm_vms(), rng)
+
+
+def _one_member(world: SoakWorld, rng: random.Random) -> AbstractContextManager[LineMember | None]:
+    """Hold a member, at times the primary."""
+    return _held(world, world.calm_members(), rng)
 
 
 # Processes.
--- a/tests/processes/test_prepared.py
+++ b/tests/processes/test_prepared.py
@@ -93,7 +93,13 @@
         stop = gevent.spawn(self.estate.vms[0].stop)
         answers = []
         while not stop.ready():
-            answer = caller.ask(f"WRITE bowl {len(answers)}")
+            number = f"q{len(answers)}"
+            try:
+                answer = caller.ask(f"WRITE bowl {len(answers)}", number)
+            except OSError as error:
+                ran = len(self.group.runs_of(number))
+                log = self.estate.vms[0].log()
+                self.fail(f"{error!r} instead of an answer to {number}, runs: {ran}\n{log}")
             if not answer[-1]:
                 break
             answers.append(answer)
