Name the owner of the holder lock in the fake upstream

Cause: the fake named its first connection as the owner of the lock. Change: the fake remembers which connection asked for the lock. The new test opens a connection before the process does; it failed each time with the old fake, with the reported error.

--- a/tests/holder/fakes.py
+++ b/tests/holder/fakes.py
@@ -4,6 +4,7 @@
 
 import gevent
 from bramleyrill_daemon._answers import STATUS_SQL
+from bramleyrill_daemon._locks import HOLDER_LOCK_KEY
 from bramleyrill_daemon._peer_net import listen_on
 from bramleyrill_wire import postgres as pg
 
@@ -22,14 +23,16 @@
     """Answer statements with the bytes that the function `run` returns for their SQL.
 
     If `run` returns None, the connection is closed; a status query gets `status_answer()` instead.
-    All lock queries succeed, and report the first connection as the owner. `statements` records
-    the others, as (connection number, sql); `open` is the number of open connections.
+    All lock queries succeed. `lock_owner` is the number of the connection that asked for the holder
+    lock last. `statements` records the others, as (connection number, sql); `open` is the number of
+    open connections.
     """
 
     def __init__(self, run):
         self.run = run
         self.statements = []
         self.open = 0
+        self.lock_owner = 0
         self._listener = listen_on("127.0.0.1", 0)
         self.port = self._listener.getsockname()[1]
         self._greenlet = gevent.spawn(self._accept)
@@ -70,7 +73,9 @@
 
     def _answer(self, number, sql):
         if "pg_locks" in sql:
-            return pg.data_row([b"1"]) + answer("SELECT 1")
+            return pg.data_row([b"%d" % self.lock_owner]) + answer("SELECT 1")
+        if sql == f"SELECT pg_try_advisory_lock({HOLDER_LOCK_KEY})":
+            self.lock_owner = number
         if "advisory" in sql:
             return pg.data_row([b"t"]) + answer("SELECT 1")
         self.statements.append((number, sql))
--- a/tests/holder/test_process.py
+++ b/tests/holder/test_process.py
@@ -3,6 +3,7 @@
 import unittest
 
 import gevent
+import gevent.socket
 import psycopg
 from bramleyrill_daemon._platform import Conflict, PlatformClient, StoredObject
 from bramleyrill_daemon._process import Process
@@ -61,9 +62,12 @@
 
 
 class ProcessTest(unittest.TestCase):
-    def start(self, run):
+    def start(self, run, earlier_connections=0):
         upstream = FakeUpstream(run)
         self.addCleanup(upstream.close)
+        for _ in range(earlier_connections):
+            early = gevent.socket.create_connection(("127.0.0.1", upstream.port))
+            self.addCleanup(early.close)
         address = ("127.0.0.1", 0)
         settings = Settings(
             id="vm-1",
@@ -108,8 +112,19 @@
 
     def test_statement_runs_and_the_stop_ends_with_code_0(self):
         """Guards against components that do not fit together, and a stop that never ends."""
+        self.check_statement_and_stop()
+
+    def test_statement_runs_when_the_holder_lock_is_not_on_the_first_connection(self):
+        """A status probe may connect before the control connection, which must own the lock.
+
+        The fake named its first connection as the owner, so the pool was refused as not the holder.
+        """
+        self.check_statement_and_stop(earlier_connections=1)
+
+    def check_statement_and_stop(self, earlier_connections=0):
         process, upstream = self.start(
-            lambda sql: answer("INSERT 0 1") if sql.startswith("insert") else None
+            lambda sql: answer("INSERT 0 1") if sql.startswith("insert") else None,
+            earlier_connections,
         )
         with gevent.Timeout(20):
             gevent.sleep(0.1)
@@ -117,5 +132,5 @@
             self.assertEqual(answers, ["INSERT 0 1", "INSERT 0 1"])
             process.stop()
             self.assertEqual(self.running.get(), 0)
-            while upstream.open:
+            while upstream.open > earlier_connections:
                 gevent.sleep(0.01)
