End the thread of the stand-in platform with its test

Cause: the thread ran its gevent hub until the interpreter exited, and the process then ended with a segmentation fault. Change: the thread is stopped and joined, and its hub destroyed, at the end of each test.

--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -30,7 +30,9 @@
 class StoreTest(unittest.TestCase):
     def setUp(self):
         self.platform = PreparedPlatform()
-        self.store = StoreClient(PlatformThread(self.platform).address)
+        thread = PlatformThread(self.platform)
+        self.addCleanup(thread.close)
+        self.store = StoreClient(thread.address)
 
 
 class ClientTest(StoreTest):
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -38,7 +38,9 @@
         self.group = LineGroup(SERVICE, ["m1", "m2", "m3"])
         self.addCleanup(self.group.close)
         self.platform = PreparedPlatform({SERVICE: self.group})
-        address = PlatformThread(self.platform).address
+        thread = PlatformThread(self.platform)
+        self.addCleanup(thread.close)
+        address = thread.address
         self.state = make_state(self.group)
         self.schedulers = MemberSchedulers(self.state)
         self.addCleanup(self.schedulers.close)
