End an idle session without resetting its connection

Cause: gevent closes a socket that a greenlet reads only in a later round of its loop. A request that arrived after the check for input and before that close made the kernel send a reset, and the caller that waited for its answer got ECONNRESET in a planned stop. Change: the session's output is shut down at once, so the caller sees the end; the connection stays open for input until the caller closes it, sends something, or 300 ms have passed. The new test failed with the reported ECONNRESET before.

--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -1,10 +1,12 @@
 """Session of one caller over the line protocol."""
 
+import contextlib
 import select
 import socket
 from datetime import timedelta
 from typing import Any
 
+import gevent
 from bramleyrill_base import log_event
 from bramleyrill_core.catalog import DatabaseRoute
 from bramleyrill_core.statements import (
@@ -27,6 +29,9 @@
 FIRST_CATALOG_TIMEOUT = timedelta(seconds=1.8)
 # The session of a caller that does not read its answer for this long is closed.
 SEND_TIMEOUT = timedelta(seconds=15)
+# A session that the proxy ended stays open for input this long, so that a request which crosses the
+# end does not reset the connection.
+CLOSE_LINGER = timedelta(milliseconds=300)
 # Unacknowledged data ends the connection after this time.
 USER_TIMEOUT_MS = 20_000
 _READ_BYTES = 16384
@@ -76,11 +81,19 @@
             self._sock.close()
 
     def close_if_idle(self) -> bool:
-        """Close the session and return True unless a statement or transaction is in progress."""
+        """End the session and return True unless a statement or transaction is in progress.
+
+        The caller sees the end at once; the connection is closed when the caller has closed its
+        side, has sent something, or after CLOSE_LINGER.
+        """
+        if self.closing:
+            return True
         if self.busy or self.in_transaction or self._pending_lines or self._has_input():
             return False
         self.closing = True
-        self._sock.close()
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+        gevent.spawn_later(CLOSE_LINGER.total_seconds(), self._sock.close)
         return True
 
     def abort_transaction(self, reason: str) -> None:
@@ -128,13 +141,15 @@
     def _serve_statements(self) -> None:
         while True:
             line = self._read_statement_line()
+            if self.closing:
+                return
             message = lines.parse_caller_message(line)
             if isinstance(message, lines.EndSession):
                 return
             if isinstance(message, Statement):
                 self._serve_statement(message)
-                if self._state.closing_sessions and self.close_if_idle():
-                    return
+                if self._state.closing_sessions:
+                    self.close_if_idle()
             else:
                 reason = getattr(message, "reason", "unexpected message")
                 self._sock.sendall(lines.encode_error(AnswerCode.MALFORMED, reason))
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -8,7 +8,7 @@
 import gevent.socket
 from bramleyrill_core import Rank
 from bramleyrill_core.catalog import Catalog, Consistency, DatabaseRoute, ServiceEntry
-from bramleyrill_entry import _router
+from bramleyrill_entry import _router, _session
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._router import Router
@@ -153,6 +153,34 @@
         self.assertFalse(self.session.close_if_idle())
         self.assertTrue(caller.read_line().startswith("COMPLETE s"))
 
+    def test_request_that_crosses_the_close_gets_no_reset(self):
+        """gevent closes a socket that is being read only later, and what arrived until then reset
+        the connection of a caller that waited for its answer.
+        """
+        caller = self.connect()
+        caller.read_line()
+        gevent.sleep(0.01)
+
+        def arrive_after_check():
+            caller.send("QUERY q1 WRITE a 5")
+            return False
+
+        with mock.patch.object(self.session, "_has_input", arrive_after_check):
+            self.assertTrue(self.session.close_if_idle())
+        self.assertEqual(caller.read_line(), "")
+        self.serving.join(5)
+        self.assertTrue(self.serving.ready())
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def test_closed_session_ends_if_its_caller_keeps_the_connection(self):
+        """A planned stop waits for its sessions, and some callers never read the end of one."""
+        caller = self.connect()
+        caller.read_line()
+        with mock.patch.object(_session, "CLOSE_LINGER", timedelta(milliseconds=20)):
+            self.session.close_if_idle()
+            self.serving.join(5)
+        self.assertTrue(self.serving.ready())
+
     def test_busy_session_ends_after_its_answer(self):
         """The exit cut off the last request of a caller that sends requests back to back."""
         caller = self.connect()
