--- a/packages/core/bramleyrill_core/leadership/__init__.py
+++ b/packages/core/bramleyrill_core/leadership/__init__.py
@@ -2,9 +2,12 @@
 
 from bramleyrill_core.leadership._duty import (
     DUTY_LEASE,
+    KIND_DUTIES,
     DutyRecord,
     DutyView,
     next_record,
+    pending_member,
+    renewed_record,
 )
 from bramleyrill_core.leadership._successor import Candidate, choose_successor
 from bramleyrill_core.leadership._suspicion import (
@@ -17,6 +20,7 @@
 
 __all__ = [
     "DUTY_LEASE",
+    "KIND_DUTIES",
     "REFUSED_AFTER",
     "SUSPECT_AFTER",
     "Candidate",
@@ -27,4 +31,6 @@
     "assess_primary",
     "choose_successor",
     "next_record",
+    "pending_member",
+    "renewed_record",
 ]
--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -7,8 +7,10 @@
 from datetime import timedelta
 from typing import Any
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
+# Kind of the objects in the store that hold the duties' records, by service.
+KIND_DUTIES = "bramleyrill-duties"
 # The platform does not document its lease. This is longer than the platform takes to execute an
 # order in sequence, and short compared with the outage that a failed supervisor may cause.
 DUTY_LEASE = timedelta(seconds=6)
@@ -65,6 +67,22 @@
         return now - self.seen_at >= DUTY_LEASE
 
 
+def pending_member(record: DutyRecord | None, primary: str) -> str:
+    """Return the member of an order that may still take effect, or an empty string.
+
+    Until such an order is answered, another member must not be ordered: a platform that does not
+    check the tokens could execute them in either order.
+    """
+    if record is None or record.member == primary:
+        return ""
+    return record.member
+
+
+def renewed_record(record: DutyRecord) -> DutyRecord:
+    """Return the record to write to hold the duty for another lease with the same order."""
+    return evolve(record, fencing_token=record.fencing_token + 1)
+
+
 def next_record(record: DutyRecord | None, vm: str, member: str) -> DutyRecord:
     """Return the record to write before `vm` orders the appointment of `member`.
 
--- a/packages/core/bramleyrill_core/succession/__init__.py
+++ b/packages/core/bramleyrill_core/succession/__init__.py
@@ -1,5 +1,6 @@
 """Change of primary: permits, failure detection, fencing, the wait after it, and promotion."""
 
+from bramleyrill_core.permits import LONGEST_PERMIT, Permit, entry_expiry
 from bramleyrill_core.succession._answers import PrimaryAnswer, check_answer
 from bramleyrill_core.succession._grants import (
     is_on_second_member,
@@ -27,7 +28,6 @@
     SendPromote,
     SpansChanged,
 )
-from bramleyrill_core.succession._permit import LONGEST_PERMIT, Permit, entry_expiry
 from bramleyrill_core.succession._supervise import run_succession
 from bramleyrill_core.succession._tables import Group, SuccessionTables
 from bramleyrill_core.succession._terms import Span, leader_of, next_span
--- a/packages/core/bramleyrill_core/succession/_answers.py
+++ b/packages/core/bramleyrill_core/succession/_answers.py
@@ -8,8 +8,8 @@
 
 from bramleyrill_core._values import Mark, TermStart
 from bramleyrill_core._world import World
+from bramleyrill_core.permits import entry_expiry
 from bramleyrill_core.sessions import Session, record_primary_answer, session_token
-from bramleyrill_core.succession._permit import entry_expiry
 
 
 @frozen
--- a/packages/core/bramleyrill_core/succession/_drive.py
+++ b/packages/core/bramleyrill_core/succession/_drive.py
@@ -10,6 +10,7 @@
 from bramleyrill_core._messages import Effect
 from bramleyrill_core._values import MemberId, MemberRole, database_of
 from bramleyrill_core._world import World
+from bramleyrill_core.permits import wait_after_fence
 from bramleyrill_core.sessions import log_contains
 from bramleyrill_core.succession._change import (
     ASK_TIMEOUT,
@@ -39,7 +40,6 @@
     SendFollow,
     SendPromote,
 )
-from bramleyrill_core.succession._permit import wait_after_fence
 from bramleyrill_core.succession._probes import record_member_status, record_new_primary
 from bramleyrill_core.succession._tables import Group, SuccessionTables, name_of, refresh_groups
 from bramleyrill_core.succession._terms import leader_of
--- a/packages/core/bramleyrill_core/succession/_grants.py
+++ b/packages/core/bramleyrill_core/succession/_grants.py
@@ -3,9 +3,9 @@
 from bramleyrill_core._messages import Effect
 from bramleyrill_core._values import DatabaseId, Mark, Rank
 from bramleyrill_core._world import World
+from bramleyrill_core.permits import Permit
 from bramleyrill_core.sessions import log_contains
 from bramleyrill_core.succession._messages import SendProbe
-from bramleyrill_core.succession._permit import Permit
 from bramleyrill_core.succession._tables import SuccessionTables, holds_primary
 from bramleyrill_core.text import Durability
 
--- a/packages/core/bramleyrill_core/succession/_model.py
+++ b/packages/core/bramleyrill_core/succession/_model.py
@@ -16,6 +16,12 @@
 
 from bramleyrill_core._rules import Rules
 from bramleyrill_core._values import MemberRole, MemberStatus, TermStart
+from bramleyrill_core.permits import (
+    LONGEST_PERMIT,
+    entry_expiry,
+    permit_start,
+    wait_after_fence,
+)
 from bramleyrill_core.succession._change import (
     Change,
     Step,
@@ -26,12 +32,6 @@
     is_wait_over,
     record_fence_answer,
 )
-from bramleyrill_core.succession._permit import (
-    LONGEST_PERMIT,
-    entry_expiry,
-    permit_start,
-    wait_after_fence,
-)
 from bramleyrill_core.succession._terms import Span, leader_of
 
 TIME_STEP = LONGEST_PERMIT / 2
--- a/packages/core/bramleyrill_core/succession/_probes.py
+++ b/packages/core/bramleyrill_core/succession/_probes.py
@@ -7,6 +7,7 @@
 from bramleyrill_core._messages import Effect
 from bramleyrill_core._values import MemberRole, MemberStatus, database_of
 from bramleyrill_core._world import World
+from bramleyrill_core.permits import LONGEST_PERMIT, Permit, permit_start
 from bramleyrill_core.routing import record_primary, record_sample, record_status
 from bramleyrill_core.succession._change import Step
 from bramleyrill_core.succession._messages import (
@@ -16,7 +17,6 @@
     SendProbe,
     SpansChanged,
 )
-from bramleyrill_core.succession._permit import LONGEST_PERMIT, Permit, permit_start
 from bramleyrill_core.succession._tables import (
     Group,
     SuccessionTables,
--- a/packages/core/bramleyrill_core/succession/_tables.py
+++ b/packages/core/bramleyrill_core/succession/_tables.py
@@ -8,8 +8,8 @@
 from bramleyrill_core._values import DatabaseId, MemberId, MemberRole, MemberStatus, VmId
 from bramleyrill_core._world import World
 from bramleyrill_core.membership import MembershipTables, holders_of, rendezvous_order
+from bramleyrill_core.permits import Permit
 from bramleyrill_core.succession._change import Change
-from bramleyrill_core.succession._permit import Permit
 from bramleyrill_core.succession._terms import Spans
 from bramleyrill_core.text import DatabaseSpec, Text
 
--- a/packages/daemon/bramleyrill_daemon/_permits.py
+++ b/packages/daemon/bramleyrill_daemon/_permits.py
@@ -8,6 +8,7 @@
 from bramleyrill_base import ErrorKind, Problem
 from bramleyrill_core import DatabaseId, MemberId, MemberStatus, VmId, World, database_of
 from bramleyrill_core.membership import holder_of
+from bramleyrill_core.permits import permit_start
 from bramleyrill_core.routing import RoutingTables
 from bramleyrill_core.succession import (
     LONGEST_PERMIT,
@@ -18,7 +19,6 @@
     pauses_writes,
     permit_for,
 )
-from bramleyrill_core.succession._permit import permit_start
 from bramleyrill_core.succession._terms import members_of
 
 from bramleyrill_daemon._transaction import Outcome, Request
--- a/packages/entry/bramleyrill_entry/_attempt.py
+++ b/packages/entry/bramleyrill_entry/_attempt.py
@@ -21,6 +21,7 @@
     far, and `failures` the number of reads among them that a member answered with FAILED.
     `not_committed` is True while no attempt can have committed anything. `may_have_run` is True
     once an attempt whose answer was lost, or was FAILED, may have run at a member.
+    `no_permit_since` is the time of the first attempt that found no permit for the primary.
     """
 
     route: DatabaseRoute
@@ -32,6 +33,13 @@
     not_committed: bool = True
     may_have_run: bool = False
     last_result: RunResult | None = None
+    no_permit_since: timedelta | None = None
+
+    def without_permit_for(self, now: timedelta) -> timedelta:
+        """Record an attempt without a permit; return how long ago the first one was."""
+        if self.no_permit_since is None:
+            self.no_permit_since = now
+        return now - self.no_permit_since
 
     def run_timeout(self, request: RunRequest) -> timedelta:
         """Return the time limit of the next attempt.
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -21,6 +21,7 @@
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._output import set_up_output
 from bramleyrill_entry._peers import PeerNet
+from bramleyrill_entry._permits import PERMIT_CHECK_INTERVAL, PermitKeeper
 from bramleyrill_entry._proof_refresher import PROOF_CHECK_INTERVAL, ProofRefresher
 from bramleyrill_entry._router import Router
 from bramleyrill_entry._schedulers import MemberSchedulers
@@ -63,16 +64,17 @@
         )
         services: dict[type, Any] = {}
         self.net = PeerNet(self.state, services, listeners.peers)
-        self.schedulers = services[MemberSchedulers] = MemberSchedulers(self.state)
+        self.store = StoreClient(settings.platform)
+        self.permits = PermitKeeper(self.state, self.store)
+        self.schedulers = services[MemberSchedulers] = MemberSchedulers(self.state, self.permits)
         self.gossip = services[Gossip] = Gossip(self.net)
         self.metrics = EntryMetrics()
         self.executor = Executor(self.net, self.schedulers)
         router = Router(self.state, self.executor, self.metrics)
         self.front = Front(self.state, router, self.metrics, listeners.callers)
-        self.store = StoreClient(settings.platform)
         duties = DutyClient(settings.duties)
         self.supervisor = Supervisor(
-            self.state, self.net, self.schedulers, self.executor, self.store, duties
+            self.state, self.net, self.schedulers, self.executor, self.store, duties, self.permits
         )
         self.proofs = ProofRefresher(self.state, self.executor)
         self.configuration = ConfigurationWatch(self.state, self.store)
@@ -106,6 +108,8 @@
         run_periodically(MAINTENANCE_INTERVAL, self._maintain)
         run_periodically(PROOF_CHECK_INTERVAL, self.proofs.tick)
         run_periodically(SUPERVISION_INTERVAL, self.supervisor.tick)
+        if self.permits.needed:
+            run_periodically(PERMIT_CHECK_INTERVAL, self.permits.tick)
 
     def stop(self) -> None:
         """Carry out a planned stop; returns when the process can exit."""
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -27,6 +27,9 @@
 ROUTING_TIMEOUT = timedelta(seconds=6)
 # Delay before the first retry; each further retry waits this much longer.
 RETRY_PAUSE = timedelta(milliseconds=40)
+# How long a statement waits for a permit or another primary. A cut may outlast the caller's
+# deadline, and the caller may reach a VM on the other side of it.
+PERMIT_PATIENCE = timedelta(seconds=1)
 # Limits the load that one statement can cause.
 MAX_ATTEMPTS = 16
 # A read is tried at the primary until this many of its attempts were answered with FAILED. A member
@@ -243,6 +246,11 @@
             )
         if result.problem is RunProblem.OVERLOADED:
             return AttemptOutcome.FINAL
+        if (
+            result.problem is RunProblem.NO_PERMIT
+            and attempts.without_permit_for(self._state.now()) >= PERMIT_PATIENCE
+        ):
+            return AttemptOutcome.FINAL
         if result.problem.not_run:
             return AttemptOutcome.RETRY
         reads_only = not request.statement.writes and request.opens is Opens.NOTHING
--- a/packages/entry/bramleyrill_entry/_run_request.py
+++ b/packages/entry/bramleyrill_entry/_run_request.py
@@ -21,13 +21,14 @@
 
 
 class RunProblem(IntEnum):
-    """Why a member gave no answer; all but the last two mean that the statement did not run.
+    """Why a member gave no answer; all but LOST and TIMED_OUT mean that the statement did not run.
 
     OVERLOADED: the holder's queue is too long. NOT_PRIMARY: the member is not the primary.
     NO_PROOF: no recent enough log position of the primary is known. UNREACHABLE: the member or
     its holder cannot be reached. NO_EXCHANGE: the transaction is no longer open at the holder.
     STOPPING: the holder is shutting down. LOST: the connection closed or was silent before the
-    answer. TIMED_OUT: the statement took too long.
+    answer. TIMED_OUT: the statement took too long. NO_PERMIT: the holder cannot be certain that the
+    member still leads.
     """
 
     OVERLOADED = 1
@@ -38,11 +39,12 @@
     STOPPING = 6
     LOST = 7
     TIMED_OUT = 8
+    NO_PERMIT = 9
 
     @property
     def not_run(self) -> bool:
         """Return whether the statement certainly did not run."""
-        return self < RunProblem.LOST
+        return self not in (RunProblem.LOST, RunProblem.TIMED_OUT)
 
 
 @define(eq=False)
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -15,6 +15,7 @@
 from bramleyrill_platform import lines
 from gevent.event import AsyncResult
 
+from bramleyrill_entry._permits import NoPermitError, PermitKeeper
 from bramleyrill_entry._pool import LEASE_TIMEOUT, UpstreamPool
 from bramleyrill_entry._preparation import NotSentError, Preparation
 from bramleyrill_entry._run_request import NO_TRANSACTION, Opens, RunProblem, RunRequest, RunResult
@@ -27,6 +28,8 @@
 EXPECTED_TRANSACTION_TIME = timedelta(milliseconds=300)
 # Attempts to get a connection on which the statement can be sent.
 MAX_CONNECTION_ATTEMPTS = 3
+# Suggested to callers that were refused because the primary may have been replaced.
+NO_PERMIT_RETRY_AFTER = timedelta(seconds=1)
 # A transaction without a statement for this long is rolled back: its entry VM failed or lost it.
 TRANSACTION_IDLE_LIMIT = timedelta(seconds=30)
 
@@ -56,8 +59,11 @@
     `paused_until` is the end of a pause of new fenced work during a planned change of primary.
     """
 
-    def __init__(self, state: EntryState, member: MemberEntry, connections: int) -> None:
+    def __init__(
+        self, state: EntryState, member: MemberEntry, connections: int, permits: PermitKeeper
+    ) -> None:
         self.member = member
+        self._permits = permits
         self.pool = UpstreamPool(member, connections, state.clock)
         self._preparation = Preparation(self.pool)
         self._state = state
@@ -144,6 +150,9 @@
             answer = self._begin(connection, None, read_only=False)
         except NotSentError:
             return RunProblem.UNREACHABLE
+        except NoPermitError:
+            self.pool.release(connection)
+            return RunProblem.NO_PERMIT
         self.pool.release(connection)
         return None if answer.succeeded else RunProblem.NOT_PRIMARY
 
@@ -222,6 +231,8 @@
                 return self._run_on_connection(connection, request)
             except NotSentError:
                 continue
+            except NoPermitError:
+                return _no_permit_result()
             finally:
                 self.pool.release(connection)
         return RunResult(problem=RunProblem.UNREACHABLE)
@@ -232,7 +243,8 @@
     def _run_on_connection(self, connection: UpstreamConnection, request: RunRequest) -> RunResult:
         """Run a statement outside a transaction.
 
-        A fenced read runs in a transaction, whose BEGIN proves that the member is the primary.
+        A fenced read runs in a transaction, whose BEGIN proves that the member is the primary. A
+        write needs a permit before it is sent, and again before its answer is passed on.
         """
         min_mark = None
         if not request.fence:
@@ -243,7 +255,22 @@
             begin_answer = self._begin(connection, None, read_only=False)
             if not begin_answer.succeeded:
                 return _refused_begin_result(begin_answer)
-        return self._execute(connection, request, min_mark)
+        else:
+            self._permits.require(self.member, connection.opened_at)
+        result = self._execute(connection, request, min_mark)
+        return self._confirm_write(request, result) if request.statement.writes else result
+
+    def _confirm_write(self, request: RunRequest, result: RunResult) -> RunResult:
+        """Return the result of a write or COMMIT, or that its outcome is unknown.
+
+        Without a permit now, another member may have been promoted before the write was committed,
+        and its entry may be rolled back.
+        """
+        answer = result.answer
+        if answer is None or not answer.succeeded or self._permits.renewed(self.member):
+            return result
+        log_event("permit_expired", id=request.statement.id, member=self.member.id)
+        return RunResult(problem=RunProblem.LOST)
 
     def _execute(
         self, connection: UpstreamConnection, request: RunRequest, min_mark: Mark | None = None
@@ -306,6 +333,9 @@
                 return RunResult(problem=RunProblem.UNREACHABLE)
             except NotSentError:
                 continue
+            except NoPermitError:
+                self.pool.release(connection)
+                return _no_permit_result()
             if not begin_answer.succeeded:
                 self.pool.release(connection)
                 return _refused_begin_result(begin_answer)
@@ -335,7 +365,9 @@
         try:
             prepared = request.statement.prepared
             self._preparation.set_up(transaction.connection, request.values, prepared)
-        except NotSentError:
+            if request.statement.kind is StatementKind.COMMIT and transaction.wrote:
+                self._permits.require(self.member, transaction.connection.opened_at)
+        except (NotSentError, NoPermitError):
             transaction.running = False
             self._close_transaction(key, transaction)
             return RunResult(problem=RunProblem.NO_EXCHANGE, waited=waited)
@@ -353,6 +385,8 @@
         finally:
             transaction.running = False
             transaction.last_used_at = self._state.now()
+        if request.statement.kind is StatementKind.COMMIT and transaction.wrote:
+            result = self._confirm_write(request, result)
         answer = result.answer
         if answer is not None:
             transaction.connection.in_transaction = answer.state is not TransactionState.IDLE
@@ -389,7 +423,12 @@
     def _begin(
         self, connection: UpstreamConnection, min_mark: Mark | None, read_only: bool
     ) -> Answer:
-        """Begin a transaction; only a primary accepts one that may write, which proves its role."""
+        """Begin a transaction; only a primary accepts one that may write, which proves its role.
+
+        Raises NoPermitError if the member's acceptance would prove nothing.
+        """
+        if not read_only:
+            self._permits.require(self.member, connection.opened_at)
         sent_at = self._state.now()
         answer = self._preparation.begin(connection, min_mark, read_only)
         if answer.succeeded and not read_only:
@@ -410,12 +449,17 @@
         return max(proved_mark, request.mark)
 
     def _record_proof(self, answer: Answer, sent_at: timedelta) -> None:
-        if answer.mark is not None:
+        """Record that the member led when `sent_at` was, if a permit covers that time."""
+        if answer.mark is not None and self._permits.covers(self.member, sent_at):
             self._state.record_proof(
                 self.member.service, self.member.id, answer.mark.term, answer.mark, sent_at
             )
 
 
+def _no_permit_result() -> RunResult:
+    return RunResult(problem=RunProblem.NO_PERMIT, retry_after=NO_PERMIT_RETRY_AFTER)
+
+
 def _refused_begin_result(answer: Answer) -> RunResult:
     if answer.code is AnswerCode.READ_ONLY:
         return RunResult(problem=RunProblem.NOT_PRIMARY)
--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -6,6 +6,7 @@
 from bramleyrill_core.catalog import MemberRow, MemberState
 from bramleyrill_core.placement import holder_candidates
 
+from bramleyrill_entry._permits import PermitKeeper
 from bramleyrill_entry._run_request import NO_TRANSACTION, Opens, RunProblem, RunRequest, RunResult
 from bramleyrill_entry._scheduler import MemberScheduler
 from bramleyrill_entry._state import EntryState
@@ -23,8 +24,9 @@
 class MemberSchedulers:
     """Member schedulers by member id; created on first use, closed when the member is removed."""
 
-    def __init__(self, state: EntryState) -> None:
+    def __init__(self, state: EntryState, permits: PermitKeeper | None = None) -> None:
         self.by_member: dict[str, MemberScheduler] = {}
+        self._permits = permits or PermitKeeper(state, None)
         self._state = state
         self._draining_since: dict[str, timedelta] = {}
 
@@ -61,7 +63,9 @@
             return scheduler
         if scheduler is not None:
             self._close(scheduler, "restarted")
-        scheduler = MemberScheduler(self._state, row.entry, self._connection_limit(row))
+        scheduler = MemberScheduler(
+            self._state, row.entry, self._connection_limit(row), self._permits
+        )
         self.by_member[member] = scheduler
         log_event("desk_opened", member=member, connections=scheduler.pool.limit)
         return scheduler
--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -21,7 +21,8 @@
     """Settings of one VM.
 
     `region_by_domain` covers all failure domains. `grace_s` is how long the process may still run
-    after a stop is requested.
+    after a stop is requested. `fenced_orders` is whether the platform checks the fencing token of
+    an order and the replaced primary stops at once; without that, a primary is used under a permit.
     """
 
     id: str
@@ -36,6 +37,7 @@
     duties: Address
     grace_s: float
     max_descriptors: int = field(default=4096)
+    fenced_orders: bool = True
 
 
 def parse_address(text: Any) -> Address:
@@ -84,6 +86,7 @@
             duties=self._address("duties"),
             grace_s=self._number("grace_s"),
             max_descriptors=int(self._number("max_descriptors")),
+            fenced_orders=self._flag("fenced_orders"),
         )
         if self._errors:
             raise SettingsError("\n".join(f"{self._path}: {error}" for error in self._errors))
@@ -103,6 +106,13 @@
             return 0.0
         return float(value)
 
+    def _flag(self, name: str) -> bool:
+        """Return a boolean; a missing one is False, the safe value of all flags."""
+        value = self._values.get(name)
+        if value is not None and not isinstance(value, bool):
+            self._errors.append(f"{name}: expected true or false")
+        return value is True
+
     def _mapping(self, name: str) -> dict[str, str]:
         value = self._values.get(name)
         if not isinstance(value, dict):
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -100,6 +100,12 @@
             self.primary_changed.fire()
         self.proofs.history_of(service).record(mark, proved_at)
 
+    def record_claimed_lead(self, service: str, member: str, term: int) -> None:
+        """Record that a member says that it leads `term`: no proof, but the best one to ask."""
+        if self.members.record_primary_proof(service, member, term):
+            log_event("primary_changed", service=service, member=member, term=term, source="status")
+            self.primary_changed.fire()
+
     def record_appointment(self, service: str, member: str, source: str) -> None:
         """Record that `member` was appointed primary."""
         current = self.members.primaries.get(service)
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -5,8 +5,11 @@
 import gevent
 from attrs import define
 from bramleyrill_base import log_event
+from bramleyrill_core import Mark
 from bramleyrill_core.catalog import MemberEntry, MemberRow
 from bramleyrill_core.leadership import (
+    DUTY_LEASE,
+    KIND_DUTIES,
     Candidate,
     DutyRecord,
     DutyView,
@@ -15,9 +18,12 @@
     assess_primary,
     choose_successor,
     next_record,
+    pending_member,
+    renewed_record,
 )
 from bramleyrill_core.membership import rendezvous_order
 from bramleyrill_core.placement import holder_candidates
+from bramleyrill_core.statements import AnswerCode
 from bramleyrill_platform import (
     AppointResult,
     ConflictError,
@@ -32,12 +38,18 @@
 from bramleyrill_wire.entries import frames
 
 from bramleyrill_entry._executor import Executor
+from bramleyrill_entry._fence import demote, end_permits
+from bramleyrill_entry._member_status import DIAL_TIMEOUT, STATUS_TIMEOUT, ask_status
 from bramleyrill_entry._peers import PeerNet
+from bramleyrill_entry._permits import PermitKeeper
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_entry._state import EntryState
-from bramleyrill_entry._upstream import UpstreamConnection, UpstreamError
+from bramleyrill_entry._upstream import (
+    RefusedByMemberError,
+    UpstreamConnection,
+    UpstreamError,
+)
 
-KIND_DUTIES = "bramleyrill-duties"
 SUPERVISION_INTERVAL = timedelta(milliseconds=250)
 # Computing this VM's index among the supervisors hashes every VM, so it is cached.
 INDEX_CACHE_TIME = timedelta(seconds=1)
@@ -47,8 +59,6 @@
 SUPERVISOR_DELAY = timedelta(milliseconds=700)
 # Maximum number of other VMs that are asked for the proofs that they know.
 MAX_QUERIED_VMS = 12
-STATUS_TIMEOUT = timedelta(milliseconds=500)
-DIAL_TIMEOUT = timedelta(milliseconds=500)
 # A planned change waits this long for open transactions to end, and then for a replica to have all
 # entries.
 TRANSACTION_DRAIN_TIMEOUT = timedelta(seconds=1.2)
@@ -67,9 +77,11 @@
     """Supervision state of one service.
 
     `duty` is this VM's view of the service's duty: a lease in the store, whose holder alone may
-    order a change of primary. `member` is the known primary, or empty, and `primary_since` the time
-    when it became known. `in_progress` is True while a check runs. `index` is this VM's position
-    among the supervisors, or None if it is not one of them; it is cached until `index_valid_until`.
+    order a change of primary; `duty_written_at` is the time at which this VM sent its last record.
+    `member` is the known primary, or empty, and `primary_since` the time when it became known or
+    last showed that it lives without a proof of its role. `highest_term` is the highest term that
+    a member reported. `in_progress` is True while a check runs. `index` is this VM's position among
+    the supervisors, or None if it is not one of them; it is cached until `index_valid_until`.
     """
 
     service: str
@@ -79,6 +91,8 @@
     in_progress: bool = False
     index: int | None = None
     index_valid_until: timedelta = timedelta()
+    highest_term: int = 0
+    duty_written_at: timedelta = timedelta.min
 
 
 class Supervisor:
@@ -92,6 +106,7 @@
         executor: Executor,
         store: StoreClient,
         duties: DutyClient,
+        permits: PermitKeeper | None = None,
     ) -> None:
         self._state = state
         self._net = net
@@ -99,6 +114,7 @@
         self._executor = executor
         self._store = store
         self._duties = duties
+        self._permits = permits or PermitKeeper(state, store)
         self._services: dict[str, SupervisedService] = {}
 
     def tick(self) -> None:
@@ -194,13 +210,21 @@
         gevent.joinall(queries)
         if self._silent_for(supervised) < SUPERVISION_INTERVAL:
             return self._silent_for(supervised), False
-        return self._silent_for(supervised), self._probe_primary(primary)
+        refused = self._probe_primary(supervised, primary)
+        return self._silent_for(supervised), refused
+
+    def _probe_primary(self, supervised: SupervisedService, primary: MemberEntry) -> bool:
+        """Ask the primary for a proof; return whether its machine refuses connections.
 
-    def _probe_primary(self, primary: MemberEntry) -> bool:
-        """Ask the primary for a proof; return whether its machine refuses connections."""
+        A primary that has too many connections serves other VMs, so it is not silent.
+        """
         clock = self._state.clock
         try:
             connection = UpstreamConnection.dial(primary, DIAL_TIMEOUT, clock)
+        except RefusedByMemberError as error:
+            if error.answer.code is AnswerCode.TOO_MANY_CONNECTIONS:
+                supervised.primary_since = self._state.now()
+            return False
         except UpstreamError as error:
             return error.refused
         sent_at = self._state.now()
@@ -212,7 +236,12 @@
             return False
         finally:
             connection.close()
-        if answer.succeeded and answer.mark is not None:
+        if (
+            answer.succeeded
+            and answer.mark is not None
+            and self._permits.renewed(primary, connection.opened_at)
+            and self._permits.covers(primary, sent_at)
+        ):
             self._state.record_proof(
                 primary.service, primary.id, answer.mark.term, answer.mark, sent_at
             )
@@ -221,54 +250,63 @@
     # Choosing and appointing a successor.
 
     def _replace_primary(self, supervised: SupervisedService, primary: MemberEntry | None) -> None:
-        candidates = self._query_candidates(supervised.service, primary)
-        chosen = choose_successor(candidates)
+        if not self._read_duty(supervised):
+            return
+        candidates = self._query_candidates(supervised, primary)
+        pending = pending_member(supervised.duty.record, primary.id if primary else "")
+        if pending in (candidate.member for candidate in candidates):
+            chosen = pending
+        else:
+            chosen = choose_successor(candidates)
+        if chosen is None and pending and primary is not None:
+            # No other member is left, and none of the VMs uses the primary while an order for
+            # another one is on record.
+            chosen = primary.id
         if chosen is None:
             log_event("no_successor", service=supervised.service, asked=len(candidates))
             return
         self._appoint(supervised, chosen, primary)
 
-    def _query_candidates(self, service: str, primary: MemberEntry | None) -> list[Candidate]:
+    def _query_candidates(
+        self, supervised: SupervisedService, primary: MemberEntry | None
+    ) -> list[Candidate]:
         """Ask the members that accept work, except the primary; return those that answer."""
         rows = [
             row
-            for row in self._state.members.members_of_service(service)
+            for row in self._state.members.members_of_service(supervised.service)
             if row.accepts_work and (primary is None or row.entry.id != primary.id)
         ]
-        queries = [gevent.spawn(self._query_status, row) for row in rows]
+        queries = [gevent.spawn(ask_status, row.entry, self._state.clock) for row in rows]
         gevent.joinall(queries)
-        return [query.value for query in queries if query.value is not None]
-
-    def _query_status(self, row: MemberRow) -> Candidate | None:
-        """Ask a member for the last entry of its log; None if it does not answer."""
-        try:
-            connection = UpstreamConnection.dial(row.entry, DIAL_TIMEOUT, self._state.clock)
-        except UpstreamError as error:
-            log_event("status_failed", member=row.entry.id, reason=error)
-            return None
-        try:
-            answer = connection.execute(
-                lines.INTERNAL_STATEMENT_ID, lines.STATUS_TEXT, STATUS_TIMEOUT
-            )
-            status = lines.parse_status(answer.rows)
-        except (UpstreamError, lines.LineError) as error:
-            log_event("status_failed", member=row.entry.id, reason=error)
-            return None
-        finally:
-            connection.close()
-        return Candidate(row.entry.id, status.mark, row.accepts_work)
+        candidates = []
+        for row, query in zip(rows, queries, strict=True):
+            report = query.value
+            if report is not None:
+                supervised.highest_term = max(supervised.highest_term, report.term)
+                candidates.append(Candidate(row.entry.id, report.mark, row.accepts_work))
+        return candidates
 
     def _appoint(
-        self, supervised: SupervisedService, chosen: str, primary: MemberEntry | None
+        self,
+        supervised: SupervisedService,
+        chosen: str,
+        primary: MemberEntry | None,
+        demoted: bool = False,
     ) -> bool:
         """Write the duty's record, then order the platform to appoint the chosen member.
 
-        Return whether the order was carried out.
+        `demoted` is whether the old primary is known to be a replica by now. Return whether the
+        order was carried out.
         """
         record = self._acquire_duty(supervised, chosen)
         if record is None:
             return False
+        if not demoted and not self._end_permits(supervised, chosen, primary):
+            return False
         for _ in range(MAX_APPOINT_ATTEMPTS):
+            if not self._holds_duty(supervised):
+                log_event("duty_lease_ended", service=supervised.service, member=chosen)
+                return False
             result = self._duties.appoint(
                 supervised.service, chosen, record.holder, record.fencing_token
             )
@@ -288,25 +326,44 @@
             gevent.sleep(APPOINT_RETRY_PAUSE.total_seconds())
         return False
 
+    def _end_permits(
+        self, supervised: SupervisedService, chosen: str, primary: MemberEntry | None
+    ) -> bool:
+        """Return once no VM uses the old primary; False if the chosen member cannot be fenced."""
+        if not self._permits.needed or (primary is not None and primary.id == chosen):
+            return True
+        successor = self._state.members.members.get(chosen)
+        if successor is None:
+            return False
+        return end_permits(self._state, primary, successor.entry, self._next_term(supervised))
+
+    def _next_term(self, supervised: SupervisedService) -> int:
+        """Return a term above every term that this VM knows."""
+        return max(self._state.members.term_of(supervised.service), supervised.highest_term) + 1
+
+    def _holds_duty(self, supervised: SupervisedService) -> bool:
+        """Return whether no other VM can have acquired the duty since this VM wrote its record."""
+        return self._state.now() - supervised.duty_written_at < DUTY_LEASE
+
     def _announce_appointment(self, service: str, member: str) -> None:
         self._state.record_appointment(service, member, "order")
         self._net.broadcast(frames.Appointed(service_name=service, member=member))
 
     def _acquire_duty(self, supervised: SupervisedService, member: str) -> DutyRecord | None:
-        """Write the record of the next order and return it.
+        """Write the record of the next order and return it; the duty must have been read.
 
         Return None if another VM holds the duty or the record cannot be written.
         """
-        try:
-            self._read_duty(supervised)
-            if not supervised.duty.may_acquire(self._state.vm, self._state.now()):
-                log_event(
-                    "duty_held", service=supervised.service, holder=supervised.duty.record.holder
-                )
-                return None
-            record = next_record(supervised.duty.record, self._state.vm, member)
-            if record == supervised.duty.record:
+        now = self._state.now()
+        if not supervised.duty.may_acquire(self._state.vm, now):
+            log_event("duty_held", service=supervised.service, holder=supervised.duty.record.holder)
+            return None
+        record = next_record(supervised.duty.record, self._state.vm, member)
+        if record == supervised.duty.record:
+            if self._holds_duty(supervised):
                 return record
+            record = renewed_record(record)
+        try:
             stored = self._write_duty(supervised, record)
         except ConflictError:
             log_event("duty_lost", service=supervised.service)
@@ -314,18 +371,23 @@
         except StoreError as error:
             log_event("duty_not_written", service=supervised.service, reason=error)
             return None
-        supervised.duty = DutyView(record, stored.revision, self._state.now())
+        supervised.duty = DutyView(record, stored.revision, now)
+        supervised.duty_written_at = now
         return record
 
-    def _read_duty(self, supervised: SupervisedService) -> None:
-        """Update the view of the service's duty from the store; raise StoreError."""
+    def _read_duty(self, supervised: SupervisedService) -> bool:
+        """Update the view of the service's duty; return False if the store does not answer."""
         now = self._state.now()
         try:
             stored = self._store.get(KIND_DUTIES, supervised.service)
         except NotFoundError:
             supervised.duty = DutyView(None, 0, now)
-            return
+            return True
+        except StoreError as error:
+            log_event("duty_not_read", service=supervised.service, reason=error)
+            return False
         supervised.duty.update(DutyRecord.from_value(stored.value), stored.revision, now)
+        return True
 
     def _write_duty(self, supervised: SupervisedService, record: DutyRecord) -> StoredObject:
         """Write the record; if the answer is lost, read it back to see whether it was written."""
@@ -381,16 +443,47 @@
         deadline = self._state.now() + TRANSACTION_DRAIN_TIMEOUT
         while scheduler.busy and self._state.now() < deadline:
             gevent.sleep(POLL_INTERVAL.total_seconds())
+        if self._permits.needed:
+            self._hand_over_demoted(supervised, row.entry)
+            return
         primary_mark = None
         if scheduler.prove() is None:
             primary_mark = self._state.proofs.history_of(supervised.service).newest.mark
+        chosen = self._wait_for_successor(supervised, row.entry, primary_mark)
+        if chosen is None or not self._read_duty(supervised):
+            self._replace_primary(supervised, row.entry)
+            return
+        self._appoint(supervised, chosen, row.entry)
+
+    def _hand_over_demoted(self, supervised: SupervisedService, primary: MemberEntry) -> None:
+        """Hand over where VMs use the primary under permits: demoting it ends them all at once.
+
+        Its last position is then final, and a replica that has it loses nothing.
+        """
+        if not self._read_duty(supervised):
+            return
+        if not supervised.duty.may_acquire(self._state.vm, self._state.now()):
+            log_event("duty_held", service=supervised.service, holder=supervised.duty.record.holder)
+            return
+        self._query_candidates(supervised, primary)
+        report = demote(self._state, primary, self._next_term(supervised))
+        if report is None:
+            self._replace_primary(supervised, primary)
+            return
+        chosen = self._wait_for_successor(supervised, primary, report.mark)
+        if chosen is None:
+            chosen = choose_successor(self._query_candidates(supervised, primary)) or primary.id
+        self._appoint(supervised, chosen, primary, demoted=True)
+
+    def _wait_for_successor(
+        self, supervised: SupervisedService, primary: MemberEntry, primary_mark: Mark | None
+    ) -> str | None:
+        """Return a replica that has the primary's last entry, or None if none gets it in time."""
         deadline = self._state.now() + CATCH_UP_TIMEOUT
         while primary_mark is not None and self._state.now() < deadline:
-            chosen = choose_successor(
-                self._query_candidates(supervised.service, row.entry), primary_mark
-            )
+            candidates = self._query_candidates(supervised, primary)
+            chosen = choose_successor(candidates, primary_mark)
             if chosen is not None:
-                self._appoint(supervised, chosen, row.entry)
-                return
+                return chosen
             gevent.sleep(POLL_INTERVAL.total_seconds())
-        self._replace_primary(supervised, row.entry)
+        return None
--- a/packages/entry/bramleyrill_entry/_upstream.py
+++ b/packages/entry/bramleyrill_entry/_upstream.py
@@ -43,14 +43,14 @@
     """One connection to a member, used by one greenlet at a time.
 
     `state` is the session state that the member holds for the connection: values and prepared
-    statements. `last_answer_at` is the time of the last answer, and `in_transaction` whether a
-    transaction is open.
+    statements. `opened_at` is the time when the member accepted it, `last_answer_at` the time of
+    the last answer, and `in_transaction` whether a transaction is open.
     """
 
     def __init__(self, member: MemberEntry, sock: socket.socket, clock: Clock) -> None:
         self.member = member
         self.state = ConnectionState()
-        self.last_answer_at = clock.monotonic()
+        self.opened_at = self.last_answer_at = clock.monotonic()
         self.in_transaction = False
         self.closed = False
         self._sock = sock
@@ -84,6 +84,7 @@
         if not answer.succeeded:
             connection.close()
             raise RefusedByMemberError(answer)
+        connection.opened_at = clock.monotonic()
         return connection
 
     def execute(
--- a/packages/standins/bramleyrill_standins/prepared/_deployment.py
+++ b/packages/standins/bramleyrill_standins/prepared/_deployment.py
@@ -111,12 +111,17 @@
 class PreparedDeployment:
     """A platform, a group of three members and entry VMs.
 
+    Without `fenced_orders` the platform checks no fencing tokens, and a replaced primary goes on
+    until it is demoted.
+
     Example: `with PreparedDeployment(vms=2) as deployment: deployment.vms[0].caller_address`.
     """
 
-    def __init__(self, vms: int, consistency: str = "primary") -> None:
+    def __init__(self, vms: int, consistency: str = "primary", fenced_orders: bool = True) -> None:
         self.group = LineGroup(SERVICE, ["m1", "m2", "m3"])
-        self.platform = PreparedPlatform({SERVICE: self.group})
+        self.group.split = not fenced_orders
+        self.platform = PreparedPlatform({SERVICE: self.group}, checks_tokens=fenced_orders)
+        self._fenced_orders = fenced_orders
         self._consistency = consistency
         self._unlisted: set[str] = set()
         self._vm_count = vms
@@ -231,6 +236,7 @@
             "platform": f"{platform[0]}:{platform[1]}",
             "duties": f"{platform[0]}:{platform[1]}",
             "grace_s": GRACE_S,
+            "fenced_orders": self._fenced_orders,
             "max_descriptors": 1024,
         }
 
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -41,7 +41,9 @@
     While `silent` is set, the member answers nothing. `failing` makes reads fail and
     `failing_writes` makes writes fail. With `lose_answers` it runs statements and closes the
     connection instead of answering. `lag` is the replication delay, `statement_time` the time that
-    a statement takes. `controls` records the verbs of the commands that set connections up; a
+    a statement takes. `deposed_term` is the term that a replaced primary still leads in its own
+    view, and `fenced_term` the term with which a replica was fenced; both are 0 otherwise.
+    `controls` records the verbs of the commands that set connections up; a
     command whose verb is `refused_control` fails.
     """
 
@@ -55,6 +57,8 @@
         self.lose_answers = False
         self.lag = NO_DELAY
         self.statement_time = NO_DELAY
+        self.deposed_term = 0
+        self.fenced_term = 0
         self.refused_control = ""
         self.controls: list[str] = []
         self.connections = 0
@@ -80,13 +84,23 @@
 
     @property
     def is_primary(self) -> bool:
-        """Return whether the member is the primary."""
-        return self.group.primary is self
+        """Return whether the member leads in its own view."""
+        return self.group.primary is self or bool(self.deposed_term)
+
+    @property
+    def term(self) -> int:
+        """Return the newest term that the member knows."""
+        return self.deposed_term or self.group.term
 
     @property
     def position(self) -> tuple[int, int]:
-        """Return the group's term and the number of the last entry in the log."""
-        return self.group.term, len(self.log)
+        """Return the member's term and the number of the last entry in the log."""
+        return self.term, len(self.log)
+
+    def follow(self) -> None:
+        """Become a replica of the group's primary, with its log."""
+        self.deposed_term = 0
+        self.log = list(self.group.primary.log)
 
     def stop(self) -> None:
         """Close all connections and refuse new ones."""
@@ -111,7 +125,9 @@
 class LineGroup:
     """A primary and its replicas; `history` has all commits, also those that were rolled back.
 
-    Example: `group = LineGroup("pieces", ["m1", "m2"])`, then `group.promote("m2")`.
+    With `split`, a primary that is replaced goes on in its old term until it is demoted, as if it
+    were cut off from its successor. Example: `group = LineGroup("pieces", ["m1", "m2"])`, then
+    `group.promote("m2")`.
     """
 
     def __init__(self, service: str, names: Iterable[str], max_connections: int = 16) -> None:
@@ -123,34 +139,57 @@
         self.members_by_name = {name: LineMember(self, name) for name in names}
         self.primary: LineMember | None = next(iter(self.members_by_name.values()))
         self.changed = Event()
+        self.split = False
 
     def promote(self, name: str) -> None:
         """Make a member the primary of the next term; the others drop entries that it lacks."""
         member = self.members_by_name[name]
         if member is self.primary:
             return
-        for entry in self.primary.log[len(member.log) :]:
-            entry.rolled_back = True
+        if self.primary is not None:
+            for entry in self.primary.log[len(member.log) :]:
+                entry.rolled_back = True
+        if self.split and self.primary is not None:
+            self.primary.deposed_term = self.term
         self.term += 1
         self.primary = member
+        member.fenced_term = 0
         for other in self.members_by_name.values():
-            other.log = list(member.log)
-
-    def commit(self, data: dict[str, str]) -> None:
-        """Append an entry to the primary's log, and to each replica's after its lag."""
-        entry = Entry(self.term, data)
+            if not other.deposed_term:
+                other.log = list(member.log)
+
+    def demote(self, member: LineMember) -> None:
+        """Make a member a replica; without another primary the group has none then."""
+        if self.primary is member:
+            self.primary = None
+        elif member.deposed_term:
+            member.follow()
+
+    def commit(self, data: dict[str, str], member: LineMember | None = None) -> None:
+        """Append an entry to the primary's log, and to each replica's after its lag.
+
+        The entries of a deposed primary, given as `member`, stay with it.
+        """
+        member = member or self.primary
+        entry = Entry(member.term, data)
         self.history.append(entry)
-        self.primary.log.append(entry)
+        member.log.append(entry)
+        if member is not self.primary:
+            entry.rolled_back = True
+            return
         length = len(self.primary.log)
-        for member in self.members_by_name.values():
-            if member is not self.primary:
-                lag_s = member.lag.total_seconds()
-                gevent.spawn_later(lag_s, self._replicate, member, self.term, length)
+        for replica in self.members_by_name.values():
+            if replica is not self.primary and not replica.deposed_term:
+                lag_s = replica.lag.total_seconds()
+                gevent.spawn_later(lag_s, self._replicate, member, replica, length)
+
+    def _replicate(self, source: LineMember, replica: LineMember, length: int) -> None:
+        """Extend a replica's log to the first `length` entries of the source's.
 
-    def _replicate(self, member: LineMember, term: int, length: int) -> None:
-        """Extend a replica's log to `length` entries unless the term has changed meanwhile."""
-        if term == self.term:
-            member.log.extend(self.primary.log[len(member.log) : length])
+        Does nothing if the replica is fenced, or if another member was promoted meanwhile.
+        """
+        if self.primary in (source, None) and not replica.fenced_term:
+            replica.log.extend(source.log[len(replica.log) : length])
 
     def runs_of(self, statement_id: str) -> list[Run]:
         """Return the recorded runs of a statement."""
@@ -235,7 +274,7 @@
         if not words and not self.member.is_primary:
             return ["ERROR READONLY replica"]
         self.state, self.plain = "T", not words
-        self.term = self.member.group.term
+        self.term = self.member.term
         return ["COMPLETE -"]
 
     def _rollback(self, _words: list[str]) -> list[str]:
@@ -245,11 +284,11 @@
 
     def _commit(self, _words: list[str]) -> list[str]:
         self.state = "I"
-        if self.pending and (not self.member.is_primary or self.term != self.member.group.term):
+        if self.pending and (not self.member.is_primary or self.term != self.member.term):
             self.pending.clear()
             return ["ERROR READONLY replaced"]
         if self.pending:
-            self.member.group.commit(dict(self.pending))
+            self.member.group.commit(dict(self.pending), self.member)
         self.pending.clear()
         return [f"COMPLETE s{next(_signatures)}"]
 
@@ -273,12 +312,12 @@
         if self.state == "T":
             self.pending[words[0]] = " ".join(words[1:])
         else:
-            self.member.group.commit({words[0]: " ".join(words[1:])})
+            self.member.group.commit({words[0]: " ".join(words[1:])}, self.member)
         return [f"COMPLETE s{next(_signatures)}"]
 
     def _primary_changed(self) -> bool:
         """Return whether the term has changed since a plain transaction began."""
-        return self.state == "T" and self.plain and self.term != self.member.group.term
+        return self.state == "T" and self.plain and self.term != self.member.term
 
     def _fail(self) -> list[str]:
         self.state = "E" if self.state == "T" else "I"
@@ -306,7 +345,19 @@
     def _status(self, _words: list[str]) -> list[str]:
         role = "primary" if self.member.is_primary else "replica"
         term, number = self.member.position
-        return [f"ROW {role} {term} {term}.{number} 0 0 0 {self.member.connections}", "COMPLETE -"]
+        fields = f"{role} {term} {term}.{number} {self.member.fenced_term} 0 0"
+        return [f"ROW {fields} {self.member.connections}", "COMPLETE -"]
+
+    def _pause(self, words: list[str]) -> list[str]:
+        if self.member.is_primary or int(words[0]) <= self.member.term:
+            return ["ERROR MALFORMED not a replica of a lower term"]
+        self.member.fenced_term = int(words[0])
+        return self._status([])
+
+    def _demote(self, words: list[str]) -> list[str]:
+        if int(words[0]) > self.member.term:
+            self.member.group.demote(self.member)
+        return self._status([])
 
     def _position(self) -> str:
         term, number = self.member.position
--- a/packages/standins/bramleyrill_standins/prepared/_store.py
+++ b/packages/standins/bramleyrill_standins/prepared/_store.py
@@ -34,14 +34,16 @@
     """HTTP server with objects by kind and name under one revision counter, and the failover call.
 
     While `unavailable` is set, every call is answered with 503. With `lose_answers`, writes take
-    effect but the connection is closed without an answer. `appointments` records successful
-    failover calls as (service, member, lease holder, fencing token).
+    effect but the connection is closed without an answer. With `checks_tokens`, an order with a
+    lower fencing token than an earlier one is refused. `appointments` records successful failover
+    calls as (service, member, lease holder, fencing token).
     """
 
     groups_by_service: dict[str, LineGroup] = field(factory=dict)
     revision: int = 1
     unavailable: bool = False
     lose_answers: bool = False
+    checks_tokens: bool = True
     appointments: list[tuple[str, str, str, int]] = field(factory=list)
     _objects: dict[tuple[str, str], _StoredObject] = field(factory=dict)
     _history: list[tuple[int, str, _StoredObject, bool]] = field(factory=list)
@@ -183,7 +185,7 @@
         holder = environ["HTTP_BRAMLEYRILL_LEASE_HOLDER"]
         service, member = body["backend"], body["id"]
         tokens = [appointment[3] for appointment in self.appointments if appointment[0] == service]
-        if tokens and token < max(tokens):
+        if self.checks_tokens and tokens and token < max(tokens):
             return 409, {}
         group = self.groups_by_service[service]
         if not group.members_by_name[member].running:
--- /dev/null
+++ b/tests/entry/test_permits.py
@@ -0,0 +1,282 @@
+"""Permits for primaries that do not notice that they were replaced, against stand-ins."""
+
+import contextlib
+import unittest
+from datetime import timedelta
+from unittest import mock
+
+import gevent
+from bramleyrill_base import ManualClock
+from bramleyrill_core.catalog import MemberState
+from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
+from bramleyrill_core.permits import LONGEST_PERMIT
+from bramleyrill_entry import _fence, _supervisor
+from bramleyrill_entry._executor import Executor
+from bramleyrill_entry._permits import PermitKeeper
+from bramleyrill_entry._run_request import Opens, RunProblem
+from bramleyrill_entry._schedulers import MemberSchedulers
+from bramleyrill_entry._supervisor import SupervisedService, Supervisor
+from bramleyrill_platform import AppointResult, DutyClient, StoreClient
+from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
+
+from tests.entry.builders import SERVICE, make_state, member_entry, request
+from tests.entry.platform_thread import PlatformThread
+from tests.entry.test_supervisor import LocalNet
+
+TEN_SECONDS = timedelta(seconds=10)
+
+
+class PermitCase(unittest.TestCase):
+    """A VM on a platform that does not check fencing tokens, with a clock that tests advance."""
+
+    def setUp(self):
+        self.group = LineGroup(SERVICE, ["m1", "m2", "m3"])
+        self.group.split = True
+        self.addCleanup(self.group.close)
+        self.platform = PreparedPlatform({SERVICE: self.group}, checks_tokens=False)
+        thread = PlatformThread(self.platform)
+        self.addCleanup(thread.close)
+        self.state = make_state(self.group, fenced_orders=False)
+        self.state.clock = ManualClock()
+        self.store = StoreClient(thread.address)
+        self.permits = PermitKeeper(self.state, self.store)
+        self.addCleanup(self.permits.close)
+        self.schedulers = MemberSchedulers(self.state, self.permits)
+        self.addCleanup(self.schedulers.close)
+        self.duties = DutyClient(thread.address)
+
+    def run_at(self, member, text, statement_id="q1", **changes):
+        return self.schedulers.run("vm1", request(text, member, statement_id, **changes))
+
+    def record_order(self, member):
+        self.platform.put(KIND_DUTIES, SERVICE, DutyRecord("vm9", 4, member).to_value())
+
+    def expire_permits(self):
+        self.state.clock.advance(LONGEST_PERMIT)
+
+
+class WriteTest(PermitCase):
+    def test_write_at_the_primary_is_served(self):
+        self.assertTrue(self.run_at("m1", "WRITE a 1").answer.succeeded)
+
+    def test_replaced_primary_gets_no_write(self):
+        """A VM on its side of a cut went on committing there, and the entries were lost."""
+        self.run_at("m1", "WRITE a 1", "q0")
+        self.record_order("m2")
+        self.group.promote("m2")
+        self.expire_permits()
+        self.assertIs(self.run_at("m1", "WRITE b 2").problem, RunProblem.NO_PERMIT)
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def test_replaced_primary_serves_no_read_and_proves_nothing(self):
+        """Its answers counted as proof that reads there, and at its replicas, were fresh."""
+        self.record_order("m2")
+        self.group.promote("m2")
+        self.assertIs(self.run_at("m1", "READ a").problem, RunProblem.NO_PERMIT)
+        scheduler = self.schedulers.scheduler_for("m1")
+        self.assertIs(scheduler.prove(), RunProblem.NO_PERMIT)
+        self.assertIsNone(self.state.proofs.history_of(SERVICE).newest)
+
+    def test_write_that_outlives_its_permit_has_an_unknown_outcome(self):
+        """A holder that was suspended while the write ran must not acknowledge it."""
+        self.group.primary.statement_time = timedelta(milliseconds=100)
+        write = gevent.spawn(self.run_at, "m1", "WRITE a 1")
+        while not self.group.runs_of("q1"):
+            gevent.sleep(0.01)
+        self.record_order("m2")
+        self.expire_permits()
+        self.assertIs(write.get().problem, RunProblem.LOST)
+
+    def test_slow_write_is_acknowledged_with_a_new_permit(self):
+        self.group.primary.statement_time = timedelta(milliseconds=100)
+        write = gevent.spawn(self.run_at, "m1", "WRITE a 1")
+        while not self.group.runs_of("q1"):
+            gevent.sleep(0.01)
+        self.expire_permits()
+        self.assertTrue(write.get().answer.succeeded)
+
+    def test_commit_without_a_permit_is_not_sent(self):
+        """The caller is told that the transaction was rolled back, so it must be."""
+        opened = self.run_at("m1", "WRITE a 1", transaction_id=7, opens=Opens.READ_WRITE)
+        self.assertTrue(opened.transaction_open)
+        self.record_order("m2")
+        self.expire_permits()
+        commit = self.run_at("m1", "COMMIT", "q2", transaction_id=7)
+        self.assertIs(commit.problem, RunProblem.NO_EXCHANGE)
+        self.assertEqual(self.group.runs_of("q2"), [])
+        self.assertEqual(self.group.members_by_name["m1"].log, [])
+
+    def test_commit_that_outlives_its_permit_has_an_unknown_outcome(self):
+        self.run_at("m1", "WRITE a 1", transaction_id=7, opens=Opens.READ_WRITE)
+        self.group.primary.statement_time = timedelta(milliseconds=100)
+        commit = gevent.spawn(self.run_at, "m1", "COMMIT", "q2", transaction_id=7)
+        while not self.group.runs_of("q2"):
+            gevent.sleep(0.01)
+        self.record_order("m2")
+        self.expire_permits()
+        self.assertIs(commit.get().problem, RunProblem.LOST)
+
+    def test_successor_is_used_at_once(self):
+        self.record_order("m2")
+        self.group.promote("m2")
+        self.assertTrue(self.run_at("m2", "WRITE a 1").answer.succeeded)
+
+    def test_malformed_record_covers_nothing_and_the_replicas_are_asked(self):
+        self.platform.put(KIND_DUTIES, SERVICE, {"holder": 7})
+        self.expire_permits()
+        self.assertTrue(self.run_at("m1", "WRITE a 1").answer.succeeded)
+        self.group.members_by_name["m3"].stop()
+        self.expire_permits()
+        self.assertIs(self.run_at("m1", "WRITE b 2").problem, RunProblem.NO_PERMIT)
+
+
+class StoreAwayTest(PermitCase):
+    def setUp(self):
+        super().setUp()
+        self.platform.unavailable = True
+
+    def test_replicas_carry_the_permit(self):
+        """The store may be away for long, and writes must go on meanwhile."""
+        self.assertTrue(self.run_at("m1", "WRITE a 1").answer.succeeded)
+
+    def test_one_replica_out_of_reach_ends_the_permit(self):
+        """The supervisor may have fenced just that one."""
+        self.group.members_by_name["m3"].stop()
+        self.assertIs(self.run_at("m1", "WRITE a 1").problem, RunProblem.NO_PERMIT)
+
+    def test_fenced_replica_ends_the_permit(self):
+        self.group.members_by_name["m3"].fenced_term = 2
+        self.assertIs(self.run_at("m1", "WRITE a 1").problem, RunProblem.NO_PERMIT)
+
+    def test_replica_in_the_lead_is_learned_as_the_primary(self):
+        """A VM that cannot reach the store or its peers learns of the change from the members."""
+        self.group.promote("m2")
+        self.assertIs(self.run_at("m1", "WRITE a 1").problem, RunProblem.NO_PERMIT)
+        self.assertEqual(self.state.members.primary_of(SERVICE).entry.id, "m2")
+
+
+class OrderTest(PermitCase):
+    def setUp(self):
+        super().setUp()
+        net = LocalNet(self.state, self.schedulers)
+        executor = Executor(net, self.schedulers)
+        self.supervisor = Supervisor(
+            self.state, net, self.schedulers, executor, self.store, self.duties, self.permits
+        )
+        self.state.clock.advance(TEN_SECONDS)
+        self.supervised = SupervisedService(SERVICE, DutyView(), timedelta(), member="m1")
+
+    def supervise(self):
+        """Run one check; return the number of seconds that it waited for permits to expire."""
+        with self.counted_waits() as waits:
+            self.supervisor._supervise(self.supervised)
+        return sum(waits)
+
+    @contextlib.contextmanager
+    def counted_waits(self):
+        """Record each wait of a fence, and advance the clock instead."""
+        waits = []
+
+        def advance(seconds):
+            waits.append(seconds)
+            self.state.clock.advance(timedelta(seconds=seconds))
+
+        with mock.patch.object(_fence, "gevent", mock.Mock(wraps=gevent, sleep=advance)):
+            yield waits
+
+    def appointed(self):
+        return [appointment[1] for appointment in self.platform.appointments]
+
+    def replace_by_force(self, **changes):
+        """Let the supervisor replace a primary that answers neither it nor the other VMs."""
+        primary = member_entry(self.group, "m1")
+        with (
+            mock.patch.object(_fence, "demote", return_value=None),
+            mock.patch.object(_fence, "refuses_connections", return_value=False),
+            self.counted_waits() as waits,
+        ):
+            self.supervisor._replace_primary(self.supervised, primary)
+        return sum(waits)
+
+    def test_order_waits_until_every_permit_has_expired(self):
+        waited = self.replace_by_force()
+        self.assertGreaterEqual(waited, LONGEST_PERMIT.total_seconds())
+        self.assertEqual(len(self.appointed()), 1)
+
+    def test_writer_and_order_never_overlap(self):
+        """The last write that the old primary's holder acknowledges comes before the order."""
+        self.assertTrue(self.run_at("m1", "WRITE a 1", "q0").answer.succeeded)
+        self.replace_by_force()
+        self.assertIs(self.run_at("m1", "WRITE b 2").problem, RunProblem.NO_PERMIT)
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def test_successor_that_cannot_be_fenced_is_not_ordered(self):
+        """A VM without the store would get a new permit from it during the wait."""
+        for member in self.group.members_by_name.values():
+            member.refused_control = "PAUSE"
+        self.replace_by_force()
+        self.assertEqual(self.appointed(), [])
+
+    def test_primary_that_ended_is_replaced_without_the_wait(self):
+        self.group.members_by_name["m1"].stop()
+        self.assertEqual(self.supervise(), 0)
+        self.assertEqual(len(self.appointed()), 1)
+
+    def test_primary_that_was_demoted_is_replaced_without_the_wait(self):
+        primary = member_entry(self.group, "m1")
+        self.supervisor._replace_primary(self.supervised, primary)
+        self.assertEqual(len(self.appointed()), 1)
+        self.assertFalse(self.group.members_by_name["m1"].is_primary)
+
+    def test_primary_with_too_many_connections_is_not_replaced(self):
+        """Cut-off VMs that dial it directly fill its limit; it lives and serves the others."""
+        self.group.max_connections = 0
+        self.supervise()
+        self.assertEqual(self.appointed(), [])
+
+    def test_order_of_another_vm_is_completed_before_a_new_one(self):
+        """A platform that checks no tokens may execute the earlier order after the new one."""
+        self.group.members_by_name["m3"].lag = TEN_SECONDS
+        self.assertTrue(self.run_at("m1", "WRITE a 1").answer.succeeded)
+        self.record_order("m3")
+        self.supervised.duty.update(DutyRecord("vm9", 4, "m3"), 2, timedelta())
+        self.supervised.duty.revision = self.store.get(KIND_DUTIES, SERVICE).revision
+        self.replace_by_force()
+        self.assertEqual(self.appointed(), ["m3"])
+
+    def test_no_order_after_the_lease(self):
+        """The next holder may have given its order, and a lower token must not follow it."""
+        orders = []
+
+        def lose_answer(*order):
+            orders.append(order)
+            self.state.clock.advance(DUTY_LEASE)
+            return AppointResult.UNANSWERED
+
+        with (
+            mock.patch.object(self.duties, "appoint", lose_answer),
+            mock.patch.object(_supervisor, "APPOINT_RETRY_PAUSE", timedelta()),
+        ):
+            self.replace_by_force()
+        self.assertEqual(len(orders), 1)
+
+    def test_repeated_order_in_a_new_lease_gets_a_new_token(self):
+        """The record must change, or other VMs would see the lease expire."""
+        with mock.patch.object(self.duties, "appoint", lambda *_: AppointResult.REFUSED):
+            self.replace_by_force()
+            first = self.platform.value(KIND_DUTIES, SERVICE)
+            self.state.clock.advance(DUTY_LEASE)
+            self.replace_by_force()
+        second = self.platform.value(KIND_DUTIES, SERVICE)
+        self.assertEqual(first["member"], second["member"])
+        self.assertGreater(second["token"], first["token"])
+
+    def test_planned_change_demotes_the_primary_and_loses_no_entry(self):
+        """Permits of other VMs outlast the pause of new work at the holder."""
+        for name in ("m2", "m3"):
+            self.group.members_by_name[name].lag = timedelta(milliseconds=60)
+        self.run_at("m1", "WRITE a 1")
+        self.state.members.put(member_entry(self.group, "m1", MemberState.DRAINING, revision=9))
+        self.assertEqual(self.supervise(), 0)
+        self.assertFalse(self.group.members_by_name["m1"].is_primary)
+        self.assertEqual([entry.data for entry in self.group.primary.log], [{"a": "1"}])
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -50,6 +50,14 @@
         for name in ("id", "grace_s", "platform", "seed_peers"):
             self.assertIn(f" {name}: ", "\n".join(lines))
 
+    def test_missing_flag_has_the_safe_value(self):
+        """A platform that does not say whether it checks fencing tokens may not do so."""
+        self.assertFalse(self.load(VALID_VALUES).fenced_orders)
+        self.assertFalse(self.load(VALID_VALUES | {"fenced_orders": None}).fenced_orders)
+        self.assertTrue(self.load(VALID_VALUES | {"fenced_orders": True}).fenced_orders)
+        with self.assertRaises(SettingsError):
+            self.load(VALID_VALUES | {"fenced_orders": "yes"})
+
     def test_file_that_is_not_a_mapping(self):
         for text in ("- a\n", "{", ""):
             with self.assertRaises(SettingsError):
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -6,12 +6,12 @@
 
 import gevent
 from bramleyrill_core.catalog import MemberState
-from bramleyrill_core.leadership import DUTY_LEASE, DutyRecord, DutyView
+from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
 from bramleyrill_entry import _supervisor
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._run_request import Opens
 from bramleyrill_entry._schedulers import MemberSchedulers
-from bramleyrill_entry._supervisor import KIND_DUTIES, SupervisedService, Supervisor
+from bramleyrill_entry._supervisor import SupervisedService, Supervisor
 from bramleyrill_platform import DutyClient, StoreClient
 from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
 
--- /dev/null
+++ b/tests/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the evidence that permits are based on."""
--- a/tests/processes/test_prepared.py
+++ b/tests/processes/test_prepared.py
@@ -13,9 +13,11 @@
 
 class PreparedCase(unittest.TestCase):
     vms = 2
+    fenced_orders = True
 
     def setUp(self):
-        self.deployment = self.enterContext(PreparedDeployment(self.vms))
+        deployment = PreparedDeployment(self.vms, fenced_orders=self.fenced_orders)
+        self.deployment = self.enterContext(deployment)
         self.group = self.deployment.group
 
     def caller(self, vm=0):
@@ -69,6 +71,30 @@
         return caller.opening_answer.startswith("READY")
 
 
+class PermitTest(PreparedCase):
+    fenced_orders = False
+
+    def test_primary_that_ended_is_replaced(self):
+        """The permits of both VMs must follow the change, also without any other traffic."""
+        caller = self.caller()
+        caller.ask("WRITE bowl gold")
+        gevent.sleep(0.05)
+        lost = self.group.primary.name
+        self.deployment.stop_member(lost)
+        self.ask_until_served(caller, "WRITE bowl lacquer")
+        self.assertNotEqual(self.group.primary.name, lost)
+        self.assertEqual(self.caller(1).ask("READ bowl")[0], "ROW lacquer")
+
+    def test_store_that_is_away_does_not_stop_writes(self):
+        """The replicas carry the permits while the store cannot be asked."""
+        caller = self.caller()
+        caller.ask("WRITE bowl gold")
+        self.deployment.platform.unavailable = True
+        gevent.sleep(1.5)
+        self.ask_until_served(caller, "WRITE bowl lacquer")
+        self.assertEqual(self.caller(1).ask("READ bowl")[0], "ROW lacquer")
+
+
 class FaultTest(PreparedCase):
     def test_killed_vm_does_not_stop_the_others(self):
         """Any of the VMs may be the holder of the primary."""
