Leave idle connections to a member's holder

Cause: a VM that started first, or found the holder unreachable for a moment, served the member in its place and kept the connections until they had been idle for 20 s, or for as long as the member allowed. Change: idle connections of a member that is held elsewhere are closed after 0.5 s. The new test fails without the change.

--- a/packages/entry/bramleyrill_entry/_pool.py
+++ b/packages/entry/bramleyrill_entry/_pool.py
@@ -107,6 +107,13 @@
         for _ in range(WARM_CONNECTIONS - self.size):
             self._start_dial()
 
+    def close_idle(self, unused_for: timedelta) -> None:
+        """Close the idle connections that were not used for this long."""
+        oldest_use = self._clock.monotonic() - unused_for
+        for connection in [idle for idle in self._idle if idle.last_answer_at < oldest_use]:
+            self._idle.remove(connection)
+            self.discard(connection)
+
     def close(self) -> None:
         """Close all connections and fail the leases that wait for one."""
         self._closed = True
--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -17,6 +17,9 @@
 # A VM of another failure domain is not normally the holder, so it uses only spare connections.
 REMOTE_DOMAIN_CONNECTIONS = 2
 MIN_CONNECTIONS = 2
+# A VM that used a member in place of its holder keeps idle connections only this long; they count
+# against the member's limit, and the holder needs them once it is back.
+MAX_IDLE_TIME_ELSEWHERE = timedelta(milliseconds=500)
 # How long a primary that started to drain still gets new work.
 DRAINING_PRIMARY_GRACE = timedelta(seconds=4)
 
@@ -76,7 +79,10 @@
             scheduler.tick()
 
     def maintain(self) -> None:
-        """Close the schedulers of removed members; keep connections of held members warm."""
+        """Close the schedulers of removed members, and idle connections of members held elsewhere.
+
+        Connections of members that this VM holds are kept warm.
+        """
         now = self._state.now()
         self._update_draining(now)
         for scheduler in list(self.by_member.values()):
@@ -88,10 +94,18 @@
         if self._state.stopping:
             return
         for row in self._state.members.members.rows():
-            if row.accepts_work and row.entry.domain == self._state.settings.domain:
-                holder = holder_candidates(self._state.vms, row.entry)[0]
-                if holder == self._state.vm:
-                    self.scheduler_for(row.entry.id).pool.maintain_connections()
+            if row.accepts_work and self._holds(row):
+                self.scheduler_for(row.entry.id).pool.maintain_connections()
+        for scheduler in self.by_member.values():
+            row = self._state.members.members.get(scheduler.member.id)
+            if row is not None and not self._holds(row):
+                scheduler.pool.close_idle(MAX_IDLE_TIME_ELSEWHERE)
+
+    def _holds(self, row: MemberRow) -> bool:
+        """Return whether this VM is the first choice as holder of a member of its domain."""
+        if row.entry.domain != self._state.settings.domain:
+            return False
+        return holder_candidates(self._state.vms, row.entry)[0] == self._state.vm
 
     def draining_for(self, member: str) -> timedelta:
         """Return how long ago the member was first seen draining; zero if it is not."""
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -241,6 +241,9 @@
         group = self.member.group
         if self.member.silent:
             Event().wait()
+        if len(fields) < 2:
+            # The connection was closed before its first message.
+            return False
         if fields[1] != group.service or (len(fields) > 3 and fields[3] != self.member.name):
             self._send("ERROR WRONGNODE other")
             return False
--- a/tests/entry/test_scheduler.py
+++ b/tests/entry/test_scheduler.py
@@ -7,13 +7,14 @@
 
 import gevent
 from bramleyrill_core import Mark
+from bramleyrill_core.placement import VmEntry, holder_candidates
 from bramleyrill_core.statements import AnswerCode, Prepared
-from bramleyrill_entry import _pool
+from bramleyrill_entry import _pool, _schedulers
 from bramleyrill_entry._run_request import Opens, RunProblem
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_standins.prepared import LineGroup
 
-from tests.entry.builders import SERVICE, make_state, request, statement
+from tests.entry.builders import DOMAIN, SERVICE, make_state, request, statement
 
 MS = timedelta(milliseconds=1)
 MAX_STALENESS = timedelta(seconds=2)
@@ -114,6 +115,46 @@
         self.assertTrue(self.run_at("m1", "WRITE b 2").answer.succeeded)
 
 
+class HeldElsewhereTest(SchedulerTest):
+    """A VM that started first served a member in place of its holder, and kept the connections.
+
+    The holder then met the member's connection limit until they had been idle for 20 s.
+    """
+
+    def connections_after_upkeep(self):
+        self.schedulers.maintain()
+        gevent.sleep(0.02)
+        return self.group.members_by_name["m1"].connections
+
+    def test_idle_connections_are_left_to_the_holder(self):
+        self.run_at("m1", "WRITE a 1")
+        self.state.vms.update_all(
+            [VmEntry(f"vm{number}", DOMAIN, ("127.0.0.1", 1), 1) for number in range(2, 30)],
+            self.state.now(),
+        )
+        self.assertNotEqual(holder_candidates(self.state.vms, self.row().entry)[0], "vm1")
+        with mock.patch.object(_schedulers, "MAX_IDLE_TIME_ELSEWHERE", timedelta()):
+            self.assertEqual(self.connections_after_upkeep(), 0)
+
+    def test_connection_in_use_stays(self):
+        self.open_transaction("m1", "WRITE a 1")
+        self.state.vms.update_all(
+            [VmEntry(f"vm{number}", DOMAIN, ("127.0.0.1", 1), 1) for number in range(2, 30)],
+            self.state.now(),
+        )
+        with mock.patch.object(_schedulers, "MAX_IDLE_TIME_ELSEWHERE", timedelta()):
+            self.assertEqual(self.connections_after_upkeep(), 1)
+        self.assertTrue(self.run_at("m1", "COMMIT", transaction_id=7).answer.succeeded)
+
+    def test_holder_keeps_its_connections(self):
+        self.run_at("m1", "WRITE a 1")
+        with mock.patch.object(_schedulers, "MAX_IDLE_TIME_ELSEWHERE", timedelta()):
+            self.assertGreater(self.connections_after_upkeep(), 0)
+
+    def row(self):
+        return self.state.members.members.get("m1")
+
+
 class ConnectionTest(SchedulerTest):
     def test_values_of_one_session_do_not_reach_the_next(self):
         self.run_at("m1", "WRITE a 1", values={"zone": "utc"})
--- a/tests/holder/fakes.py
+++ b/tests/holder/fakes.py
@@ -52,8 +52,10 @@
         self.open += 1
         try:
             reader = sock.makefile("rb")
-            (length,) = struct.unpack("!i", reader.read(4))
-            reader.read(length - 4)
+            start = reader.read(4)
+            if len(start) < 4:
+                return
+            reader.read(struct.unpack("!i", start)[0] - 4)
             key = pg.backend_key_data(number, 1)
             sock.sendall(pg.AUTHENTICATION_OK + key + pg.ready_for_query(b"I"))
             while header := reader.read(5):
