Start with fewer imports, and let few VMs of a domain watch the store

Cause: a start took 0.36 s of processor time beyond the interpreter, most of it imports: the thrift file was parsed (0.07 s), urllib3, PyYAML, statsd, prometheus_client and returns were loaded, and the core's top package loaded the text, the world and the membership of the PostgreSQL path.

Two VMs of a domain watch the store with the longest wait; the others pull what is newer from their peers, and watch themselves if no peer answers for 3 s. Peers send only what the puller lacks.

--- a/packages/base/bramleyrill_base/__init__.py
+++ b/packages/base/bramleyrill_base/__init__.py
@@ -10,8 +10,8 @@
     answer_for,
     is_not_run,
 )
+from bramleyrill_base._lazy import lazy_attributes
 from bramleyrill_base._logs import configure_logging, log_event
-from bramleyrill_base._metrics import Metrics, NullMetrics, StatsdMetrics
 from bramleyrill_base._registry import Registry
 from bramleyrill_base._table import Table
 
@@ -32,5 +32,16 @@
     "answer_for",
     "configure_logging",
     "is_not_run",
+    "lazy_attributes",
     "log_event",
 ]
+
+# Only the PostgreSQL path sends its metrics with statsd.
+__getattr__ = lazy_attributes(
+    globals(),
+    {
+        "Metrics": "bramleyrill_base._metrics",
+        "NullMetrics": "bramleyrill_base._metrics",
+        "StatsdMetrics": "bramleyrill_base._metrics",
+    },
+)
--- a/packages/core/bramleyrill_core/admission/__init__.py
+++ b/packages/core/bramleyrill_core/admission/__init__.py
@@ -1,14 +1,8 @@
 """Admission control by rank: which request gets a slot, which waits and which is refused."""
 
-from bramleyrill_core.admission._policies import policy_for_member, policy_for_vm
+from bramleyrill_base import lazy_attributes
+
 from bramleyrill_core.admission._queue import AdmissionQueue
-from bramleyrill_core.admission._simulation import (
-    FloodPlan,
-    FloodResult,
-    RankResult,
-    format_flood_results,
-    simulate_flood,
-)
 from bramleyrill_core.admission._stages import MemberAdmission, max_start_delay
 from bramleyrill_core.admission._values import (
     AdmissionPolicy,
@@ -39,3 +33,17 @@
     "max_start_delay",
     "format_flood_results",
 ]
+
+# Policies are derived from the text, and floods are simulated by commands and tests only.
+__getattr__ = lazy_attributes(
+    globals(),
+    {
+        "FloodPlan": "bramleyrill_core.admission._simulation",
+        "FloodResult": "bramleyrill_core.admission._simulation",
+        "RankResult": "bramleyrill_core.admission._simulation",
+        "format_flood_results": "bramleyrill_core.admission._simulation",
+        "policy_for_member": "bramleyrill_core.admission._policies",
+        "policy_for_vm": "bramleyrill_core.admission._policies",
+        "simulate_flood": "bramleyrill_core.admission._simulation",
+    },
+)
--- a/packages/core/bramleyrill_core/membership/__init__.py
+++ b/packages/core/bramleyrill_core/membership/__init__.py
@@ -5,7 +5,6 @@
     holder_of,
     holders_of,
     live_vms,
-    rendezvous_order,
 )
 from bramleyrill_core.membership._messages import (
     HeartbeatAcked,
@@ -48,5 +47,4 @@
     "holder_of",
     "holders_of",
     "live_vms",
-    "rendezvous_order",
 ]
--- a/packages/core/bramleyrill_core/membership/_holders.py
+++ b/packages/core/bramleyrill_core/membership/_holders.py
@@ -1,8 +1,8 @@
 """Choice of holders by rendezvous hashing over the live VMs."""
 
-import xxhash
 from attrs import define
 
+from bramleyrill_core._rendezvous import rendezvous_weight
 from bramleyrill_core._values import DatabaseId, MemberId, VmId
 from bramleyrill_core._world import World
 from bramleyrill_core.membership._view import MembershipTables, view_of
@@ -19,15 +19,6 @@
     return sorted(vm for live in live_by_domain.values() for vm in live)
 
 
-def rendezvous_order(key: str, vms: list[VmId]) -> list[VmId]:
-    """Return `vms` in the order of their rendezvous weight for `key`, the first choice first."""
-    return sorted(vms, key=lambda vm: (-_weight(vm, key), vm))
-
-
-def _weight(vm: VmId, key: str) -> int:
-    return xxhash.xxh64_intdigest(f"{vm}|{key}".encode())
-
-
 def holder_of(world: World, member: MemberId) -> VmId | None:
     """Return the VM that should hold the pooled connections to `member`, or None.
 
@@ -46,7 +37,7 @@
         if live and cached.version >= 0 and _apply_changes(tables, cached, member, version):
             return cached.vm
     vms = live or [vm for others in tables.live_by_domain.values() for vm in others]
-    weight, vm = max(((_weight(vm, member), vm) for vm in vms), default=(0, None))
+    weight, vm = max(((rendezvous_weight(vm, member), vm) for vm in vms), default=(0, None))
     _cache_holder(tables, member, _CachedHolder(domain, version, weight, vm))
     return vm
 
@@ -82,8 +73,12 @@
         if vm == cached.vm:
             return False
         live = tables.live_by_domain[cached.domain]
-        if added and vm in live and (_weight(vm, member), vm) > (cached.weight, cached.vm):
-            cached.weight, cached.vm = _weight(vm, member), vm
+        if (
+            added
+            and vm in live
+            and (rendezvous_weight(vm, member), vm) > (cached.weight, cached.vm)
+        ):
+            cached.weight, cached.vm = rendezvous_weight(vm, member), vm
     cached.version = version
     return True
 
--- a/packages/core/bramleyrill_core/placement/_holders.py
+++ b/packages/core/bramleyrill_core/placement/_holders.py
@@ -4,23 +4,32 @@
 members enforce their limits. Agreement only keeps the number of connections to a member low.
 """
 
+from datetime import timedelta
+
+from bramleyrill_core._rendezvous import rendezvous_order
 from bramleyrill_core._values import VmId
 from bramleyrill_core.catalog._model import MemberEntry
-from bramleyrill_core.membership._holders import rendezvous_order
 from bramleyrill_core.placement._vms import VmEntry, VmTable
 
-# Number of VMs per failure domain whose watch calls to the platform wait only a short time for
-# changes. From them the other VMs learn that their own connection to it no longer answers.
-CLOSE_WATCHERS = 2
+# Number of VMs per failure domain that watch the platform; the others learn from their peers. Two,
+# so that the domain is served while the platform turns one away.
+WATCHERS_PER_DOMAIN = 2
+# A VM without an answer of a peer for this long watches the platform itself.
+ISOLATED_AFTER_SILENCE = timedelta(seconds=3)
 # A VM that finds this many first candidates of a member unusable is assumed to be cut off from
 # that domain. Trying the others one by one would cost its callers a timeout for each.
 ISOLATED_AFTER_UNUSABLE = 3
 
 
-def watches_closely(vms: VmTable) -> bool:
-    """Return whether this VM is one of its domain's CLOSE_WATCHERS of the platform."""
+def watches_platform(vms: VmTable, now: timedelta) -> bool:
+    """Return whether this VM watches the platform, as one of its domain's or because it is alone.
+
+    This answers the load of many VMs: each change is delivered to a few of them only.
+    """
     same_domain = [VmId(vm.id) for vm in vms.usable() if vm.domain == vms.own.domain]
-    return VmId(vms.own.id) in rendezvous_order("watch", same_domain)[:CLOSE_WATCHERS]
+    if VmId(vms.own.id) in rendezvous_order("watch", same_domain)[:WATCHERS_PER_DOMAIN]:
+        return True
+    return all(now - row.last_answer_at > ISOLATED_AFTER_SILENCE for row in vms.not_leaving())
 
 
 def holder_candidates(vms: VmTable, member: MemberEntry) -> list[str]:
--- a/packages/core/bramleyrill_core/succession/_tables.py
+++ b/packages/core/bramleyrill_core/succession/_tables.py
@@ -5,9 +5,10 @@
 from attrs import define, field
 from bramleyrill_base import Table
 
+from bramleyrill_core._rendezvous import rendezvous_order
 from bramleyrill_core._values import DatabaseId, MemberId, MemberRole, MemberStatus, VmId
 from bramleyrill_core._world import World
-from bramleyrill_core.membership import MembershipTables, holders_of, rendezvous_order
+from bramleyrill_core.membership import MembershipTables, holders_of
 from bramleyrill_core.permits import Permit
 from bramleyrill_core.succession._change import Change
 from bramleyrill_core.succession._terms import Spans
--- a/packages/entry/bramleyrill_entry/__init__.py
+++ b/packages/entry/bramleyrill_entry/__init__.py
@@ -1,8 +1,12 @@
 """The proxy process on the users' prepared platform: gevent I/O around the core."""
 
+import gc
+
 
 def main() -> None:
     """Run the process with the settings file named by the environment."""
+    # Imports create many objects that stay, so collections during the start find nothing.
+    gc.disable()
     from bramleyrill_entry._listen import open_listeners
     from bramleyrill_entry._settings import SettingsError, settings_from_environment
 
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -18,8 +18,11 @@
 PING_INTERVAL = timedelta(milliseconds=500)
 PING_TIMEOUT = timedelta(milliseconds=900)
 PULL_TIMEOUT = timedelta(seconds=2)
-# Time for the platform to deliver what a peer already has, before it is pulled from the peer.
+# Time for the platform to deliver what a peer already has, before a VM that watches the platform
+# pulls it from the peer.
 BEHIND_GRACE = timedelta(seconds=1)
+# The other VMs pull within this time at random, so that they do not load one peer all at once.
+FOLLOWER_GRACE = timedelta(milliseconds=100)
 # Number of random VMs of this failure domain that are pinged each time.
 OWN_DOMAIN_PINGS = 2
 # Probability of pinging a VM of another failure domain; low because that traffic costs more.
@@ -91,15 +94,22 @@
     def handle_peer_versions(self, vm: str, version: int, members_revision: int) -> None:
         """Schedule a pull if a peer has a newer configuration or newer member entries.
 
-        The platform usually delivers both a moment later, and pulls of a large configuration by
-        every VM would load all of them. So a VM waits first unless it has no configuration yet.
+        A VM that watches the platform gets both from it a moment later, so it waits first unless it
+        has no configuration yet. The others pull soon.
         """
         if not self._is_behind(version, members_revision) or self._catching_up:
             return
         self._catching_up = True
-        pause = BEHIND_GRACE if self._state.catalog.version else timedelta()
+        pause = self._pause_before_pull()
         gevent.spawn_later(pause.total_seconds(), self._catch_up, vm, version, members_revision)
 
+    def _pause_before_pull(self) -> timedelta:
+        if not self._state.catalog.version:
+            return timedelta()
+        if self._state.watches_store:
+            return BEHIND_GRACE
+        return FOLLOWER_GRACE * random.random()
+
     def _is_behind(self, version: int, members_revision: int) -> bool:
         state = self._state
         return version > state.catalog.version or members_revision > state.members.revision
@@ -137,7 +147,15 @@
     def _pull(self, vm: str) -> None:
         """Fetch the configuration and the member entries of a VM; apply what is newer."""
         try:
-            push = self._net.call(vm, lambda call: frames.CatalogPull(call=call), PULL_TIMEOUT)
+            push = self._net.call(
+                vm,
+                lambda call: frames.CatalogPull(
+                    call=call,
+                    catalog_version=self._state.catalog.version,
+                    members_revision=self._state.members.revision,
+                ),
+                PULL_TIMEOUT,
+            )
             body = json.loads(zlib.decompress(push.body))
             if body["configuration"] is not None:
                 catalog = decode_catalog(body["configuration"])
@@ -167,10 +185,17 @@
 
 @handlers.register("CatalogPull")
 def handle_catalog_pull(net: PeerNet, link: PeerLink, frame: Any) -> None:
-    """Send the configuration in force and the member entries to a peer."""
+    """Send the configuration in force and the member entries to a peer, if they are newer.
+
+    A peer of an older version does not say what it has, and gets both.
+    """
     state = net.state
-    members = [[item.name, item.revision, item.value] for item in state.member_objects.values()]
-    body = {"configuration": state.catalog_body, "members": members}
+    configuration, members = None, []
+    if state.catalog.version > (frame.catalog_version or 0):
+        configuration = state.catalog_body
+    if state.members.revision > (frame.members_revision or 0):
+        members = [[item.name, item.revision, item.value] for item in state.member_objects.values()]
+    body = {"configuration": configuration, "members": members}
     link.send(
         frames.CatalogPush(
             call=frame.call,
--- a/packages/entry/bramleyrill_entry/_permits.py
+++ b/packages/entry/bramleyrill_entry/_permits.py
@@ -36,8 +36,8 @@
 class PermitRow:
     """A service's evidence, the questions in progress, and the primary that was last used.
 
-    `held` is whether the last work found a permit, `store_answers` whether the last question to the store was answered; without that the
-    replicas are asked at the same time.
+    `held` is whether the last work found a permit. `store_answers` is whether the last question to
+    the store was answered; without that the replicas are asked at the same time.
     """
 
     evidence: LeadEvidence = field(factory=LeadEvidence)
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -156,6 +156,7 @@
     # Imported objects live until the end, so exclude them from garbage collection.
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
+    gc.enable()
     process.start()
     log_event("started", vm=settings.id, domain=settings.domain)
     stop.wait()
--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -1,10 +1,10 @@
 """Settings of one entry VM, read from YAML."""
 
+import json
 import os
 import pathlib
 from typing import Any
 
-import yaml
 from attrs import field, frozen
 
 SETTINGS_VARIABLE = "BRAMLEYRILL_CONFIG"
@@ -51,8 +51,8 @@
 def load_settings(path: pathlib.Path) -> EntrySettings:
     """Read a settings file; raise SettingsError with all errors in it."""
     try:
-        values = yaml.safe_load(path.read_text("utf-8"))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        values = _parse(path.read_text("utf-8"))
+    except (OSError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from error
     if not isinstance(values, dict):
         raise SettingsError(f"{path}: expected a mapping of setting names to values")
@@ -64,6 +64,24 @@
     return load_settings(pathlib.Path(os.environ.get(SETTINGS_VARIABLE, "")))
 
 
+def _parse(text: str) -> Any:
+    """Return the values in a YAML text; raise ValueError if it is invalid.
+
+    JSON is a subset of YAML, and the platform renders the settings in it: a process that starts
+    listens sooner without the import of the YAML library.
+    """
+    try:
+        return json.loads(text)
+    except ValueError:
+        pass
+    import yaml
+
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise ValueError(str(error)) from error
+
+
 class _SettingsReader:
     """Read the values of a settings file and collect all errors."""
 
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -46,7 +46,8 @@
     primary of a service changes or an appointment is learned, `catalog_changed` when a new
     version is in force. `stopping` is set when a planned stop begins, and `closing_sessions` when
     it starts to close each session after its current answer. `requests_running` counts the
-    statements of callers in progress.
+    statements of callers in progress. `watches_store` is whether this VM follows the store itself;
+    otherwise it learns of changes from its peers.
     """
 
     settings: EntrySettings
@@ -63,6 +64,7 @@
     stopping: bool = False
     closing_sessions: bool = False
     requests_running: int = 0
+    watches_store: bool = True
 
     @property
     def vm(self) -> VmId:
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -5,7 +5,7 @@
 import gevent
 from attrs import define
 from bramleyrill_base import log_event
-from bramleyrill_core import Mark
+from bramleyrill_core import Mark, rendezvous_order
 from bramleyrill_core.catalog import MemberEntry, MemberRow
 from bramleyrill_core.leadership import (
     DUTY_LEASE,
@@ -21,7 +21,6 @@
     pending_member,
     renewed_record,
 )
-from bramleyrill_core.membership import rendezvous_order
 from bramleyrill_core.placement import holder_candidates
 from bramleyrill_core.statements import AnswerCode
 from bramleyrill_platform import (
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -8,7 +8,7 @@
 
 import gevent
 from bramleyrill_base import log_event
-from bramleyrill_core.placement import VmEntry, watches_closely
+from bramleyrill_core.placement import VmEntry, watches_platform
 from bramleyrill_platform import (
     KIND_CONFIGURATION,
     KIND_MEMBERS,
@@ -29,33 +29,37 @@
 
 from bramleyrill_entry._state import EntryState
 
-# How long a watch call may wait for changes. A dead connection is only noticed after this wait and
-# the timeout of the call. A few VMs of each failure domain use the short wait; the others learn
-# from their peers' versions that they are behind.
-SHORT_WATCH_WAIT = timedelta(seconds=3)
-LONG_WATCH_WAIT = timedelta(seconds=15)
+# How long a watch call waits for changes; the platform allows no more. The client finds a dead
+# connection long before, and peers' versions show that this VM is behind.
+WATCH_WAIT = timedelta(seconds=30)
 INITIAL_RETRY_PAUSE = timedelta(milliseconds=100)
 MAX_RETRY_PAUSE = timedelta(seconds=1)
 # Kind of the objects with which the proxy's VMs register.
 KIND_VMS = "bramleyrill-vms"
+# VMs that watch the platform list the VMs more often than those that hear of them from peers.
 VM_LIST_INTERVAL = timedelta(seconds=5)
+FOLLOWER_LIST_INTERVAL = timedelta(seconds=30)
+# How often a VM that learns from its peers checks whether it should watch the platform itself.
+WATCH_CHECK_INTERVAL = timedelta(seconds=1)
 
 
 class WatchRenewedError(Exception):
     """Cancels a waiting watch call, so that a new one is made."""
 
 
-def watch_wait(state: EntryState) -> timedelta:
-    """Return how long a watch call of this VM may wait for changes."""
-    return SHORT_WATCH_WAIT if watches_closely(state.vms) else LONG_WATCH_WAIT
+def update_watches_store(state: EntryState) -> bool:
+    """Decide whether this VM watches the store, record it in the state, and return it."""
+    complete = state.catalog.version > 0 and len(state.members.members) > 0
+    state.watches_store = not complete or watches_platform(state.vms, state.now())
+    return state.watches_store
 
 
 class StoreWatch:
     """List the objects of a kind, then follow their changes.
 
     Lists again when the store no longer has the history since the last revision. `on_listing`
-    and `on_change` are called with what the store returned. `wait_for` returns how long a call
-    may wait for changes. `answered` is True once the store has answered.
+    and `on_change` are called with what the store returned. While `needed` returns False, no call
+    is made; afterwards the objects are listed again.
     """
 
     def __init__(
@@ -64,10 +68,10 @@
         kind: str,
         on_listing: Callable[[Listing], None],
         on_change: Callable[[Change], None],
-        wait_for: Callable[[], timedelta],
+        needed: Callable[[], bool] = lambda: True,
     ) -> None:
-        self.answered = False
-        self._wait_for = wait_for
+        self.wait = WATCH_WAIT
+        self._needed = needed
         self._call: gevent.Greenlet | None = None
         self._store = store
         self._kind = kind
@@ -80,6 +84,10 @@
         """Follow the changes forever; retry with backoff while the store does not answer."""
         pause = INITIAL_RETRY_PAUSE
         while True:
+            if not self._needed():
+                self._revision = None
+                gevent.sleep(WATCH_CHECK_INTERVAL.total_seconds())
+                continue
             try:
                 self._step()
                 pause = INITIAL_RETRY_PAUSE
@@ -97,9 +105,8 @@
             listing = self._store.list(self._kind)
             self._on_listing(listing)
             self._revision = listing.revision
-            self.answered = True
             return
-        self._call = gevent.spawn(self._watch, self._revision, self._wait_for())
+        self._call = gevent.spawn(self._watch, self._revision, self.wait)
         changes = self._call.get()
         if changes is None:
             return
@@ -142,7 +149,7 @@
             KIND_CONFIGURATION,
             self._apply_listing,
             self._apply_change,
-            lambda: watch_wait(state),
+            lambda: update_watches_store(state),
         )
 
     def _apply_listing(self, listing: Listing) -> None:
@@ -175,7 +182,7 @@
             KIND_MEMBERS,
             self._apply_listing,
             self._apply_change,
-            lambda: watch_wait(state),
+            lambda: update_watches_store(state),
         )
 
     def drop_lapsed(self) -> None:
@@ -192,6 +199,9 @@
         previous_primaries = self._primary_by_service()
         self._state.member_objects = {stored.name: stored for stored in listing.objects}
         self._members.replace_all(entries, self._state.now())
+        if source == "peer":
+            # The newest change may be a removal, of which the list shows no revision.
+            self._members.revision = max(self._members.revision, listing.revision)
         log_event("members_listed", members=len(entries), revision=listing.revision, source=source)
         self._report_primary_changes(previous_primaries)
 
@@ -248,6 +258,7 @@
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self._state = state
         self._store = store
+        self._listed_at: timedelta | None = None
 
     def register(self) -> None:
         """Write this VM's entry; retry until the store accepts it or the process stops."""
@@ -256,6 +267,11 @@
 
     def list_vms(self) -> None:
         """Merge the VMs that the store lists; the list may be seconds old."""
+        now = self._state.now()
+        interval = VM_LIST_INTERVAL if self._state.watches_store else FOLLOWER_LIST_INTERVAL
+        if self._listed_at is not None and now - self._listed_at < interval:
+            return
+        self._listed_at = now
         try:
             listing = self._store.list(KIND_VMS, allow_stale=True)
         except StoreError as error:
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -53,9 +53,11 @@
   1: i64 call, 2: string member, 3: i64 term, 4: i64 position, 5: i64 age_us
 }
 
-struct CatalogPull { 1: i64 call }
+// Requests what is newer than the version and revision that the sender has.
+struct CatalogPull { 1: i64 call, 2: i64 catalog_version, 3: i64 members_revision }
 // `body` is zlib-compressed JSON: the configuration and the members' entries as stored on the
-// platform, each entry as a list of name, revision and value.
+// platform, each entry as a list of name, revision and value. The configuration is null, or the list
+// empty, if the receiver is not behind.
 struct CatalogPush { 1: i64 call, 2: i64 version, 3: binary body, 4: i64 members_revision }
 
 // Announces that a member was made primary.
--- a/packages/wire/bramleyrill_wire/entries/_codec.py
+++ b/packages/wire/bramleyrill_wire/entries/_codec.py
@@ -1,18 +1,10 @@
 """Codec of the frames between entry VMs."""
 
-import pathlib
-
-import thriftpy2
-
 from bramleyrill_wire._framing import MAX_FRAME, FrameCodec, FrameSplitter
+from bramleyrill_wire.entries import _frames as frames
 
 PROTOCOL = 1
 
-frames = thriftpy2.load(
-    str(pathlib.Path(__file__).resolve().parent.parent / "entries.thrift"),
-    module_name="bramleyrill_entries_thrift",
-)
-
 _codec = FrameCodec(frames)
 encode = _codec.encode
 
--- a/packages/wire/bramleyrill_wire/peers/_codec.py
+++ b/packages/wire/bramleyrill_wire/peers/_codec.py
@@ -1,15 +1,8 @@
 """Codec of the frames between VMs."""
 
-import pathlib
-
-import thriftpy2
-
 from bramleyrill_wire._framing import MAX_FRAME, FrameCodec, FrameError, FrameSplitter
+from bramleyrill_wire.peers import _frames as frames
 
-frames = thriftpy2.load(
-    str(pathlib.Path(__file__).resolve().parent.parent / "peers.thrift"),
-    module_name="bramleyrill_peers_thrift",
-)
 FrameKind = frames.FrameKind
 
 _codec = FrameCodec(frames)
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -1,14 +1,18 @@
 """Pulling from a peer that has a newer configuration or newer member entries."""
 
+import json
 import unittest
+import zlib
 from datetime import timedelta
 from unittest import mock
 
 import gevent
 from bramleyrill_core.catalog import Catalog
 from bramleyrill_entry import _gossip
-from bramleyrill_entry._gossip import Gossip
+from bramleyrill_entry._gossip import Gossip, handle_catalog_pull
+from bramleyrill_platform import StoredObject
 from bramleyrill_standins.prepared import LineGroup
+from bramleyrill_wire.entries import frames
 
 from tests.entry.builders import SERVICE, make_state
 
@@ -34,6 +38,14 @@
         gevent.sleep(0.05)
         self.assertEqual((self.pulled, self.renewed), ([], []))
 
+    def test_vm_that_does_not_watch_the_store_pulls_soon(self):
+        """Nothing else brings it a new configuration."""
+        self.state.watches_store = False
+        with mock.patch.object(_gossip, "BEHIND_GRACE", 1000 * SHORT):
+            self.gossip.handle_peer_versions("vm2", 2, 0)
+            gevent.sleep(0.2)
+        self.assertEqual(self.pulled, ["vm2"])
+
     def test_vm_that_stays_behind_pulls_and_renews_its_watches(self):
         """Its connection to the platform may be dead, or the platform unreachable."""
         self.gossip.handle_peer_versions("vm2", 2, 0)
@@ -59,3 +71,32 @@
         self.gossip.handle_peer_versions("vm2", 4, 0)
         gevent.sleep(0.05)
         self.assertEqual(self.pulled, [])
+
+
+class PushTest(unittest.TestCase):
+    def setUp(self):
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        self.state = make_state(group)
+        self.state.catalog, self.state.catalog_body = Catalog(5), {"version": 5}
+        self.state.member_objects = {"m1": StoredObject("m1", 1, {})}
+
+    def body(self, **pull):
+        link = mock.Mock()
+        handle_catalog_pull(mock.Mock(state=self.state), link, frames.CatalogPull(call=1, **pull))
+        return json.loads(zlib.decompress(link.send.call_args.args[0].body))
+
+    def test_peer_gets_only_what_is_newer(self):
+        """A change of a member's entry sent the whole configuration to each VM."""
+        revision = self.state.members.revision
+        self.assertEqual(
+            self.body(catalog_version=5, members_revision=revision - 1),
+            {"configuration": None, "members": [["m1", 1, {}]]},
+        )
+        self.assertEqual(
+            self.body(catalog_version=4, members_revision=revision),
+            {"configuration": {"version": 5}, "members": []},
+        )
+
+    def test_peer_of_an_older_version_gets_everything(self):
+        self.assertEqual(self.body(), {"configuration": {"version": 5}, "members": [["m1", 1, {}]]})
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -5,7 +5,14 @@
 
 from bramleyrill_core import MemberRole
 from bramleyrill_core.catalog import MemberEntry, MemberState, MemberTable
-from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable, holder_candidates
+from bramleyrill_core.placement import (
+    ReadPlacement,
+    VmEntry,
+    VmTable,
+    holder_candidates,
+    watches_platform,
+)
+from bramleyrill_core.placement._holders import ISOLATED_AFTER_SILENCE, WATCHERS_PER_DOMAIN
 
 MS = timedelta(milliseconds=1)
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
@@ -76,6 +83,50 @@
         self.assertIn("vm1", holder_candidates(self.vms, member("m1")))
 
 
+class WatcherTest(unittest.TestCase):
+    """Every VM of a large fleet watched the platform, and paid for each change of any object."""
+
+    def tables(self, count):
+        names = [f"vm{number}" for number in range(count)]
+        tables = []
+        for name in names:
+            table = VmTable(vm(name))
+            for other in names:
+                if other != name:
+                    table.update(vm(other), 0 * MS)
+            tables.append(table)
+        return tables
+
+    def watchers(self, tables, now=0 * MS):
+        return [table.own.id for table in tables if watches_platform(table, now)]
+
+    def test_few_vms_of_a_domain_watch(self):
+        self.assertEqual(len(self.watchers(self.tables(200))), WATCHERS_PER_DOMAIN)
+
+    def test_vms_of_other_domains_watch_for_their_own(self):
+        tables = self.tables(4)
+        for table in tables:
+            for number in range(4):
+                table.update(vm(f"far{number}", "south-a"), 0 * MS)
+        self.assertEqual(len(self.watchers(tables)), WATCHERS_PER_DOMAIN)
+
+    def test_failed_watcher_is_replaced(self):
+        tables = self.tables(4)
+        failed = self.watchers(tables)[0]
+        others = [table for table in tables if table.own.id != failed]
+        for table in others:
+            table.record_failure(failed, 0 * MS)
+        self.assertEqual(len(self.watchers(others)), WATCHERS_PER_DOMAIN)
+
+    def test_vm_without_an_answer_of_a_peer_watches_itself(self):
+        """A VM that is cut off from its peers hears of no change from them."""
+        tables = self.tables(4)
+        self.assertEqual(len(self.watchers(tables, ISOLATED_AFTER_SILENCE + MS)), 4)
+
+    def test_single_vm_watches(self):
+        self.assertTrue(watches_platform(VmTable(vm("own")), 0 * MS))
+
+
 class ReadOrderTest(unittest.TestCase):
     def setUp(self):
         self.placement = ReadPlacement("north-a", REGIONS)
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -1,13 +1,18 @@
 """Client and watches of the platform's store, against the stand-in platform."""
 
+import socket
 import unittest
 from datetime import timedelta
+from unittest import mock
 
+import gevent
 from bramleyrill_core import MemberRole
+from bramleyrill_entry import _watch
 from bramleyrill_entry._watch import (
     KIND_VMS,
     ConfigurationWatch,
     MemberWatch,
+    StoreWatch,
     VmRegistration,
 )
 from bramleyrill_platform import (
@@ -83,6 +88,56 @@
             self.store.watch("kind", revision, SHORT)
 
 
+class FollowerTest(StoreTest):
+    def test_vm_that_learns_from_peers_makes_no_calls(self):
+        watch = StoreWatch(self.store, "kind", mock.Mock(), mock.Mock(), lambda: False)
+        self.run_for(watch, 0.1)
+        self.assertEqual(self.store.calls.total, 0)
+
+    def test_vm_that_watches_again_lists_first(self):
+        """It has missed the changes in between, and the store may have forgotten them."""
+        needed = [True]
+        listings = []
+        watch = StoreWatch(self.store, "kind", listings.append, mock.Mock(), lambda: needed[0])
+        watch.wait = SHORT
+        with mock.patch.object(_watch, "WATCH_CHECK_INTERVAL", SHORT):
+            self.run_for(watch, 0.1)
+            needed[0] = False
+            self.run_for(watch, 0.1)
+            needed[0] = True
+            self.run_for(watch, 0.1)
+        self.assertEqual(len(listings), 2)
+
+    def run_for(self, watch, seconds):
+        greenlet = gevent.spawn(watch.run)
+        gevent.sleep(seconds)
+        greenlet.kill()
+
+
+class HttpTest(StoreTest):
+    def test_connection_is_kept_for_the_next_call(self):
+        self.store.list("kind")
+        first = self.store._http._idle[0].sock.getsockname()
+        self.store.list("kind")
+        self.assertEqual(self.store._http._idle[0].sock.getsockname(), first)
+
+    def test_waiting_connection_is_probed(self):
+        """A watch on a connection that has gone silent waited for up to its whole length."""
+        self.store.list("kind")
+        sock = self.store._http._idle[0].sock
+        self.assertTrue(sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        idle_s = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        interval_s = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
+        count = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
+        self.assertLessEqual(idle_s + interval_s * count, 3)
+
+    def test_connection_that_the_store_closed_is_not_used_again(self):
+        """A write on it would have an unknown outcome."""
+        self.store.list("kind")
+        self.store._http._idle[0].sock.shutdown(socket.SHUT_RD)
+        self.assertEqual(self.store.list("kind").objects, [])
+
+
 class ConfigurationTest(StoreTest):
     def setUp(self):
         super().setUp()
@@ -90,7 +145,7 @@
         self.addCleanup(group.close)
         self.state = make_state(group)
         self.watch = ConfigurationWatch(self.state, self.store).watch
-        self.watch._wait_for = lambda: SHORT
+        self.watch.wait = SHORT
 
     def put(self, version, routes):
         self.platform.put("config", "main", {"version": version, "routes": routes})
@@ -122,7 +177,7 @@
         self.addCleanup(group.close)
         self.state = make_state(group)
         self.members = MemberWatch(self.state, self.store)
-        self.members.watch._wait_for = lambda: SHORT
+        self.members.watch.wait = SHORT
 
     def step(self):
         self.members.watch._step()
