--- a/tests/trace/test_traces.py
+++ b/tests/trace/test_traces.py
@@ -16,6 +16,7 @@
 SUBSYSTEMS = (
     "drain",
     "membership",
+    "permits",
     "pools",
     "retries",
     "routing",
