End sessions in a planned stop only when they are quiet

Cause: in a domain with a single VM the balancer sends callers to it until it ends. Change: a session ends right after an answer, or once it was idle for 300 ms.

--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -29,6 +29,8 @@
 FIRST_CATALOG_TIMEOUT = timedelta(seconds=1.8)
 # The session of a caller that does not read its answer for this long is closed.
 SEND_TIMEOUT = timedelta(seconds=15)
+# A planned stop ends a session only after it was idle for this long, or right after an answer.
+QUIET_TIME = timedelta(milliseconds=300)
 # A session that the proxy ended stays open for input this long, so that a request which crosses the
 # end does not reset the connection.
 CLOSE_LINGER = timedelta(milliseconds=300)
@@ -49,6 +51,7 @@
     def __init__(self, sock: Any, state: EntryState, router: Router, metrics: EntryMetrics) -> None:
         self.busy = False
         self.closing = False
+        self._last_active_at = state.now()
         self._sock = sock
         self._state = state
         self._router = router
@@ -81,13 +84,19 @@
             self._sock.close()
 
     def close_if_idle(self) -> bool:
-        """End the session and return True unless a statement or transaction is in progress.
+        """End the session and return True if nothing is in progress and it has been quiet.
 
-        The caller sees the end at once; the connection is closed when the caller has closed its
-        side, has sent something, or after CLOSE_LINGER.
+        A session that was opened or answered within QUIET_TIME probably has a request on its way;
+        it ends after the answer to that. The caller sees the end at once; the connection is closed
+        when the caller has closed its side, has sent something, or after CLOSE_LINGER.
         """
         if self.closing:
             return True
+        if self._state.now() - self._last_active_at < QUIET_TIME:
+            return False
+        return self._end_if_idle()
+
+    def _end_if_idle(self) -> bool:
         if self.busy or self.in_transaction or self._pending_lines or self._has_input():
             return False
         self.closing = True
@@ -136,6 +145,7 @@
             return False
         self._session.database = message.database
         self._sock.sendall(lines.encode_ready(TransactionState.IDLE, None))
+        self._last_active_at = self._state.now()
         return True
 
     def _serve_statements(self) -> None:
@@ -148,8 +158,9 @@
                 return
             if isinstance(message, Statement):
                 self._serve_statement(message)
+                self._last_active_at = self._state.now()
                 if self._state.closing_sessions:
-                    self.close_if_idle()
+                    self._end_if_idle()
             else:
                 reason = getattr(message, "reason", "unexpected message")
                 self._sock.sendall(lines.encode_error(AnswerCode.MALFORMED, reason))
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -138,6 +138,22 @@
 
 
 class PlannedStopTest(SessionTest):
+    def setUp(self):
+        super().setUp()
+        self.enterContext(mock.patch.object(_session, "QUIET_TIME", timedelta()))
+
+    def test_session_that_was_just_opened_is_left_to_its_first_request(self):
+        """In a domain with one VM callers still come during its stop; their first request, on its
+        way when the session was closed, got no answer.
+        """
+        with mock.patch.object(_session, "QUIET_TIME", TWO_SECONDS):
+            caller = self.connect()
+            caller.read_line()
+            self.state.closing_sessions = True
+            self.assertFalse(self.session.close_if_idle())
+            self.assertTrue(caller.query("WRITE a 5")[0].startswith("COMPLETE s"))
+            self.assertEqual(caller.read_line(), "")
+
     def test_idle_session_is_closed(self):
         caller = self.connect()
         caller.read_line()
