Ask a silent primary at the same time as the other VMs

Change: the primary is asked 100 ms after the others, and the check ends as soon as any answer proves its role. The new test hangs in the old order until its limit.

--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -58,6 +58,8 @@
 SUPERVISOR_DELAY = timedelta(milliseconds=700)
 # Maximum number of other VMs that are asked for the proofs that they know.
 MAX_QUERIED_VMS = 12
+# The primary itself is asked only if the other VMs do not answer at once, as a dial takes a slot.
+PROBE_DELAY = timedelta(milliseconds=100)
 # A planned change waits this long for open transactions to end, and then for a replica to have all
 # entries.
 TRANSACTION_DRAIN_TIMEOUT = timedelta(seconds=1.2)
@@ -195,8 +197,9 @@
     def _collect_proofs(
         self, supervised: SupervisedService, primary: MemberEntry
     ) -> tuple[timedelta, bool]:
-        """Ask the holder, other VMs and finally the primary itself for a proof of its role.
+        """Ask the holder and other VMs for a proof of the primary's role, then the primary itself.
 
+        All are asked at the same time, as each that does not answer takes its whole timeout.
         Return the age of the newest proof, and whether the primary's machine refuses connections.
         """
         service = supervised.service
@@ -206,11 +209,15 @@
         for vm in vms[:MAX_QUERIED_VMS]:
             if vm != holder:
                 queries.append(gevent.spawn(self._executor.prove, vm, service, True))
-        gevent.joinall(queries)
-        if self._silent_for(supervised) < SUPERVISION_INTERVAL:
-            return self._silent_for(supervised), False
-        refused = self._probe_primary(supervised, primary)
-        return self._silent_for(supervised), refused
+        probe = gevent.spawn_later(
+            PROBE_DELAY.total_seconds(), self._probe_primary, supervised, primary
+        )
+        pending = [*queries, probe]
+        while pending and self._silent_for(supervised) >= SUPERVISION_INTERVAL:
+            gevent.wait(pending, count=1)
+            pending = [question for question in pending if not question.ready()]
+        probe.kill()
+        return self._silent_for(supervised), probe.value is True
 
     def _probe_primary(self, supervised: SupervisedService, primary: MemberEntry) -> bool:
         """Ask the primary for a proof; return whether its machine refuses connections.
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -14,6 +14,7 @@
 from bramleyrill_entry._supervisor import SupervisedService, Supervisor
 from bramleyrill_platform import DutyClient, StoreClient
 from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
+from gevent.event import Event
 
 from tests.entry.builders import SERVICE, make_state, member_entry, request
 from tests.entry.platform_thread import PlatformThread
@@ -117,6 +118,29 @@
         self.assertEqual({appointment[3] for appointment in self.platform.appointments}, {1})
 
 
+class CheckTest(SupervisorTest):
+    def check(self):
+        return self.supervisor._collect_proofs(self.supervised, member_entry(self.group, "m1"))
+
+    def test_primary_is_asked_while_other_vms_have_not_answered(self):
+        """A dark primary was replaced 0.6 s later, as both timeouts passed one after the other."""
+        asked = Event()
+        with (
+            mock.patch.object(self.supervisor._executor, "prove", lambda *_: asked.wait(5)),
+            mock.patch.object(self.supervisor, "_probe_primary", lambda *_: asked.set() or True),
+        ):
+            self.assertTrue(self.check()[1])
+        self.assertTrue(asked.is_set())
+
+    def test_primary_is_not_asked_if_another_vm_has_a_proof(self):
+        """Each check of an idle primary would dial it and take one of its slots."""
+        with mock.patch.object(self.supervisor, "_probe_primary") as probe:
+            silent_for, refused = self.check()
+        self.assertLess(silent_for, _supervisor.SUPERVISION_INTERVAL)
+        self.assertFalse(refused)
+        probe.assert_not_called()
+
+
 class PlannedTest(SupervisorTest):
     def drain(self, name):
         entry = member_entry(self.group, name, MemberState.DRAINING, revision=9)
