Drop a peer's malformed frame and keep the link

Cause: an error in a frame handler ended the greenlet that reads a link; the link stayed open and answered nothing. A Hello without an entry raised in the accepting greenlet, and the check for silence did not expect a full queue. Change: such a frame is logged and dropped; a Hello without a complete entry refuses the link; a request or result without a field is malformed; a full queue closes the link.

--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -79,9 +79,14 @@
             return
         now = state.now()
         state.vms.record_answer(vm, now)
-        for entry in state.vms.update_all(map(decode_vm, [answer.vm, *(answer.vms or ())]), now):
+        try:
+            entries = [decode_vm(known) for known in (answer.vm, *(answer.vms or ()))]
+        except ValueError as error:
+            log_event("frame_rejected", vm=vm, frame="Pong", reason=error)
+            return
+        for entry in state.vms.update_all(entries, now):
             log_event("vm_known", vm=entry.id, domain=entry.domain, leaving=entry.leaving, via=vm)
-        self.handle_peer_versions(vm, answer.catalog_version, answer.members_revision)
+        self.handle_peer_versions(vm, answer.catalog_version or 0, answer.members_revision or 0)
 
     def dial_seeds(self) -> None:
         """Dial the seed addresses if no other VM is known."""
@@ -176,7 +181,7 @@
         net.state.vms.update(decode_vm(frame.vm), now)
         net.state.vms.record_answer(link.peer.id, now)
         net.services[Gossip].handle_peer_versions(
-            link.peer.id, frame.catalog_version, frame.members_revision or 0
+            link.peer.id, frame.catalog_version or 0, frame.members_revision or 0
         )
     link.send(
         make_pong(net, frame.call, frame.vms_known if frame.vm else len(net.state.vms.entries()))
--- a/packages/entry/bramleyrill_entry/_peer_link.py
+++ b/packages/entry/bramleyrill_entry/_peer_link.py
@@ -1,5 +1,6 @@
 """Connection to another entry VM, for calls with an answer and one-way frames."""
 
+import contextlib
 import itertools
 import socket
 from collections.abc import Callable
@@ -43,7 +44,10 @@
 
 
 def decode_vm(vm: Any) -> VmEntry:
-    """Return the VM's entry of a thrift struct."""
+    """Return the VM's entry of a thrift struct; raise ValueError if it is incomplete."""
+    fields = (vm.id, vm.domain, vm.host, vm.port, vm.started_ms) if vm is not None else ()
+    if not fields or None in fields:
+        raise ValueError("incomplete entry of a VM")
     return VmEntry(vm.id, vm.domain, (vm.host, vm.port), vm.started_ms, bool(vm.leaving))
 
 
@@ -92,7 +96,11 @@
             self.close()
             raise PeerLostError("the first frame of the peer is not a Hello")
         self._sock.settimeout(None)
-        self.peer = decode_vm(received[0].vm)
+        try:
+            self.peer = decode_vm(received[0].vm)
+        except ValueError as error:
+            self.close()
+            raise PeerLostError(str(error)) from error
         gevent.spawn(self._read, received[1:])
         return self.peer
 
@@ -147,13 +155,25 @@
         try:
             while True:
                 for frame in received:
-                    self._dispatch(frame)
+                    self._try_dispatch(frame)
                 received = self._receive()
         except (OSError, FrameError) as error:
             if not self.lost:
                 log_event("peer_link_lost", vm=self.peer.id, reason=error or type(error).__name__)
             self.close()
 
+    def _try_dispatch(self, frame: Any) -> None:
+        """Handle a frame; one that cannot be handled is dropped, and the link goes on."""
+        try:
+            self._dispatch(frame)
+        except PeerLostError:
+            # The answer could not be sent; the link is closed.
+            raise ConnectionError("the link was lost") from None
+        except Exception as error:
+            log_event(
+                "frame_rejected", vm=self.peer.id, frame=type(frame).__name__, reason=repr(error)
+            )
+
     def _dispatch(self, frame: Any) -> None:
         """Give an answer to the call that waits for it, and any other frame to `on_frame`."""
         if type(frame) in (frames.Ran, frames.Pong, frames.Proved, frames.CatalogPush):
@@ -193,4 +213,5 @@
                 log_event("peer_link_silent", vm=self.peer.id if self.peer else "-")
                 self.close()
             elif not self.lost:
-                self.send(frames.Ping(call=0, catalog_version=0, vms_known=0))
+                with contextlib.suppress(PeerLostError):
+                    self.send(frames.Ping(call=0, catalog_version=0, vms_known=0))
--- a/packages/entry/bramleyrill_entry/_run_codec.py
+++ b/packages/entry/bramleyrill_entry/_run_codec.py
@@ -71,6 +71,14 @@
 
 def decode_request(frame: Any) -> RunRequest:
     """Return the request of a Run frame; raise ValueError if it is malformed."""
+    try:
+        return _read_request(frame)
+    except (TypeError, AttributeError) as error:
+        # A field is missing or has another type than the thrift file says.
+        raise ValueError(str(error)) from error
+
+
+def _read_request(frame: Any) -> RunRequest:
     prepared = None
     if frame.prepared:
         prepared = Prepared(frame.prepared == _PREPARED_WRITE, frame.shape)
@@ -120,6 +128,13 @@
 
 def decode_result(frame: Any) -> RunResult:
     """Return the result of a Ran frame; raise ValueError if it is malformed."""
+    try:
+        return _read_result(frame)
+    except (TypeError, AttributeError) as error:
+        raise ValueError(str(error)) from error
+
+
+def _read_result(frame: Any) -> RunResult:
     problem = RunProblem(frame.problem) if frame.problem else None
     answer = None
     if problem is None:
