Mend a stalled stream and the status topic of the daemon

Cause: a request of up to 256 KiB went out as one piece, while the holder returns credit from 128 KiB on; after a request of 100,000 bytes one of 200,000 in the same transaction waited for ever. The status topic read an attribute that the pools no longer have, so show with a key got no answer. Change: pieces have at most half a window; the topic names the members of the control connections.

--- a/packages/daemon/bramleyrill_daemon/_remote.py
+++ b/packages/daemon/bramleyrill_daemon/_remote.py
@@ -26,6 +26,10 @@
     TransactionClosed,
 )
 
+# The holder returns credit half a window at a time, so a longer piece could wait for credit that
+# never comes.
+MAX_PIECE_BYTES = WINDOW_BYTES // 2
+
 _LINK_LOST = object()
 _STREAM_CLOSED = object()
 
@@ -84,11 +88,11 @@
                 self._problem = Problem(ErrorKind.NOT_RUN_UNREACHABLE, f"VM {self._route.vm}")
                 return
             self._stream = self._link.open_stream(self)
-        if len(frames) <= WINDOW_BYTES:
+        if len(frames) <= MAX_PIECE_BYTES:
             self._send_piece(frames, may_commit, more)
             return
-        for start in range(0, len(frames), WINDOW_BYTES // 2):
-            piece = frames[start : start + WINDOW_BYTES // 2]
+        for start in range(0, len(frames), MAX_PIECE_BYTES):
+            piece = frames[start : start + MAX_PIECE_BYTES]
             is_last = start + len(piece) == len(frames)
             self._send_piece(piece, may_commit, more or not is_last)
 
--- a/packages/daemon/bramleyrill_daemon/_status.py
+++ b/packages/daemon/bramleyrill_daemon/_status.py
@@ -40,9 +40,7 @@
         "draining": shell.component(PermitTracker).draining,
         "sessions": len(shell.component(Front).sessions),
         "live_vms": len(live_vms(world)),
-        "held": sorted(
-            m for m, pool in shell.component(ConnectionPools).by_member.items() if pool.held
-        ),
+        "held": sorted(shell.component(ConnectionPools).controls),
     }
 
 
--- a/tests/holder/test_process.py
+++ b/tests/holder/test_process.py
@@ -8,6 +8,7 @@
 from bramleyrill_daemon._platform import Conflict, PlatformClient, StoredObject
 from bramleyrill_daemon._process import Process
 from bramleyrill_daemon._settings import Settings, TlsFiles
+from bramleyrill_daemon._status import describe_vm
 from gevent.threadpool import ThreadPool
 
 from tests.holder.fakes import FakeUpstream, answer
@@ -121,6 +122,14 @@
         """
         self.check_statement_and_stop(earlier_connections=1)
 
+    def test_status_topic_names_the_held_members(self):
+        """Guards against a status that ends in an error, so that `show` gets no answer."""
+        process, _ = self.start(lambda sql: None)
+        with gevent.Timeout(20):
+            while not (held := describe_vm(process._shell)["held"]):
+                gevent.sleep(0.02)
+        self.assertEqual(held, ["kintsugi/pieces/main/m1"])
+
     def check_statement_and_stop(self, earlier_connections=0):
         process, upstream = self.start(
             lambda sql: answer("INSERT 0 1") if sql.startswith("insert") else None,
--- a/tests/peers/test_remote_transactions.py
+++ b/tests/peers/test_remote_transactions.py
@@ -135,6 +135,18 @@
         self.assertEqual(b"".join(piece for piece, _, _ in self.served.sent), data)
         self.assertEqual([more for _, _, more in self.served.sent][-1], False)
 
+    def test_requests_that_leave_credit_unreturned_do_not_stall(self):
+        """Guards against a wait for credit which the holder returns only in halves."""
+        sizes = (100_000, 200_000)
+        for size in sizes:
+            self.served.parts.put(Outcome(tail=b"part", tx_status=b"T"))
+            with gevent.Timeout(5):
+                self.transaction.send(b"x" * size, may_commit=False)
+            self.transaction.receive()
+        with gevent.Timeout(5):
+            while sum(len(piece) for piece, _, _ in self.served.sent) < sum(sizes):
+                gevent.sleep(0.01)
+
     def test_lost_link_is_unknown_for_a_commit(self):
         """Guards against "not run" for a statement that the holder may have run."""
         self.transaction.send(b"q")
--- a/tests/processes/test_prepared.py
+++ b/tests/processes/test_prepared.py
@@ -34,6 +34,18 @@
             gevent.sleep(0.05)
         raise AssertionError(f"not served in {LIMIT_S} s: {answer}")
 
+    def check_replacement(self):
+        """Stop the primary; both VMs then serve writes and reads at another member."""
+        caller = self.caller()
+        caller.ask("WRITE bowl gold")
+        gevent.sleep(0.05)
+        lost = self.group.primary.name
+        self.deployment.stop_member(lost)
+        self.ask_until_served(caller, "WRITE bowl lacquer")
+        self.assertNotEqual(self.group.primary.name, lost)
+        for vm in range(self.vms):
+            self.assertEqual(self.caller(vm).ask("READ bowl")[0], "ROW lacquer")
+
     def wait_for(self, condition):
         end = time.monotonic() + LIMIT_S
         while not condition():
@@ -48,14 +60,7 @@
 
     def test_primary_that_ended_is_replaced(self):
         """The primary is replaced only by a command of this system."""
-        caller = self.caller()
-        caller.ask("WRITE bowl gold")
-        gevent.sleep(0.05)
-        lost = self.group.primary.name
-        self.deployment.stop_member(lost)
-        self.ask_until_served(caller, "WRITE bowl lacquer")
-        self.assertNotEqual(self.group.primary.name, lost)
-        self.assertEqual(caller.ask("READ bowl")[0], "ROW lacquer")
+        self.check_replacement()
 
     def test_configuration_reaches_every_vm(self):
         callers = [self.caller(vm) for vm in range(self.vms)]
@@ -76,14 +81,7 @@
 
     def test_primary_that_ended_is_replaced(self):
         """The permits of both VMs must follow the change, also without any other traffic."""
-        caller = self.caller()
-        caller.ask("WRITE bowl gold")
-        gevent.sleep(0.05)
-        lost = self.group.primary.name
-        self.deployment.stop_member(lost)
-        self.ask_until_served(caller, "WRITE bowl lacquer")
-        self.assertNotEqual(self.group.primary.name, lost)
-        self.assertEqual(self.caller(1).ask("READ bowl")[0], "ROW lacquer")
+        self.check_replacement()
 
     def test_store_that_is_away_does_not_stop_writes(self):
         """The replicas carry the permits while the store cannot be asked."""
