Take over a malformed duty record with a higher token, and split the supervisor

Change: the lease of a malformed record runs out like any other, and the next token is above the record's revision, which no token can exceed. The supervisor's reading and writing of the records is a module of its own.

--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -46,7 +46,8 @@
 class DutyView:
     """A VM's view of a duty: the record, its revision, and when this VM first saw that revision.
 
-    `seen_at` is None until the store has been read.
+    `seen_at` is None until the store has been read. A revision above 0 without a record is that of
+    a malformed one.
     """
 
     record: DutyRecord | None = None
@@ -62,7 +63,9 @@
         """Return whether `vm` may write the next record."""
         if self.seen_at is None:
             return False
-        if self.record is None or self.record.holder == vm:
+        if self.record is None and not self.revision:
+            return True
+        if self.record is not None and self.record.holder == vm:
             return True
         return now - self.seen_at >= DUTY_LEASE
 
@@ -83,14 +86,18 @@
     return evolve(record, fencing_token=record.fencing_token + 1)
 
 
-def next_record(record: DutyRecord | None, vm: str, member: str) -> DutyRecord:
+def next_record(
+    record: DutyRecord | None, vm: str, member: str, malformed_revision: int = 0
+) -> DutyRecord:
     """Return the record to write before `vm` orders the appointment of `member`.
 
     The fencing token increases with every new order, even from the same holder, so that the
-    platform rejects an earlier order that arrives late. A repeated order keeps its token.
+    platform rejects an earlier order that arrives late. A repeated order keeps its token. Without a
+    record it starts at 1, or above the revision of a malformed one: each token was written with a
+    revision of its own, so none is higher.
     """
     if record is None:
-        return DutyRecord(vm, 1, member)
+        return DutyRecord(vm, malformed_revision + 1, member)
     if record.holder == vm and record.member == member:
         return record
     return DutyRecord(vm, record.fencing_token + 1, member)
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -3,39 +3,29 @@
 from datetime import timedelta
 
 import gevent
-from attrs import define
 from bramleyrill_base import log_event
 from bramleyrill_core import Mark, rendezvous_order
 from bramleyrill_core.catalog import MemberEntry, MemberRow
 from bramleyrill_core.leadership import (
-    DUTY_LEASE,
-    KIND_DUTIES,
     Candidate,
-    DutyRecord,
     DutyView,
     Evidence,
     Verdict,
     assess_primary,
     choose_successor,
-    next_record,
     pending_member,
-    renewed_record,
 )
 from bramleyrill_core.placement import holder_candidates
 from bramleyrill_core.statements import AnswerCode
 from bramleyrill_platform import (
     AppointResult,
-    ConflictError,
     DutyClient,
-    NotFoundError,
     StoreClient,
-    StoredObject,
-    StoreError,
-    UnansweredError,
     lines,
 )
 from bramleyrill_wire.entries import frames
 
+from bramleyrill_entry._duty_leases import DutyLeases, SupervisedService
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._fence import demote, end_permits
 from bramleyrill_entry._member_status import DIAL_TIMEOUT, STATUS_TIMEOUT, ask_status
@@ -73,29 +63,6 @@
 NO_PRIMARY_GRACE = timedelta(seconds=3)
 
 
-@define(eq=False)
-class SupervisedService:
-    """Supervision state of one service.
-
-    `duty` is this VM's view of the service's duty: a lease in the store, whose holder alone may
-    order a change of primary; `duty_written_at` is the time at which this VM sent its last record.
-    `member` is the known primary, or empty, and `primary_since` the time when it became known or
-    last showed that it lives without a proof of its role. `highest_term` is the highest term that
-    a member reported. `in_progress` is True while a check runs. `index` is this VM's position among
-    the supervisors, or None if it is not one of them; it is cached until `index_valid_until`.
-    """
-
-    service: str
-    duty: DutyView
-    primary_since: timedelta
-    member: str = ""
-    in_progress: bool = False
-    index: int | None = None
-    index_valid_until: timedelta = timedelta()
-    highest_term: int = 0
-    duty_written_at: timedelta = timedelta.min
-
-
 class Supervisor:
     """Replace primaries that failed or are draining."""
 
@@ -113,7 +80,7 @@
         self._net = net
         self._schedulers = schedulers
         self._executor = executor
-        self._store = store
+        self._leases = DutyLeases(state, store)
         self._duties = duties
         self._permits = permits or PermitKeeper(state, store)
         self._services: dict[str, SupervisedService] = {}
@@ -256,7 +223,7 @@
     # Choosing and appointing a successor.
 
     def _replace_primary(self, supervised: SupervisedService, primary: MemberEntry | None) -> None:
-        if not self._read_duty(supervised):
+        if not self._leases.read(supervised):
             return
         candidates = self._query_candidates(supervised, primary)
         pending = pending_member(supervised.duty.record, primary.id if primary else "")
@@ -304,13 +271,13 @@
         `demoted` is whether the old primary is known to be a replica by now. Return whether the
         order was carried out.
         """
-        record = self._acquire_duty(supervised, chosen)
+        record = self._leases.acquire(supervised, chosen)
         if record is None:
             return False
         if not demoted and not self._end_permits(supervised, chosen, primary):
             return False
         for _ in range(MAX_APPOINT_ATTEMPTS):
-            if not self._holds_duty(supervised):
+            if not self._leases.holds(supervised):
                 log_event("duty_lease_ended", service=supervised.service, member=chosen)
                 return False
             result = self._duties.appoint(
@@ -347,69 +314,10 @@
         """Return a term above every term that this VM knows."""
         return max(self._state.members.term_of(supervised.service), supervised.highest_term) + 1
 
-    def _holds_duty(self, supervised: SupervisedService) -> bool:
-        """Return whether no other VM can have acquired the duty since this VM wrote its record."""
-        return self._state.now() - supervised.duty_written_at < DUTY_LEASE
-
     def _announce_appointment(self, service: str, member: str) -> None:
         self._state.record_appointment(service, member, "order")
         self._net.broadcast(frames.Appointed(service_name=service, member=member))
 
-    def _acquire_duty(self, supervised: SupervisedService, member: str) -> DutyRecord | None:
-        """Write the record of the next order and return it; the duty must have been read.
-
-        Return None if another VM holds the duty or the record cannot be written.
-        """
-        now = self._state.now()
-        if not supervised.duty.may_acquire(self._state.vm, now):
-            log_event("duty_held", service=supervised.service, holder=supervised.duty.record.holder)
-            return None
-        record = next_record(supervised.duty.record, self._state.vm, member)
-        if record == supervised.duty.record:
-            if self._holds_duty(supervised):
-                return record
-            record = renewed_record(record)
-        try:
-            stored = self._write_duty(supervised, record)
-        except ConflictError:
-            log_event("duty_lost", service=supervised.service)
-            return None
-        except StoreError as error:
-            log_event("duty_not_written", service=supervised.service, reason=error)
-            return None
-        supervised.duty = DutyView(record, stored.revision, now)
-        supervised.duty_written_at = now
-        return record
-
-    def _read_duty(self, supervised: SupervisedService) -> bool:
-        """Update the view of the service's duty; return False if the store does not answer."""
-        now = self._state.now()
-        try:
-            stored = self._store.get(KIND_DUTIES, supervised.service)
-        except NotFoundError:
-            supervised.duty = DutyView(None, 0, now)
-            return True
-        except StoreError as error:
-            log_event("duty_not_read", service=supervised.service, reason=error)
-            return False
-        supervised.duty.update(DutyRecord.from_value(stored.value), stored.revision, now)
-        return True
-
-    def _write_duty(self, supervised: SupervisedService, record: DutyRecord) -> StoredObject:
-        """Write the record; if the answer is lost, read it back to see whether it was written."""
-        value = record.to_value()
-        try:
-            if supervised.duty.record is None and supervised.duty.revision == 0:
-                return self._store.create(KIND_DUTIES, supervised.service, value)
-            return self._store.replace(
-                KIND_DUTIES, supervised.service, value, supervised.duty.revision
-            )
-        except UnansweredError:
-            stored = self._store.get(KIND_DUTIES, supervised.service)
-            if stored.value != value:
-                raise
-            return stored
-
     # Planned changes.
 
     def _replace_draining(self, supervised: SupervisedService, row: MemberRow) -> None:
@@ -456,7 +364,7 @@
         if scheduler.prove() is None:
             primary_mark = self._state.proofs.history_of(supervised.service).newest.mark
         chosen = self._wait_for_successor(supervised, row.entry, primary_mark)
-        if chosen is None or not self._read_duty(supervised):
+        if chosen is None or not self._leases.read(supervised):
             self._replace_primary(supervised, row.entry)
             return
         self._appoint(supervised, chosen, row.entry)
@@ -466,10 +374,9 @@
 
         Its last position is then final, and a replica that has it loses nothing.
         """
-        if not self._read_duty(supervised):
+        if not self._leases.read(supervised):
             return
-        if not supervised.duty.may_acquire(self._state.vm, self._state.now()):
-            log_event("duty_held", service=supervised.service, holder=supervised.duty.record.holder)
+        if not self._leases.may_acquire(supervised):
             return
         self._query_candidates(supervised, primary)
         report = demote(self._state, primary, self._next_term(supervised))
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -11,11 +11,12 @@
 from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
 from bramleyrill_core.permits import LONGEST_PERMIT
 from bramleyrill_entry import _fence, _supervisor
+from bramleyrill_entry._duty_leases import SupervisedService
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._permits import PermitKeeper
 from bramleyrill_entry._run_request import Opens, RunProblem
 from bramleyrill_entry._schedulers import MemberSchedulers
-from bramleyrill_entry._supervisor import SupervisedService, Supervisor
+from bramleyrill_entry._supervisor import Supervisor
 from bramleyrill_platform import AppointResult, DutyClient, StoreClient
 from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
 
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -8,10 +8,11 @@
 from bramleyrill_core.catalog import MemberState
 from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
 from bramleyrill_entry import _supervisor
+from bramleyrill_entry._duty_leases import SupervisedService
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._run_request import Opens
 from bramleyrill_entry._schedulers import MemberSchedulers
-from bramleyrill_entry._supervisor import SupervisedService, Supervisor
+from bramleyrill_entry._supervisor import Supervisor
 from bramleyrill_platform import DutyClient, StoreClient
 from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
 from gevent.event import Event
@@ -99,6 +100,18 @@
         self.supervise()
         self.assertEqual([appointment[3] for appointment in self.platform.appointments], [5])
 
+    def test_malformed_record_is_replaced_with_a_higher_token(self):
+        """Starting at 1 again, every order would be below a token that the platform has seen."""
+        self.group.members_by_name["m1"].stop()
+        self.platform.put(KIND_DUTIES, SERVICE, DutyRecord("vm9", 7, "m1").to_value())
+        self.platform.revision += 20
+        self.platform.put(KIND_DUTIES, SERVICE, {"holder": 1})
+        self.supervise()
+        self.assertEqual(self.platform.appointments, [])
+        self.supervised.duty.seen_at -= DUTY_LEASE
+        self.supervise()
+        self.assertGreater(self.platform.appointments[0][3], 7)
+
     def test_lost_answer_to_the_record_is_read_back(self):
         """The record was written; otherwise this VM would wait for its own lease to expire."""
         self.group.members_by_name["m1"].stop()
