Soak deployments whose replaced primary goes on

Cause: the soak's members lost the lead at once, so it could not show a write of a replaced primary. Change: --no-fenced-orders lets it go on until it is demoted; an acknowledged write that it committed breaks a promise.

--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -18,12 +18,14 @@
 class Entry:
     """One commit in a log: its term and the values that it wrote, by key.
 
-    `rolled_back` is set when a member without the entry is promoted.
+    `rolled_back` is set when a member without the entry is promoted. `deposed` is set if a primary
+    committed it after it had been replaced.
     """
 
     term: int
     data: dict[str, str]
     rolled_back: bool = False
+    deposed: bool = False
 
 
 @define(eq=False)
@@ -175,7 +177,7 @@
         self.history.append(entry)
         member.log.append(entry)
         if member is not self.primary:
-            entry.rolled_back = True
+            entry.rolled_back = entry.deposed = True
             return
         length = len(self.primary.log)
         for replica in self.members_by_name.values():
--- a/soak/bramleyrill_soak/__main__.py
+++ b/soak/bramleyrill_soak/__main__.py
@@ -12,16 +12,21 @@
 
 @app.default
 def run(
-    first: int = 1, count: int = 1, duration_s: float = 15.0, logs: pathlib.Path | None = None
+    first: int = 1,
+    count: int = 1,
+    duration_s: float = 15.0,
+    logs: pathlib.Path | None = None,
+    fenced_orders: bool = True,
 ) -> int:
     """Run `count` soaks with seeds from `first` on; each starts faults for `duration_s` seconds.
 
     If a seed breaks a promise, the logs of its processes are saved in the folder `logs`, if one is
-    given, and the exit code is 1.
+    given, and the exit code is 1. With `--no-fenced-orders` a replaced primary goes on until it is
+    demoted, and the processes use permits.
     """
     failed = []
     for seed in range(first, first + count):
-        report = soak(seed, duration_s)
+        report = soak(seed, duration_s, fenced_orders=fenced_orders)
         _print_report(report)
         if report.violations:
             failed.append(seed)
--- a/soak/bramleyrill_soak/_history.py
+++ b/soak/bramleyrill_soak/_history.py
@@ -19,6 +19,7 @@
     FRESH_READ = "a read missed an acknowledged write"
     OWN_ROWS = "a read returned a value that nobody wrote under its key"
     SERVED_AGAIN = "a caller was not served after the faults had ended"
+    ONE_WRITER = "a write was acknowledged that a replaced primary had committed"
     CLEAN_EXIT = "a process did not stop with exit code 0"
 
 
@@ -124,6 +125,8 @@
             for value in set(entry.data.values()):
                 commits_by_value[value] = commits_by_value.get(value, 0) + 1
             self._check_atomic(entry.data)
+            if entry.deposed:
+                self._check_not_acknowledged(entry.data)
         for value, write in self.writes_by_value.items():
             count = commits_by_value.get(value, 0)
             if count > 1:
@@ -133,6 +136,12 @@
             if not count and write.outcome is Outcome.ACKNOWLEDGED:
                 self.record_violation(Promise.DURABLE_WRITE, value)
 
+    def _check_not_acknowledged(self, data: dict[str, str]) -> None:
+        for value in set(data.values()):
+            write = self.writes_by_value.get(value)
+            if write is not None and write.outcome is Outcome.ACKNOWLEDGED:
+                self.record_violation(Promise.ONE_WRITER, value)
+
     def _check_atomic(self, data: dict[str, str]) -> None:
         for value in set(data.values()):
             write = self.writes_by_value.get(value)
--- a/soak/bramleyrill_soak/_run.py
+++ b/soak/bramleyrill_soak/_run.py
@@ -34,16 +34,19 @@
     logs_by_vm: dict[str, str] = field(factory=dict)
 
 
-def soak(seed: int, duration_s: float, kinds: Sequence[str] = ()) -> SoakReport:
+def soak(
+    seed: int, duration_s: float, kinds: Sequence[str] = (), fenced_orders: bool = True
+) -> SoakReport:
     """Run one soak that starts faults of the given kinds, or of all, for `duration_s` seconds.
 
-    A seed gives the same sequence of faults only with the same kinds.
+    A seed gives the same sequence of faults only with the same kinds. Without `fenced_orders` a
+    replaced primary goes on until it is demoted.
 
     Example: `soak(7, 10.0).violations` is empty if all promises held.
     """
     rng = random.Random(seed)
     report = SoakReport(seed)
-    with SoakDeployment(VM_COUNT) as deployment:
+    with SoakDeployment(VM_COUNT, fenced_orders) as deployment:
         world = SoakWorld(deployment)
         history = History(deployment.group)
         callers = _make_callers(world, history, rng)
--- a/soak/bramleyrill_soak/_world.py
+++ b/soak/bramleyrill_soak/_world.py
@@ -17,8 +17,8 @@
 class SoakDeployment(PreparedDeployment):
     """A prepared deployment whose members, store and caller ports are reached through proxies."""
 
-    def __init__(self, vms: int) -> None:
-        super().__init__(vms)
+    def __init__(self, vms: int, fenced_orders: bool = True) -> None:
+        super().__init__(vms, fenced_orders=fenced_orders)
         self.member_proxies = {
             name: LoopbackProxy(member.address)
             for name, member in self.group.members_by_name.items()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -50,6 +50,14 @@
         self.write("v1", "a")
         self.assertEqual(self.broken_promises(), [Promise.DURABLE_WRITE])
 
+    def test_write_of_a_replaced_primary_that_was_acknowledged(self):
+        self.group.split = True
+        old = self.group.primary
+        self.group.promote("m2")
+        self.write("v1", "a")
+        self.group.commit({"a": "v1"}, old)
+        self.assertEqual(self.broken_promises(), [Promise.ONE_WRITER])
+
     def test_half_a_transaction(self):
         self.write("v1", "a", "b")
         self.group.commit({"a": "v1"})
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -25,11 +25,13 @@
     "store_unavailable",
 )
 SEED = 1
+# With this seed processes without permits acknowledge writes of a replaced primary.
+UNFENCED_SEED, UNFENCED_S = 502, 8.0
 
 
 class SoakTest(unittest.TestCase):
-    def check(self, seed, duration_s, kinds=()):
-        report = soak(seed, duration_s, kinds)
+    def check(self, seed, duration_s, kinds=(), fenced_orders=True):
+        report = soak(seed, duration_s, kinds, fenced_orders)
         self.assertEqual([str(violation) for violation in report.violations], [], report.faults)
         self.assertGreater(report.served, 0)
 
@@ -37,6 +39,14 @@
         """Checks the promises under overlapping faults, briefly enough for every test run."""
         self.check(SEED, SHORT_S)
 
+    def test_replaced_primary_that_goes_on(self):
+        """Checks that no write of a replaced primary is acknowledged where it does not notice.
+
+        The faults make a primary silent for long enough to be replaced, and let it answer again.
+        """
+        kinds = ("silence_member", "cut_from_store", "pause_vm", "store_unavailable")
+        self.check(UNFENCED_SEED, UNFENCED_S, kinds, fenced_orders=False)
+
     def test_replica_that_lags_while_callers_reconnect(self):
         """Guards against a check by which own-writes reads must include earlier sessions' writes.
 
