Log the store's era with listings, watches and duties

Change: the client reads Store-Era of each answer; store_era_changed, store_answer_outdated, watch_listed, watch_answered and duty_acquired tell eras and revisions; gauge bramleyrill_store_era. The stand-in platform tells an era and can be restored from a copy. Nothing acts on the era yet.

--- /dev/null
+++ b/packages/core/bramleyrill_core/history/_history.py
@@ -0,0 +1,69 @@
+"""What this VM knows about the era of the store's history."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from bramleyrill_base import Clock, log_event
+
+# Era of a platform that does not tell one: its store is never restored.
+NO_ERA = 0
+
+
+class StoreHistory:
+    """The newest era of the store that this VM knows, and since when.
+
+    The store begins a new era when it is restored from a copy: it has lost what was written since
+    the copy was made, and gives those revisions out again. So revisions, leases and answers of an
+    earlier era prove nothing. Only the store's own answers change `era`; what other VMs tell
+    (`hear`) is a reason to ask the store. `hooks` are called when the era changes or a newer one
+    was heard of.
+
+    Example: `history.accept(3)` after an answer of era 3, then `history.known_for()`.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.era = NO_ERA
+        self.changes = 0
+        self.hooks: list[Callable[[], None]] = []
+        self._known_since = clock.monotonic()
+        self._heard_era = NO_ERA
+        self._heard_at = self._known_since
+
+    def accept(self, era: int | None) -> bool:
+        """Learn the era of an answer; return False if the answer belongs to an earlier one.
+
+        An answer without an era is accepted as long as none has told one.
+        """
+        told = NO_ERA if era is None else era
+        if told < self.era:
+            log_event("store_answer_outdated", era=told, known_era=self.era)
+            return False
+        if told > self.era:
+            self._begin(told)
+        return True
+
+    def hear(self, era: int) -> None:
+        """Note that another VM knows `era`, and call the hooks if it is new to this VM."""
+        if era <= max(self.era, self._heard_era):
+            return
+        self._heard_era, self._heard_at = era, self._clock.monotonic()
+        self._call_hooks()
+
+    def known_for(self) -> timedelta:
+        """Return for how long the era has lasted at least, as far as this VM knows."""
+        return self._clock.monotonic() - self._known_since
+
+    def _begin(self, era: int) -> None:
+        was_heard = era == self._heard_era
+        now = self._clock.monotonic()
+        log_event("store_era_changed", era=era, earlier=self.era, heard=was_heard)
+        if self.era != NO_ERA:
+            self.changes += 1
+        self.era = era
+        self._known_since = self._heard_at if was_heard else now
+        self._call_hooks()
+
+    def _call_hooks(self) -> None:
+        for hook in self.hooks:
+            hook()
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -77,6 +77,14 @@
         except StoreError as error:
             log_event("duty_not_written", service=supervised.service, reason=error)
             return None
+        log_event(
+            "duty_acquired",
+            service=supervised.service,
+            member=member,
+            token=record.fencing_token,
+            written=stored.position,
+            read_revision=supervised.duty.revision,
+        )
         supervised.duty = DutyView(record, stored.revision, now)
         supervised.duty_written_at = now
         return record
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -9,6 +9,7 @@
 import gevent
 from attrs import evolve
 from bramleyrill_base import SystemClock, log_event
+from bramleyrill_core.history import StoreHistory
 from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable
 from bramleyrill_platform import DutyClient, StoreClient
 from gevent.event import Event
@@ -64,7 +65,7 @@
         )
         services: dict[type, Any] = {}
         self.net = PeerNet(self.state, services, listeners.peers)
-        self.store = StoreClient(settings.platform)
+        self.store = StoreClient(settings.platform, StoreHistory(clock))
         self.permits = PermitKeeper(self.state, self.store)
         self.schedulers = services[MemberSchedulers] = MemberSchedulers(self.state, self.permits)
         self.gossip = services[Gossip] = Gossip(self.net)
@@ -141,6 +142,7 @@
         self.state.vms.remove_silent(self.state.now())
         self.metrics.set_gauge("sessions_open", len(self.front.sessions))
         self.metrics.set_gauge("store_calls", self.store.calls.total)
+        self.metrics.set_gauge("store_era", self.store.history.era)
         self.metrics.set_gauge("configuration_version", self.state.catalog.version)
 
 
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -103,6 +103,13 @@
     def _step(self) -> None:
         if self._revision is None:
             listing = self._store.list(self._kind)
+            log_event(
+                "watch_listed",
+                kind=self._kind,
+                era=listing.era,
+                revision=listing.revision,
+                objects=len(listing.objects),
+            )
             self._on_listing(listing)
             self._revision = listing.revision
             return
@@ -112,6 +119,14 @@
             return
         if isinstance(changes, StoreError):
             raise changes
+        log_event(
+            "watch_answered",
+            kind=self._kind,
+            since=self._revision,
+            era=changes.era,
+            changes=len(changes.changes),
+            revision=changes.revision,
+        )
         for change in changes.changes:
             self._on_change(change)
         self._revision = changes.revision
--- a/packages/standins/bramleyrill_standins/prepared/_store.py
+++ b/packages/standins/bramleyrill_standins/prepared/_store.py
@@ -4,7 +4,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from attrs import define, field
+from attrs import define, field, frozen
 from gevent.event import Event
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -29,18 +29,31 @@
         return {"meta": meta, "spec": self.value, "status": None}
 
 
+@frozen
+class StoreCopy:
+    """Copy of the store's objects and history, from which it can be restored."""
+
+    revision: int
+    oldest_revision: int
+    objects: dict[tuple[str, str], _StoredObject] = field(repr=False)
+    history: list[tuple[int, str, _StoredObject, bool]] = field(repr=False)
+
+
 @define(eq=False)
 class PreparedPlatform:
     """HTTP server with objects by kind and name under one revision counter, and the failover call.
 
-    While `unavailable` is set, every call is answered with 503. With `lose_answers`, writes take
-    effect but the connection is closed without an answer. With `checks_tokens`, an order with a
-    lower fencing token than an earlier one is refused. `appointments` records successful failover
-    calls as (service, member, lease holder, fencing token).
+    Every answer tells the `era`, which `restore` raises; with None it tells none, like a platform
+    that is never restored. While `unavailable` is set, every call is answered with 503. With
+    `lose_answers`, writes take effect but the connection is closed without an answer. With
+    `checks_tokens`, an order with a lower fencing token than an earlier one is refused.
+    `appointments` records successful failover calls as (service, member, lease holder, fencing
+    token).
     """
 
     groups_by_service: dict[str, LineGroup] = field(factory=dict)
     revision: int = 1
+    era: int | None = 1
     unavailable: bool = False
     lose_answers: bool = False
     checks_tokens: bool = True
@@ -93,6 +106,23 @@
         self._history.clear()
         self._oldest_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what is stored now."""
+        return StoreCopy(
+            self.revision, self._oldest_revision, dict(self._objects), list(self._history)
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy and begin a new era; waiting watches are refused."""
+        self.era = (self.era or 0) + 1
+        self.revision, self._oldest_revision = copy.revision, copy.oldest_revision
+        self._objects, self._history = dict(copy.objects), list(copy.history)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
     def _handler_class(self) -> type[WSGIHandler]:
         platform = self
 
@@ -114,8 +144,7 @@
         else:
             self._objects[kind, stored.name] = stored
         self._history.append((self.revision, kind, stored, deleted))
-        changed, self._changed = self._changed, Event()
-        changed.set()
+        self._wake_watches()
 
     def _serve(self, environ: dict[str, Any], start: Any) -> list[bytes]:
         status, body = 503, {}
@@ -124,7 +153,10 @@
             path = environ["PATH_INFO"].strip("/").split("/")
             data = environ["wsgi.input"].read()
             status, body = self._call(environ, path, query, json.loads(data) if data else {})
-        start(f"{status} -", [("Content-Type", "application/json")])
+        headers = [("Content-Type", "application/json")]
+        if self.era is not None:
+            headers.append(("Store-Era", str(self.era)))
+        start(f"{status} -", headers)
         return [json.dumps(body).encode()]
 
     def _call(
@@ -165,11 +197,14 @@
         return 200, self._objects[kind, name].to_body()
 
     def _watch(self, kind: str, since: int, wait_ms: int) -> tuple[int, Any]:
-        if since < self._oldest_revision:
+        if not self._oldest_revision <= since <= self.revision:
             return 410, {}
         events = self._events_since(kind, since)
         if not events:
+            era = self.era
             self._changed.wait(wait_ms / 1000)
+            if era != self.era:
+                return 503, {}
             events = self._events_since(kind, since)
         return 200, {"events": events, "storeRevision": self.revision}
 
