Show that a watch misses a change after the store was restored

The watch goes on from revision N of the earlier history; the store has given N out again by then, so it answers no 410, and what was written below N is never seen.

--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -215,3 +215,30 @@
         self.assertEqual(self.platform.value(KIND_VMS, "vm1")["host"], "127.0.0.1")
         registration.list_vms()
         self.assertEqual([row.entry.id for row in state.vms.vms], ["vm2"])
+
+
+class RestoredTest(StoreTest):
+    """The store came back from a copy and gives its revisions out again."""
+
+    def setUp(self):
+        super().setUp()
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        self.state = make_state(group)
+        self.watch = ConfigurationWatch(self.state, self.store).watch
+        self.watch.wait = SHORT
+
+    def put(self, version):
+        self.platform.put("config", "main", {"version": version, "routes": [ROUTE]})
+
+    def test_change_below_the_revision_watched_from_is_in_force(self):
+        self.put(7)
+        copy = self.platform.copy()
+        self.platform.put("servers", "m1", ENTRY)
+        self.watch._step()
+        self.platform.restore(copy)
+        self.put(8)
+        self.platform.put("servers", "m1", ENTRY)
+        for _ in range(2):
+            self.watch._step()
+        self.assertEqual(self.state.catalog.version, 8)
