List again when the store is in another era than the watch

Cause: watches go on from a bare revision. A restored store gives its revisions out again, and once it has passed the one watched from, it answers no 410 and the changes below it are never seen. Change: a position is era and revision. An answer of another era is dropped and the kind is listed again; any answer that tells a new era renews the waiting watches; an answer of an earlier or a malformed era is rejected, and a listing whose pages are of two eras fails. Why it holds: within an era the store never gives a revision out twice, and the position is never used in another one.

--- a/packages/core/bramleyrill_core/history/_history.py
+++ b/packages/core/bramleyrill_core/history/_history.py
@@ -7,6 +7,8 @@
 
 # Era of a platform that does not tell one: its store is never restored.
 NO_ERA = 0
+# Fencing tokens hold the era above the revision, and JSON numbers are exact up to 2**53.
+MAX_ERA = 2**20
 
 
 class StoreHistory:
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -85,6 +85,8 @@
         self.net.lost_hooks.append(self.schedulers.end_transactions)
         self.gossip.behind_hooks.append(self.members.watch.renew)
         self.gossip.behind_hooks.append(self.configuration.watch.renew)
+        self.store.history.hooks.append(self.members.watch.renew)
+        self.store.history.hooks.append(self.configuration.watch.renew)
         self.gossip.listing_hooks.append(self.members.apply_peer_listing)
 
     def is_ready(self) -> bool:
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -8,6 +8,7 @@
 
 import gevent
 from bramleyrill_base import log_event
+from bramleyrill_core.history import StoreRevision
 from bramleyrill_core.placement import VmEntry, watches_platform
 from bramleyrill_platform import (
     KIND_CONFIGURATION,
@@ -57,7 +58,8 @@
 class StoreWatch:
     """List the objects of a kind, then follow their changes.
 
-    Lists again when the store no longer has the history since the last revision. `on_listing`
+    Lists again when the store no longer has the history since the last revision, or was restored
+    from a copy and is in another era. `on_listing`
     and `on_change` are called with what the store returned. While `needed` returns False, no call
     is made; afterwards the objects are listed again.
     """
@@ -77,7 +79,7 @@
         self._kind = kind
         self._on_listing = on_listing
         self._on_change = on_change
-        self._revision: int | None = None
+        self._position: StoreRevision | None = None
         self._available = True
 
     def run(self) -> None:
@@ -85,7 +87,7 @@
         pause = INITIAL_RETRY_PAUSE
         while True:
             if not self._needed():
-                self._revision = None
+                self._position = None
                 gevent.sleep(WATCH_CHECK_INTERVAL.total_seconds())
                 continue
             try:
@@ -93,49 +95,49 @@
                 pause = INITIAL_RETRY_PAUSE
                 self._record_availability(True, "")
             except HistoryLostError:
-                log_event("watch_history_lost", kind=self._kind, revision=self._revision)
-                self._revision = None
+                log_event("watch_history_lost", kind=self._kind, revision=self._position)
+                self._position = None
             except StoreError as error:
                 self._record_availability(False, error)
                 gevent.sleep(pause.total_seconds() * random.uniform(0.5, 1.0))
                 pause = min(pause * 2, MAX_RETRY_PAUSE)
 
     def _step(self) -> None:
-        if self._revision is None:
-            listing = self._store.list(self._kind)
-            log_event(
-                "watch_listed",
-                kind=self._kind,
-                era=listing.era,
-                revision=listing.revision,
-                objects=len(listing.objects),
-            )
-            self._on_listing(listing)
-            self._revision = listing.revision
+        if self._position is None or self._position.era != self._store.history.era:
+            self._list()
             return
-        self._call = gevent.spawn(self._watch, self._revision, self.wait)
+        self._call = gevent.spawn(self._watch, self._position.number, self.wait)
         changes = self._call.get()
         if changes is None:
             return
         if isinstance(changes, StoreError):
             raise changes
+        if changes.era != self._position.era:
+            log_event(
+                "watch_of_earlier_era", kind=self._kind, revision=self._position, era=changes.era
+            )
+            self._position = None
+            return
+        for change in changes.changes:
+            self._on_change(change)
+        self._position = StoreRevision(changes.era, changes.revision)
+
+    def _list(self) -> None:
+        listing = self._store.list(self._kind)
         log_event(
-            "watch_answered",
+            "watch_listed",
             kind=self._kind,
-            since=self._revision,
-            era=changes.era,
-            changes=len(changes.changes),
-            revision=changes.revision,
+            revision=listing.position,
+            objects=len(listing.objects),
         )
-        for change in changes.changes:
-            self._on_change(change)
-        self._revision = changes.revision
+        self._on_listing(listing)
+        self._position = listing.position
 
     def renew(self) -> None:
         """Cancel the waiting call, so that a new one is made at once."""
         call = self._call
         if call is not None and not call.ready():
-            log_event("watch_renewed", kind=self._kind, revision=self._revision)
+            log_event("watch_renewed", kind=self._kind, revision=self._position)
             call.kill(WatchRenewedError("the watch is renewed"), block=False)
 
     def _watch(self, revision: int, wait: timedelta) -> Changes | StoreError | None:
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -18,6 +18,7 @@
 from bramleyrill_platform import (
     ConflictError,
     HistoryLostError,
+    Listing,
     NotFoundError,
     StoreClient,
     StoreError,
@@ -32,6 +33,11 @@
 SHORT = timedelta(milliseconds=10)
 
 
+def stored(name):
+    """Return an object as the store sends it."""
+    return {"meta": {"name": name, "revision": 1}, "spec": None}
+
+
 class StoreTest(unittest.TestCase):
     def setUp(self):
         self.platform = PreparedPlatform()
@@ -242,3 +248,58 @@
         for _ in range(2):
             self.watch._step()
         self.assertEqual(self.state.catalog.version, 8)
+
+    def test_watch_is_made_anew_when_another_call_learns_the_era(self):
+        """A watch that was not cut waited for up to 30 s in the earlier history."""
+        store = mock.Mock(history=self.store.history)
+        store.list.side_effect = lambda kind: Listing([], 5, store.history.era)
+        store.watch.side_effect = lambda *_: gevent.sleep(20)
+        watch = StoreWatch(store, "config", mock.Mock(), mock.Mock())
+        store.history.hooks.append(watch.renew)
+        store.history.accept(1)
+        greenlet = gevent.spawn(watch.run)
+        gevent.sleep(0.05)
+        store.history.accept(2)
+        gevent.sleep(0.05)
+        greenlet.kill()
+        self.assertEqual(store.list.call_count, 2)
+
+    def test_restore_during_a_listing_fails_it(self):
+        """Its pages would be of two histories, and the watch would go on from the earlier one."""
+        pages = [
+            ({"items": [stored("a")], "hasMore": True, "storeRevision": 9}, 1),
+            ({"items": [stored("b")], "hasMore": False, "storeRevision": 4}, 2),
+        ]
+        with (
+            mock.patch.object(self.store, "_call", side_effect=pages),
+            self.assertRaisesRegex(StoreError, "restored"),
+        ):
+            self.store.list("kind")
+
+    def test_answer_of_an_earlier_era_is_rejected(self):
+        """It was sent before the restore, and what it says may be gone."""
+        self.platform.era = 3
+        self.store.list("kind")
+        self.platform.era = 2
+        with self.assertRaisesRegex(UnansweredError, "earlier era"):
+            self.store.create("kind", "a", 1)
+        self.platform.era = 3
+        self.assertEqual(self.store.get("kind", "a").era, 3)
+
+    def test_malformed_era_is_rejected_and_changes_nothing(self):
+        """A huge era would make every later answer look outdated."""
+        self.store.list("kind")
+        for era in ("-1", "x", "", "1.5", "9" * 30, "\u00b2"):
+            self.platform.era = era
+            with self.subTest(era=era), self.assertRaisesRegex(UnansweredError, "malformed era"):
+                self.store.list("kind")
+        self.assertEqual(self.store.history.era, 1)
+
+    def test_missing_era_is_accepted_only_from_a_platform_that_tells_none(self):
+        self.platform.era = None
+        self.assertEqual(self.store.list("kind").era, 0)
+        self.platform.era = 1
+        self.store.list("kind")
+        self.platform.era = None
+        with self.assertRaises(UnansweredError):
+            self.store.list("kind")
