Compare revisions of member entries only within an era of the store

What callers can meet: after a restore a member that began to drain, or a new primary, is not seen, as its entry has a lower revision than the one known from before; listed members lapse for the same reason; VMs that heard nothing of the restore hold the others back. The other way round, an entry from the copy brings a member that drains or left, or an old primary, back into use until it is written again. Change: core/history has the era in one place; the revision of a member entry is era and number, in the table, in pings, pongs, pulls and pushes (new optional fields; a build without them is placed in this VM's era until it has seen a restore). A listing after a restore may be from the copy: an entry with a lower number than the known one waits 2.5 s for its member to write again, and an incarnation does not return from draining or after it left.

--- a/packages/core/bramleyrill_core/catalog/_model.py
+++ b/packages/core/bramleyrill_core/catalog/_model.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 from bramleyrill_core._values import MemberRole, Rank
+from bramleyrill_core.history import StoreRevision
 
 Address = tuple[str, int]
 
@@ -86,4 +87,4 @@
     role: MemberRole
     incarnation: int = 0
     warmup_left: timedelta = timedelta()
-    revision: int = 0
+    revision: StoreRevision = StoreRevision()
--- a/packages/core/bramleyrill_core/catalog/_tables.py
+++ b/packages/core/bramleyrill_core/catalog/_tables.py
@@ -2,14 +2,18 @@
 
 from datetime import timedelta
 
-from attrs import define
+from attrs import define, evolve
 from bramleyrill_base import Table
 
 from bramleyrill_core._values import MemberRole
 from bramleyrill_core.catalog._model import MemberEntry, MemberState
+from bramleyrill_core.history import StoreRevision
 
-# Entries that lapse while the platform's store is down are back within about 2 s of its return.
+# Entries that lapse while the platform's store is down are back within about 2 s of its return,
+# and members write again what a restored store has lost.
 LAPSE_GRACE = timedelta(seconds=2.5)
+# Members that left are remembered up to this number, since a restored store may list them again.
+MAX_DEPARTED = 1000
 
 
 @define(eq=False)
@@ -17,12 +21,15 @@
     """A member's entry and the observations about it.
 
     `lapsed_at` is the time at which its entry disappeared from the store, or None. `role_revision`
-    is the revision of the entry with which its role or incarnation last changed.
+    is the revision of the entry with which its role or incarnation last changed. `restored` is the
+    entry that a restored store listed at `restored_at`, as long as it may be older than `entry`.
     """
 
     entry: MemberEntry
     lapsed_at: timedelta | None = None
-    role_revision: int = 0
+    role_revision: StoreRevision = StoreRevision()
+    restored: MemberEntry | None = None
+    restored_at: timedelta = timedelta()
 
     @property
     def accepts_work(self) -> bool:
@@ -40,7 +47,7 @@
 
     member: str
     term: int
-    role_revision: int = 0
+    role_revision: StoreRevision = StoreRevision()
 
 
 class MemberTable:
@@ -50,35 +57,74 @@
     inside a plain transaction proves a term. After that, only a proof of at least the same term or
     an entry with a later change of role replaces it. `revision` is the newest revision of any
     entry.
+
+    A restored store lists entries from its copy until the members have written theirs again. An
+    entry that may be from the copy therefore does not replace a known one for LAPSE_GRACE, and a
+    member that was seen to leave does not come back with it.
     """
 
     def __init__(self) -> None:
         self.members: Table[str, MemberRow] = Table()
         self.primaries: Table[str, PrimaryRow] = Table()
-        self.revision = 0
+        self.revision = StoreRevision()
+        self._departed_incarnations_by_id: dict[str, int] = {}
 
     def replace_all(self, entries: list[MemberEntry], now: timedelta) -> None:
         """Replace all entries by a complete list; members that it lacks lapse."""
         listed = {entry.id for entry in entries}
+        earlier = self.revision
         for entry in entries:
-            self.put(entry)
+            self._put_listed(entry, earlier, now)
         for row in self.members.rows():
             if row.entry.id not in listed:
                 self.lapse(row.entry.id, now)
 
     def put(self, entry: MemberEntry) -> None:
         """Add or update the entry of a member, unless a newer one is known."""
+        self._put(entry, entry.revision)
+
+    def settle_restored(self, now: timedelta) -> list[str]:
+        """Use the restored entries that were not written again in time; return their ids."""
+        due = [
+            row.restored
+            for row in self.members
+            if row.restored is not None and now - row.restored_at >= LAPSE_GRACE
+        ]
+        for entry in due:
+            self.put(entry)
+        return [entry.id for entry in due]
+
+    def restored_count(self) -> int:
+        """Return the number of members whose restored entry is not used yet."""
+        return sum(row.restored is not None for row in self.members)
+
+    def _put_listed(self, entry: MemberEntry, earlier: StoreRevision, now: timedelta) -> None:
+        """Put an entry of a listing; `earlier` is the table's revision before the listing."""
+        row = self.members.get(entry.id)
+        if row is None:
+            self._put(entry, _revision_of_role(entry, earlier))
+        elif _may_be_older(entry, row):
+            self.revision = max(self.revision, entry.revision)
+            row.lapsed_at = None
+            if row.restored is None or row.restored.revision < entry.revision:
+                row.restored, row.restored_at = entry, now
+        else:
+            self.put(entry)
+
+    def _put(self, entry: MemberEntry, role_revision: StoreRevision) -> None:
         self.revision = max(self.revision, entry.revision)
+        if self._has_departed(entry):
+            return
         row = self.members.get(entry.id)
         if row is None:
-            row = self.members.add(entry.id, MemberRow(entry, role_revision=entry.revision))
+            row = self.members.add(entry.id, MemberRow(entry, role_revision=role_revision))
         elif entry.revision < row.entry.revision:
             return
         else:
             if entry.role is not row.entry.role or entry.incarnation != row.entry.incarnation:
-                row.role_revision = entry.revision
-            row.entry = entry
-            row.lapsed_at = None
+                row.role_revision = role_revision
+            row.entry = _keep_draining(entry, row.entry)
+            row.lapsed_at = row.restored = None
         if entry.role is MemberRole.PRIMARY:
             self._record_claimed_primary(entry.service, entry.id, row.role_revision)
 
@@ -89,6 +135,7 @@
             return
         if not row.accepts_work:
             self.members.remove(member)
+            self._record_departure(row.entry)
         elif row.lapsed_at is None:
             row.lapsed_at = now
 
@@ -126,15 +173,69 @@
             return False
         changed = primary is None or primary.member != member
         row = self.members.get(member)
-        revision = row.role_revision if row else 0
-        earlier_revision = primary.role_revision if primary else 0
+        revision = row.role_revision if row else StoreRevision()
+        earlier_revision = primary.role_revision if primary else StoreRevision()
         self.primaries.add(service, PrimaryRow(member, term, max(revision, earlier_revision)))
         return changed
 
-    def _record_claimed_primary(self, service: str, member: str, role_revision: int) -> None:
+    def _record_departure(self, entry: MemberEntry) -> None:
+        departed = self._departed_incarnations_by_id
+        departed[entry.id] = entry.incarnation
+        if len(departed) > MAX_DEPARTED:
+            del departed[next(iter(departed))]
+
+    def _has_departed(self, entry: MemberEntry) -> bool:
+        """Return whether a member that is not known now left in this incarnation."""
+        return (
+            entry.incarnation != 0
+            and self.members.get(entry.id) is None
+            and entry.state is MemberState.READY
+            and self._departed_incarnations_by_id.get(entry.id) == entry.incarnation
+        )
+
+    def _record_claimed_primary(
+        self, service: str, member: str, role_revision: StoreRevision
+    ) -> None:
         primary = self.primaries.get(service)
         if primary is None:
             self.primaries.add(service, PrimaryRow(member, 0, role_revision))
         elif role_revision > primary.role_revision:
             primary.role_revision = role_revision
             primary.member = member
+
+
+def _may_be_older(entry: MemberEntry, row: MemberRow) -> bool:
+    """Return whether a listed entry may be from the copy, and older than the known one.
+
+    The copy holds only revisions that the earlier era had given out before. An entry that changed
+    after the restore was first listed was written in the new era.
+    """
+    known = row.entry.revision
+    if entry.revision.era <= known.era or entry.revision.number >= known.number:
+        return False
+    restored = row.restored
+    if restored is None or restored.revision.era < entry.revision.era:
+        return True
+    return entry.revision == restored.revision
+
+
+def _revision_of_role(entry: MemberEntry, earlier: StoreRevision) -> StoreRevision:
+    """Return the revision that orders the role of a member that was not known.
+
+    What a restored store lists below the `earlier` revision may be from its copy, so that it is no
+    newer than what was learned before the restore.
+    """
+    if entry.revision.era > earlier.era and entry.revision.number < earlier.number:
+        return StoreRevision(earlier.era, entry.revision.number)
+    return entry.revision
+
+
+def _keep_draining(entry: MemberEntry, known: MemberEntry) -> MemberEntry:
+    """Return the entry to use; across a restore, no incarnation returns from draining."""
+    if (
+        known.state is MemberState.DRAINING
+        and entry.incarnation == known.incarnation != 0
+        and entry.revision.era > known.revision.era
+    ):
+        return evolve(entry, state=MemberState.DRAINING)
+    return entry
--- a/packages/core/bramleyrill_core/history/_history.py
+++ b/packages/core/bramleyrill_core/history/_history.py
@@ -5,6 +5,8 @@
 
 from bramleyrill_base import Clock, log_event
 
+from bramleyrill_core.history._revision import StoreRevision
+
 # Era of a platform that does not tell one: its store is never restored.
 NO_ERA = 0
 # Fencing tokens hold the era above the revision, and JSON numbers are exact up to 2**53.
@@ -18,7 +20,7 @@
     the copy was made, and gives those revisions out again. So revisions, leases and answers of an
     earlier era prove nothing. Only the store's own answers change `era`; what other VMs tell
     (`hear`) is a reason to ask the store. `hooks` are called when the era changes or a newer one
-    was heard of.
+    was heard of, but not for the first era.
 
     Example: `history.accept(3)` after an answer of era 3, then `history.known_for()`.
     """
@@ -26,6 +28,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.era = NO_ERA
+        # Restores since this VM started, as far as it noticed them.
         self.changes = 0
         self.hooks: list[Callable[[], None]] = []
         self._known_since = clock.monotonic()
@@ -50,7 +53,20 @@
         if era <= max(self.era, self._heard_era):
             return
         self._heard_era, self._heard_at = era, self._clock.monotonic()
-        self._call_hooks()
+        if self.era != NO_ERA:
+            self._call_hooks()
+
+    def place(self, era: int | None, number: int) -> StoreRevision:
+        """Return the revision that another VM tells; raise ValueError for one that cannot be.
+
+        A VM of a build that tells no era is taken to be in this VM's, unless the store was restored
+        since this VM started: then its number may be of either history, and counts as older.
+        """
+        if era is None:
+            era = NO_ERA if self.changes else self.era
+        if not 0 <= era <= MAX_ERA or number < 0:
+            raise ValueError(f"no revision of a store: {era}:{number}")
+        return StoreRevision(era, number)
 
     def known_for(self) -> timedelta:
         """Return for how long the era has lasted at least, as far as this VM knows."""
@@ -60,11 +76,12 @@
         was_heard = era == self._heard_era
         now = self._clock.monotonic()
         log_event("store_era_changed", era=era, earlier=self.era, heard=was_heard)
-        if self.era != NO_ERA:
-            self.changes += 1
+        is_first = self.era == NO_ERA
         self.era = era
         self._known_since = self._heard_at if was_heard else now
-        self._call_hooks()
+        if not is_first:
+            self.changes += 1
+            self._call_hooks()
 
     def _call_hooks(self) -> None:
         for hook in self.hooks:
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -9,11 +9,13 @@
 
 import gevent
 from bramleyrill_base import log_event
+from bramleyrill_core.history import StoreRevision
 from bramleyrill_platform import DecodeError, Listing, StoredObject, decode_catalog
 from bramleyrill_wire.entries import frames
 
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError, decode_vm, encode_vm
 from bramleyrill_entry._peers import PeerNet, handlers, make_pong
+from bramleyrill_entry._state import EntryState
 
 PING_INTERVAL = timedelta(milliseconds=500)
 PING_TIMEOUT = timedelta(milliseconds=900)
@@ -70,7 +72,8 @@
                     catalog_version=state.catalog.version,
                     vms_known=len(state.vms.entries()),
                     vm=encode_vm(state.vms.own),
-                    members_revision=state.members.revision,
+                    members_revision=state.members.revision.number,
+                    store_era=state.members.revision.era,
                 ),
                 PING_TIMEOUT,
             )
@@ -81,12 +84,13 @@
         state.vms.record_answer(vm, now)
         try:
             entries = [decode_vm(known) for known in (answer.vm, *(answer.vms or ()))]
+            members_revision = told_revision(state, answer)
         except ValueError as error:
             log_event("frame_rejected", vm=vm, frame="Pong", reason=error)
             return
         for entry in state.vms.update_all(entries, now):
             log_event("vm_known", vm=entry.id, domain=entry.domain, leaving=entry.leaving, via=vm)
-        self.handle_peer_versions(vm, answer.catalog_version or 0, answer.members_revision or 0)
+        self.handle_peer_versions(vm, answer.catalog_version or 0, members_revision)
 
     def dial_seeds(self) -> None:
         """Dial the seed addresses if no other VM is known."""
@@ -96,12 +100,13 @@
             if address != self._state.settings.peer_listen:
                 gevent.spawn(self._dial_seed, address)
 
-    def handle_peer_versions(self, vm: str, version: int, members_revision: int) -> None:
+    def handle_peer_versions(self, vm: str, version: int, members_revision: StoreRevision) -> None:
         """Schedule a pull if a peer has a newer configuration or newer member entries.
 
         A VM that watches the platform gets both from it a moment later, so it waits first unless it
         has no configuration yet. The others pull soon.
         """
+        self._state.history.hear(members_revision.era)
         if not self._is_behind(version, members_revision) or self._catching_up:
             return
         self._catching_up = True
@@ -115,11 +120,11 @@
             return BEHIND_GRACE
         return FOLLOWER_GRACE * random.random()
 
-    def _is_behind(self, version: int, members_revision: int) -> bool:
+    def _is_behind(self, version: int, members_revision: StoreRevision) -> bool:
         state = self._state
         return version > state.catalog.version or members_revision > state.members.revision
 
-    def _catch_up(self, vm: str, version: int, members_revision: int) -> None:
+    def _catch_up(self, vm: str, version: int, members_revision: StoreRevision) -> None:
         """Pull from a VM if this one is still behind, and renew the watches of the store.
 
         A watch may wait on a dead connection, or the platform may be unreachable.
@@ -157,7 +162,8 @@
                 lambda call: frames.CatalogPull(
                     call=call,
                     catalog_version=self._state.catalog.version,
-                    members_revision=self._state.members.revision,
+                    members_revision=self._state.members.revision.number,
+                    store_era=self._state.members.revision.era,
                 ),
                 PULL_TIMEOUT,
             )
@@ -165,14 +171,28 @@
             if body["configuration"] is not None:
                 catalog = decode_catalog(body["configuration"])
                 self._state.apply_catalog(catalog, body["configuration"], f"peer {vm}")
-            if push.members_revision > self._state.members.revision:
-                objects = [StoredObject(*item) for item in body["members"]]
+            revision = told_revision(self._state, push)
+            if revision > self._state.members.revision:
+                objects = [_read_pushed(item, revision.era) for item in body["members"]]
                 for hook in self.listing_hooks:
-                    hook(Listing(objects, push.members_revision))
+                    hook(Listing(objects, revision.number, revision.era))
         except (PeerLostError, DecodeError, ValueError, KeyError, TypeError, zlib.error) as error:
             log_event("configuration_pull_failed", vm=vm, reason=error)
 
 
+def told_revision(state: EntryState, frame: Any) -> StoreRevision:
+    """Return the revision of member entries that a peer tells; raise ValueError if malformed."""
+    return state.history.place(frame.store_era, frame.members_revision or 0)
+
+
+def _read_pushed(item: Any, era: int) -> StoredObject:
+    """Return a member's entry that a peer sent as name, revision and value; raise ValueError."""
+    name, revision, value = item
+    if not isinstance(name, str) or not isinstance(revision, int):
+        raise ValueError("a pushed entry has no name or revision")
+    return StoredObject(name, revision, value, era)
+
+
 @handlers.register("Ping")
 def handle_ping(net: PeerNet, link: PeerLink, frame: Any) -> None:
     """Answer a ping; one without a VM's entry only checks that the link is alive."""
@@ -181,7 +201,7 @@
         net.state.vms.update(decode_vm(frame.vm), now)
         net.state.vms.record_answer(link.peer.id, now)
         net.services[Gossip].handle_peer_versions(
-            link.peer.id, frame.catalog_version or 0, frame.members_revision or 0
+            link.peer.id, frame.catalog_version or 0, told_revision(net.state, frame)
         )
     link.send(
         make_pong(net, frame.call, frame.vms_known if frame.vm else len(net.state.vms.entries()))
@@ -198,7 +218,7 @@
     configuration, members = None, []
     if state.catalog.version > (frame.catalog_version or 0):
         configuration = state.catalog_body
-    if state.members.revision > (frame.members_revision or 0):
+    if state.members.revision > told_revision(state, frame):
         members = [[item.name, item.revision, item.value] for item in state.member_objects.values()]
     body = {"configuration": configuration, "members": members}
     link.send(
@@ -206,6 +226,7 @@
             call=frame.call,
             version=state.catalog.version,
             body=zlib.compress(json.dumps(body).encode()),
-            members_revision=state.members.revision,
+            members_revision=state.members.revision.number,
+            store_era=state.members.revision.era,
         )
     )
--- a/packages/entry/bramleyrill_entry/_peers.py
+++ b/packages/entry/bramleyrill_entry/_peers.py
@@ -168,5 +168,6 @@
         catalog_version=net.state.catalog.version,
         vms=listed,
         vm=encode_vm(net.state.vms.own),
-        members_revision=net.state.members.revision,
+        members_revision=net.state.members.revision.number,
+        store_era=net.state.members.revision.era,
     )
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -9,7 +9,6 @@
 import gevent
 from attrs import evolve
 from bramleyrill_base import SystemClock, log_event
-from bramleyrill_core.history import StoreHistory
 from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable
 from bramleyrill_platform import DutyClient, StoreClient
 from gevent.event import Event
@@ -65,7 +64,7 @@
         )
         services: dict[type, Any] = {}
         self.net = PeerNet(self.state, services, listeners.peers)
-        self.store = StoreClient(settings.platform, StoreHistory(clock))
+        self.store = StoreClient(settings.platform, self.state.history)
         self.permits = PermitKeeper(self.state, self.store)
         self.schedulers = services[MemberSchedulers] = MemberSchedulers(self.state, self.permits)
         self.gossip = services[Gossip] = Gossip(self.net)
@@ -85,8 +84,10 @@
         self.net.lost_hooks.append(self.schedulers.end_transactions)
         self.gossip.behind_hooks.append(self.members.watch.renew)
         self.gossip.behind_hooks.append(self.configuration.watch.renew)
-        self.store.history.hooks.append(self.members.watch.renew)
-        self.store.history.hooks.append(self.configuration.watch.renew)
+        self.state.history.hooks += [
+            self.members.watch.renew,
+            self.configuration.watch.renew,
+        ]
         self.gossip.listing_hooks.append(self.members.apply_peer_listing)
 
     def is_ready(self) -> bool:
@@ -139,12 +140,12 @@
         self.gossip.ping_peers()
 
     def _maintain(self) -> None:
-        self.members.drop_lapsed()
+        self.members.update_overdue()
         self.schedulers.maintain()
         self.state.vms.remove_silent(self.state.now())
         self.metrics.set_gauge("sessions_open", len(self.front.sessions))
         self.metrics.set_gauge("store_calls", self.store.calls.total)
-        self.metrics.set_gauge("store_era", self.store.history.era)
+        self.metrics.set_gauge("store_era", self.state.history.era)
         self.metrics.set_gauge("configuration_version", self.state.catalog.version)
 
 
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -6,11 +6,12 @@
 
 import gevent
 import gevent.socket
-from attrs import define, field
+from attrs import Factory, define, field
 from bramleyrill_base import Clock, log_event
 from bramleyrill_core import Mark, VmId
 from bramleyrill_core.catalog import EMPTY_CATALOG, Catalog, MemberTable
 from bramleyrill_core.freshness import ProofTable
+from bramleyrill_core.history import StoreHistory
 from bramleyrill_core.placement import ReadPlacement, VmTable
 from bramleyrill_platform import StoredObject
 from gevent.event import Event
@@ -47,7 +48,7 @@
     version is in force. `stopping` is set when a planned stop begins, and `closing_sessions` when
     it starts to close each session after its current answer. `requests_running` counts the
     statements of callers in progress. `watches_store` is whether this VM follows the store itself;
-    otherwise it learns of changes from its peers.
+    otherwise it learns of changes from its peers. `history` is the era of the store that it knows.
     """
 
     settings: EntrySettings
@@ -65,6 +66,9 @@
     closing_sessions: bool = False
     requests_running: int = 0
     watches_store: bool = True
+    history: StoreHistory = field(
+        default=Factory(lambda state: StoreHistory(state.clock), takes_self=True)
+    )
 
     @property
     def vm(self) -> VmId:
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -114,7 +114,10 @@
             raise changes
         if changes.era != self._position.era:
             log_event(
-                "watch_of_earlier_era", kind=self._kind, revision=self._position, era=changes.era
+                "watch_answered_in_another_era",
+                kind=self._kind,
+                revision=self._position,
+                era=changes.era,
             )
             self._position = None
             return
@@ -202,10 +205,14 @@
             lambda: update_watches_store(state),
         )
 
-    def drop_lapsed(self) -> None:
-        """Remove members whose lapsed entries did not come back in time."""
+    def update_overdue(self) -> None:
+        """Use restored entries, and remove lapsed members, that were not written again in time."""
+        previous_primaries = self._primary_by_service()
+        for member in self._members.settle_restored(self._state.now()):
+            log_event("member_entry_settled", member=member)
         for member in self._members.drop_lapsed(self._state.now()):
             log_event("member_gone", member=member)
+        self._report_primary_changes(previous_primaries)
 
     def apply_peer_listing(self, listing: Listing) -> None:
         """Apply a listing of member entries that was pulled from a peer."""
@@ -218,8 +225,14 @@
         self._members.replace_all(entries, self._state.now())
         if source == "peer":
             # The newest change may be a removal, of which the list shows no revision.
-            self._members.revision = max(self._members.revision, listing.revision)
-        log_event("members_listed", members=len(entries), revision=listing.revision, source=source)
+            self._members.revision = max(self._members.revision, listing.position)
+        log_event(
+            "members_listed",
+            members=len(entries),
+            revision=listing.position,
+            source=source,
+            held_back=self._members.restored_count(),
+        )
         self._report_primary_changes(previous_primaries)
 
     def _apply_change(self, change: Change) -> None:
@@ -231,7 +244,7 @@
         entry = None if change.deleted else self._decode(change.object)
         if entry is None:
             log_event("member_entry_lapsed", member=name)
-            self._members.revision = max(self._members.revision, change.object.revision)
+            self._members.revision = max(self._members.revision, change.object.position)
             self._members.lapse(name, self._state.now())
             return
         previous_row = self._members.members.get(name)
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -15,12 +15,16 @@
 // First frame that each side of a connection sends.
 struct Hello { 1: i32 protocol, 2: Vm vm }
 
+// `members_revision` is the newest revision of a member's entry that the sender has, in the era
+// `store_era` of the store; a build that knows no eras leaves it out.
 struct Ping {
-  1: i64 call, 2: i64 catalog_version, 3: i64 vms_known, 4: Vm vm, 5: i64 members_revision
+  1: i64 call, 2: i64 catalog_version, 3: i64 vms_known, 4: Vm vm, 5: i64 members_revision,
+  6: i64 store_era
 }
 // `vms` is empty if the requesting VM knows the same number of VMs.
 struct Pong {
-  1: i64 call, 2: i64 catalog_version, 3: list<Vm> vms, 4: Vm vm, 5: i64 members_revision
+  1: i64 call, 2: i64 catalog_version, 3: list<Vm> vms, 4: Vm vm, 5: i64 members_revision,
+  6: i64 store_era
 }
 
 // Runs one statement on a member. `exchange` is 0 for a single statement, else the ID of the
@@ -54,11 +58,15 @@
 }
 
 // Requests what is newer than the version and revision that the sender has.
-struct CatalogPull { 1: i64 call, 2: i64 catalog_version, 3: i64 members_revision }
+struct CatalogPull {
+  1: i64 call, 2: i64 catalog_version, 3: i64 members_revision, 4: i64 store_era
+}
 // `body` is zlib-compressed JSON: the configuration and the members' entries as stored on the
 // platform, each entry as a list of name, revision and value. The configuration is null, or the list
 // empty, if the receiver is not behind.
-struct CatalogPush { 1: i64 call, 2: i64 version, 3: binary body, 4: i64 members_revision }
+struct CatalogPush {
+  1: i64 call, 2: i64 version, 3: binary body, 4: i64 members_revision, 5: i64 store_era
+}
 
 // Announces that a member was made primary.
 struct Appointed { 1: string service_name, 2: string member }
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -69,6 +69,7 @@
         3: (TType.I64, "vms_known", False),
         4: (TType.STRUCT, "vm", Vm, False),
         5: (TType.I64, "members_revision", False),
+        6: (TType.I64, "store_era", False),
     }
     default_spec = [
         ("call", None),
@@ -76,6 +77,7 @@
         ("vms_known", None),
         ("vm", None),
         ("members_revision", None),
+        ("store_era", None),
     ]
 
 
@@ -88,6 +90,7 @@
         3: (TType.LIST, "vms", (TType.STRUCT, Vm), False),
         4: (TType.STRUCT, "vm", Vm, False),
         5: (TType.I64, "members_revision", False),
+        6: (TType.I64, "store_era", False),
     }
     default_spec = [
         ("call", None),
@@ -95,6 +98,7 @@
         ("vms", None),
         ("vm", None),
         ("members_revision", None),
+        ("store_era", None),
     ]
 
 
@@ -226,8 +230,14 @@
         1: (TType.I64, "call", False),
         2: (TType.I64, "catalog_version", False),
         3: (TType.I64, "members_revision", False),
+        4: (TType.I64, "store_era", False),
     }
-    default_spec = [("call", None), ("catalog_version", None), ("members_revision", None)]
+    default_spec = [
+        ("call", None),
+        ("catalog_version", None),
+        ("members_revision", None),
+        ("store_era", None),
+    ]
 
 
 class CatalogPush(TPayload):
@@ -238,8 +248,15 @@
         2: (TType.I64, "version", False),
         3: (TType.BINARY, "body", False),
         4: (TType.I64, "members_revision", False),
+        5: (TType.I64, "store_era", False),
     }
-    default_spec = [("call", None), ("version", None), ("body", None), ("members_revision", None)]
+    default_spec = [
+        ("call", None),
+        ("version", None),
+        ("body", None),
+        ("members_revision", None),
+        ("store_era", None),
+    ]
 
 
 class Appointed(TPayload):
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -5,6 +5,7 @@
 from bramleyrill_base import SystemClock
 from bramleyrill_core import MemberRole, Rank
 from bramleyrill_core.catalog import Catalog, MemberEntry, MemberState, ServiceEntry
+from bramleyrill_core.history import StoreRevision
 from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable
 from bramleyrill_core.statements import Prepared, Statement, StatementKind
 from bramleyrill_entry._run_request import RunRequest
@@ -52,7 +53,14 @@
     member = group.members_by_name[name]
     role = MemberRole.PRIMARY if member.is_primary else MemberRole.REPLICA
     return MemberEntry(
-        name, group.service, member.address, DOMAIN, 2, state, role, revision=revision
+        name,
+        group.service,
+        member.address,
+        DOMAIN,
+        2,
+        state,
+        role,
+        revision=StoreRevision(1, revision),
     )
 
 
--- a/tests/entry/test_decode.py
+++ b/tests/entry/test_decode.py
@@ -5,6 +5,7 @@
 
 from bramleyrill_core import MemberRole, Rank
 from bramleyrill_core.catalog import Consistency, MemberState
+from bramleyrill_core.history import StoreRevision
 from bramleyrill_platform import DecodeError, StoredObject, decode_catalog, decode_member
 
 ROUTE = {
@@ -63,8 +64,9 @@
 
 class MemberTest(unittest.TestCase):
     def test_entry(self):
-        entry = decode_member(StoredObject("m1", 12, ENTRY))
-        self.assertEqual((entry.id, entry.revision, entry.incarnation), ("m1", 12, 99))
+        entry = decode_member(StoredObject("m1", 12, ENTRY, era=3))
+        revision = StoreRevision(3, 12)
+        self.assertEqual((entry.id, entry.revision, entry.incarnation), ("m1", revision, 99))
         self.assertIs(entry.role, MemberRole.REPLICA)
         self.assertIs(entry.state, MemberState.READY)
         self.assertEqual(entry.address, ("10.0.0.9", 8080))
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -5,6 +5,7 @@
 
 from bramleyrill_core import MemberRole
 from bramleyrill_core.catalog import MemberEntry, MemberState, MemberTable
+from bramleyrill_core.history import StoreRevision
 from bramleyrill_core.placement import (
     ReadPlacement,
     VmEntry,
@@ -18,7 +19,7 @@
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
 
 
-def member(name, domain="north-a", role=MemberRole.REPLICA, revision=1, **changes):
+def member(name, domain="north-a", role=MemberRole.REPLICA, revision=1, era=1, **changes):
     values = {
         "id": name,
         "service": "pieces",
@@ -27,7 +28,7 @@
         "slots": 2,
         "state": MemberState.READY,
         "role": role,
-        "revision": revision,
+        "revision": StoreRevision(era, revision),
     }
     return MemberEntry(**(values | changes))
 
@@ -213,3 +214,84 @@
         self.table.put(member("m2", revision=8, state=MemberState.DRAINING))
         self.table.lapse("m2", 0 * MS)
         self.assertIsNone(self.table.members.get("m2"))
+
+
+class RestoredMembersTest(unittest.TestCase):
+    """Entries that a store lists after it was restored from a copy."""
+
+    def setUp(self):
+        self.table = MemberTable()
+        self.table.put(member("m1", role=MemberRole.PRIMARY, revision=5, incarnation=1))
+        self.table.put(member("m2", revision=20, state=MemberState.DRAINING, incarnation=1))
+
+    def restore(self, *entries, now=0 * MS):
+        first = member("m1", role=MemberRole.PRIMARY, revision=5, era=2, incarnation=1)
+        self.table.replace_all([first, *entries], now)
+
+    def accepts_work(self, name):
+        row = self.table.members.get(name)
+        return row is not None and row.accepts_work
+
+    def test_change_with_a_lower_revision_of_the_new_era_is_taken(self):
+        """A member that began to drain after a restore got new work, as its entry looked old."""
+        self.table.put(member("m3", revision=30))
+        self.restore(member("m3", revision=8, era=2))
+        self.table.put(member("m3", revision=9, era=2, state=MemberState.DRAINING))
+        self.assertFalse(self.accepts_work("m3"))
+        self.assertIsNone(self.table.members.get("m3").lapsed_at)
+
+    def test_listed_member_does_not_lapse_for_its_lower_revision(self):
+        """Members that lapsed while the store was away were dropped though they were listed."""
+        self.table.lapse("m1", 0 * MS)
+        self.restore()
+        self.assertEqual(self.table.drop_lapsed(9000 * MS), [])
+
+    def test_draining_member_gets_no_work_by_an_entry_from_the_copy(self):
+        self.restore(member("m2", revision=6, era=2, incarnation=1))
+        self.assertFalse(self.accepts_work("m2"))
+        self.table.settle_restored(9000 * MS)
+        self.assertFalse(self.accepts_work("m2"))
+
+    def test_member_that_left_does_not_come_back_with_the_copy(self):
+        self.table.lapse("m2", 0 * MS)
+        self.restore(member("m2", revision=6, era=2, incarnation=1))
+        self.assertIsNone(self.table.members.get("m2"))
+        self.restore(member("m2", revision=9, era=2, incarnation=2))
+        self.assertTrue(self.accepts_work("m2"))
+
+    def test_role_from_the_copy_does_not_bring_an_old_primary_back(self):
+        self.table.put(member("m3", revision=30, role=MemberRole.PRIMARY))
+        self.table.record_primary_proof("pieces", "m3", 2)
+        self.restore(
+            member("m3", revision=7, era=2),
+            member("m4", revision=6, era=2, role=MemberRole.PRIMARY),
+        )
+        self.assertEqual(self.table.primary_of("pieces").entry.id, "m3")
+
+    def test_entry_that_nobody_wrote_again_counts_after_a_while(self):
+        self.table.put(member("m3", revision=30, slots=9))
+        self.restore(member("m3", revision=7, era=2))
+        self.assertEqual(self.table.settle_restored(2400 * MS), [])
+        self.assertEqual(self.table.members.get("m3").entry.slots, 9)
+        self.assertEqual(self.table.settle_restored(2500 * MS), ["m3"])
+        self.assertEqual(self.table.members.get("m3").entry.slots, 2)
+
+    def test_entry_listed_with_a_later_revision_was_written_again(self):
+        self.table.put(member("m3", revision=30, slots=9))
+        self.restore(member("m3", revision=7, era=2))
+        self.restore(member("m3", revision=8, era=2, slots=4))
+        self.assertEqual(self.table.members.get("m3").entry.slots, 4)
+
+    def test_entry_of_an_earlier_era_is_ignored(self):
+        """A peer that heard nothing of the restore still has the highest number."""
+        self.restore(member("m3", revision=7, era=2))
+        self.table.put(member("m3", revision=40, era=1, state=MemberState.DRAINING))
+        self.assertTrue(self.accepts_work("m3"))
+        self.assertEqual(self.table.revision.era, 2)
+
+    def test_departed_members_are_bounded(self):
+        for number in range(1100):
+            name = f"x{number}"
+            self.table.put(member(name, revision=40, state=MemberState.DRAINING, incarnation=1))
+            self.table.lapse(name, 0 * MS)
+        self.assertLessEqual(len(self.table._departed_incarnations_by_id), 1000)
--- a/tests/entry/test_scheduler.py
+++ b/tests/entry/test_scheduler.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import gevent
+from attrs import evolve
 from bramleyrill_core import Mark
 from bramleyrill_core.placement import VmEntry, holder_candidates
 from bramleyrill_core.statements import AnswerCode, Prepared
@@ -231,7 +232,7 @@
             entry.state,
             entry.role,
             incarnation=entry.incarnation + 1,
-            revision=entry.revision + 1,
+            revision=evolve(entry.revision, number=entry.revision.number + 1),
         )
         self.state.members.put(moved)
         self.assertIsNot(self.schedulers.scheduler_for("m1"), scheduler)
