Register a VM again after the store was restored

Cause: a VM wrote its entry once, at its start. A restore takes the entry away, and a VM that starts later does not find the others by it. Change: a new era, or a peer that tells one, makes the VM write its entry again within a second; an entry that is still there costs one call. Evidence: test_entry_that_a_restore_took_away_is_written_again fails without the hook.

--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -87,6 +87,7 @@
         self.state.history.hooks += [
             self.members.watch.renew,
             self.configuration.watch.renew,
+            self.registration.renew,
         ]
         self.gossip.listing_hooks.append(self.members.apply_peer_listing)
 
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -289,11 +289,26 @@
         self._state = state
         self._store = store
         self._listed_at: timedelta | None = None
+        self._registering = False
+        self._restored = False
 
     def register(self) -> None:
         """Write this VM's entry; retry until the store accepts it or the process stops."""
-        while not self._state.stopping and not self._try_register():
+        self._registering = True
+        while not self._state.stopping:
+            self._restored = False
+            if self._try_register() and not self._restored:
+                break
             gevent.sleep(MAX_RETRY_PAUSE.total_seconds() * random.uniform(0.5, 1.0))
+        self._registering = False
+
+    def renew(self) -> None:
+        """Write the entry again after a restore, which may have taken it away."""
+        self._restored = True
+        if not self._registering:
+            self._registering = True
+            # All VMs learn of a restore at the same time; the store limits the calls a second.
+            gevent.spawn_later(MAX_RETRY_PAUSE.total_seconds() * random.random(), self.register)
 
     def list_vms(self) -> None:
         """Merge the VMs that the store lists; the list may be seconds old."""
@@ -338,6 +353,8 @@
     def _replace(self, name: str, value: Any, current: StoredObject | None) -> bool:
         try:
             current = current or self._store.get(KIND_VMS, name)
+            if current.value == value:
+                return True
             self._store.replace(KIND_VMS, name, value, current.revision)
         except (NotFoundError, ConflictError, StoreError) as error:
             log_event("vm_registration_failed", reason=error)
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -222,6 +222,20 @@
         registration.list_vms()
         self.assertEqual([row.entry.id for row in state.vms.vms], ["vm2"])
 
+    def test_entry_that_a_restore_took_away_is_written_again(self):
+        """A VM that starts later would not find the others."""
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        registration = VmRegistration(make_state(group), self.store)
+        self.store.history.hooks.append(registration.renew)
+        copy = self.platform.copy()
+        registration.register()
+        self.platform.restore(copy)
+        with mock.patch.object(_watch, "MAX_RETRY_PAUSE", SHORT):
+            registration.list_vms()
+            gevent.sleep(0.1)
+        self.assertIsNotNone(self.platform.value(KIND_VMS, "vm1"))
+
 
 class RestoredTest(StoreTest):
     """The store came back from a copy and gives its revisions out again."""
