Hold the era of the store in fencing tokens and wait out leases of an earlier era

Cause: the token's only memory was the duty's record. A restore took it away, and the next supervisor began at 1 again and found the duty free. Change: a token is the era above the revision that its record replaces, so no two writes of an era share one and every era's tokens are above the earlier ones. A record counts only if it is of the era in which it is read; without one the duty is free when the era has lasted a lease. The holder of a lease goes on, as the others wait. A record that was written or read back in another era than it was read in is not used. Pings tell how long the era has lasted, so a VM that starts later does not wait. A leaving primary is not paused before the duty can be taken.

--- a/packages/core/bramleyrill_core/history/_history.py
+++ b/packages/core/bramleyrill_core/history/_history.py
@@ -48,13 +48,24 @@
             self._begin(told)
         return True
 
-    def hear(self, era: int) -> None:
-        """Note that another VM knows `era`, and call the hooks if it is new to this VM."""
-        if era <= max(self.era, self._heard_era):
-            return
-        self._heard_era, self._heard_at = era, self._clock.monotonic()
-        if self.era != NO_ERA:
-            self._call_hooks()
+    def hear(self, era: int, lasted: timedelta = timedelta()) -> None:
+        """Note that another VM has known `era` for `lasted`; call the hooks if it is a newer one.
+
+        A VM that has just started learns so that the era is not new.
+        """
+        began_at = self._clock.monotonic() - max(lasted, timedelta())
+        if era == self.era:
+            self._known_since = min(self._known_since, began_at)
+        elif era == self._heard_era:
+            self._heard_at = min(self._heard_at, began_at)
+        elif era > max(self.era, self._heard_era):
+            self._heard_era, self._heard_at = era, began_at
+            if self.era != NO_ERA:
+                self._call_hooks()
+
+    def age_of(self, era: int) -> timedelta:
+        """Return for how long `era` has lasted at least, or zero if this VM is in another one."""
+        return self.known_for() if era == self.era else timedelta()
 
     def place(self, era: int | None, number: int) -> StoreRevision:
         """Return the revision that another VM tells; raise ValueError for one that cannot be.
--- a/packages/core/bramleyrill_core/leadership/__init__.py
+++ b/packages/core/bramleyrill_core/leadership/__init__.py
@@ -3,6 +3,7 @@
 from bramleyrill_core.leadership._duty import (
     DUTY_LEASE,
     KIND_DUTIES,
+    NO_HOLDER,
     DutyRecord,
     DutyView,
     next_record,
@@ -21,6 +22,7 @@
 __all__ = [
     "DUTY_LEASE",
     "KIND_DUTIES",
+    "NO_HOLDER",
     "REFUSED_AFTER",
     "SUSPECT_AFTER",
     "Candidate",
--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -2,6 +2,12 @@
 
 The record is written only before an order, so an idle duty costs no calls. A duty is free for
 others once its record has not changed for the length of the lease.
+
+A restored store has lost records: their tokens would be given out again, and their leases would
+look free. So a token holds the era of the store above the revision that its record replaced, which
+the store gives out once an era; and only a record that was written in the present era tells who
+holds the duty. Without one the duty is free once the era has lasted for the length of a lease, as
+every lease of an earlier era has run out by then.
 """
 
 from datetime import timedelta
@@ -9,24 +15,36 @@
 
 from attrs import define, evolve, frozen
 
+from bramleyrill_core.history import NO_ERA, StoreRevision
+
 # Kind of the objects in the store that hold the duties' records, by service.
 KIND_DUTIES = "bramleyrill-duties"
 # The platform does not document its lease. This is longer than the platform takes to execute an
 # order in sequence, and short compared with the outage that a failed supervisor may cause.
 DUTY_LEASE = timedelta(seconds=6)
+# Bits of a fencing token that hold the revision; the era is above them.
+TOKEN_REVISION_BITS = 32
+# Holder of a record that confirms the primary and leaves the duty free for all.
+NO_HOLDER = ""
 
 
 @frozen
 class DutyRecord:
     """Value of a duty's object in the store.
 
-    `member` is the member that the last order appoints, and `fencing_token` that order's token.
+    `member` is the member that the last order appoints, and `fencing_token` that order's token. A
+    record with NO_HOLDER belongs to no order: it confirms that `member` is the primary.
     """
 
     holder: str
     fencing_token: int
     member: str
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store in which the record was made."""
+        return self.fencing_token >> TOKEN_REVISION_BITS
+
     def to_value(self) -> dict[str, Any]:
         """Return the record in the form in which it is stored."""
         return {"holder": self.holder, "token": self.fencing_token, "member": self.member}
@@ -46,58 +64,82 @@
 class DutyView:
     """A VM's view of a duty: the record, its revision, and when this VM first saw that revision.
 
-    `seen_at` is None until the store has been read. A revision above 0 without a record is that of
-    a malformed one.
+    `seen_at` is None until the store has been read. `revision` has the era of the answer, and its
+    number is 0 if there is no record; a number above 0 without a record is that of a malformed one.
     """
 
     record: DutyRecord | None = None
-    revision: int = 0
+    revision: StoreRevision = StoreRevision()
     seen_at: timedelta | None = None
 
-    def update(self, record: DutyRecord | None, revision: int, now: timedelta) -> None:
+    def update(self, record: DutyRecord | None, revision: StoreRevision, now: timedelta) -> None:
         """Store what was read; `seen_at` changes only with the revision."""
         if self.seen_at is None or revision != self.revision:
             self.record, self.revision, self.seen_at = record, revision, now
 
-    def may_acquire(self, vm: str, now: timedelta) -> bool:
-        """Return whether `vm` may write the next record."""
+    @property
+    def current_record(self) -> DutyRecord | None:
+        """Return the record if it was written in the era in which it was read, else None."""
+        if self.record is None or self.record.era != self.revision.era:
+            return None
+        return self.record
+
+    def may_acquire(self, vm: str, now: timedelta, era_known_for: timedelta) -> bool:
+        """Return whether `vm` may write the next record.
+
+        `era_known_for` is for how long the era of the store has lasted at least.
+        """
         if self.seen_at is None:
             return False
-        if self.record is None and not self.revision:
+        current = self.current_record
+        if current is not None and current.holder in (vm, NO_HOLDER):
             return True
-        if self.record is not None and self.record.holder == vm:
+        if current is None and self.revision.era != NO_ERA and era_known_for < DUTY_LEASE:
+            return False
+        if self.record is None and not self.revision.number:
             return True
         return now - self.seen_at >= DUTY_LEASE
 
 
-def pending_member(record: DutyRecord | None, primary: str) -> str:
+def pending_member(view: DutyView, primary: str) -> str:
     """Return the member of an order that may still take effect, or an empty string.
 
     Until such an order is answered, another member must not be ordered: a platform that does not
     check the tokens could execute them in either order.
     """
+    record = view.current_record
     if record is None or record.member == primary:
         return ""
     return record.member
 
 
-def renewed_record(record: DutyRecord) -> DutyRecord:
+def renewed_record(record: DutyRecord, revision: StoreRevision) -> DutyRecord:
     """Return the record to write to hold the duty for another lease with the same order."""
-    return evolve(record, fencing_token=record.fencing_token + 1)
+    return evolve(record, fencing_token=_next_token(record, revision))
 
 
 def next_record(
-    record: DutyRecord | None, vm: str, member: str, malformed_revision: int = 0
+    record: DutyRecord | None, vm: str, member: str, revision: StoreRevision
 ) -> DutyRecord:
-    """Return the record to write before `vm` orders the appointment of `member`.
+    """Return the record to write at `revision` before `vm` orders the appointment of `member`.
 
     The fencing token increases with every new order, even from the same holder, so that the
-    platform rejects an earlier order that arrives late. A repeated order keeps its token. Without a
-    record it starts at 1, or above the revision of a malformed one: each token was written with a
-    revision of its own, so none is higher.
+    platform rejects an earlier order that arrives late. A repeated order keeps its token. The
+    record may only be used if it was written in the era of `revision`.
     """
-    if record is None:
-        return DutyRecord(vm, malformed_revision + 1, member)
-    if record.holder == vm and record.member == member:
+    if (
+        record is not None
+        and record.era == revision.era
+        and (record.holder, record.member) == (vm, member)
+    ):
         return record
-    return DutyRecord(vm, record.fencing_token + 1, member)
+    return DutyRecord(vm, _next_token(record, revision), member)
+
+
+def _next_token(record: DutyRecord | None, revision: StoreRevision) -> int:
+    """Return a token above all earlier ones; only one record can replace that revision in its era.
+
+    The token of the record counts too, since a build without eras counts up from it.
+    """
+    token = (revision.era << TOKEN_REVISION_BITS) + revision.number + 1
+    return token if record is None else max(token, record.fencing_token + 1)
--- a/packages/core/bramleyrill_core/leadership/explore.py
+++ b/packages/core/bramleyrill_core/leadership/explore.py
@@ -1,8 +1,9 @@
-"""Exhaustive exploration of the duty: late orders, lost answers, pauses and expired leases.
+"""Exhaustive exploration of the duty: late orders, lost answers, pauses, leases, restores.
 
 `python -m bramleyrill_core.leadership.explore` visits every state that two VMs can reach with a
-bounded number of records, and prints the bounds. Time is not modeled: a lease may expire and a
-step may happen at any moment, which covers pauses and slow calls of any length.
+bounded number of writes, and prints the bounds. Time is not modeled: a lease may expire, the store
+may be copied or restored, and a step may happen at any moment, which covers pauses and slow calls
+of any length.
 """
 
 import sys
@@ -12,51 +13,58 @@
 
 from attrs import evolve, frozen
 
+from bramleyrill_core.history import StoreRevision
 from bramleyrill_core.leadership._duty import DUTY_LEASE, DutyRecord, DutyView, next_record
 
 VMS = ("vm1", "vm2")
 MEMBERS = ("m1", "m2")
-# Number of records written before a path ends; two let the duty change its holder once.
-MAX_RECORDS = 2
+# Number of successful writes after which none is sent; two let the duty change its holder once.
+MAX_WRITES = 2
+MAX_RESTORES = 1
 # Number of late orders, and of late writes, that may be in flight at a time.
 MAX_IN_FLIGHT = 1
 
-NextRecord = Callable[[DutyRecord | None, str, str], DutyRecord]
+NextRecord = Callable[[DutyRecord | None, str, str, StoreRevision], DutyRecord]
+Write = tuple[DutyRecord, StoreRevision]
 
 
 @frozen
 class VmState:
     """State of a VM: the record it read, whether that lease has expired, the order it may send.
 
-    `unanswered_write` is a record whose write got no answer; the VM reads before it continues.
+    `revision` is None before the first read. `unanswered_write` is a record whose write got no
+    answer, with the revision it replaces; the VM reads before it continues.
     """
 
     record: DutyRecord | None = None
-    revision: int = -1
+    revision: StoreRevision | None = None
     is_expired: bool = False
     order: DutyRecord | None = None
-    unanswered_write: DutyRecord | None = None
+    unanswered_write: Write | None = None
 
     def may_acquire(self, vm: str) -> bool:
         """Return whether `vm` may write the next record, by the code under test."""
-        if self.revision < 0:
+        if self.revision is None:
             return False
         now = DUTY_LEASE if self.is_expired else timedelta()
-        return DutyView(self.record, self.revision, timedelta()).may_acquire(vm, now)
+        return DutyView(self.record, self.revision, timedelta()).may_acquire(vm, now, now)
 
 
 @frozen
 class World:
     """State of the store, the platform, the calls in flight, and both VMs.
 
-    `late_writes` are writes with the revision that they expect. `sent` are all orders ever sent,
-    and `newest_token` is the highest token of an order that the platform has executed.
+    `copy` is what a restore brings back. `late_writes` are writes with the revision that they
+    expect. `sent` are all orders ever sent, and `newest_token` is the highest token of an order
+    that the platform has executed.
     """
 
     record: DutyRecord | None = None
-    revision: int = 0
+    revision: StoreRevision = StoreRevision(1, 0)
+    copy: tuple[DutyRecord | None, int] = (None, 0)
+    writes: int = 0
     vms: tuple[VmState, ...] = (VmState(),) * len(VMS)
-    late_writes: frozenset[tuple[DutyRecord, int]] = frozenset()
+    late_writes: frozenset[Write] = frozenset()
     late_orders: frozenset[DutyRecord] = frozenset()
     sent: frozenset[DutyRecord] = frozenset()
     newest_token: int = 0
@@ -66,6 +74,11 @@
         """Return the world with the state of one VM replaced."""
         return evolve(self, vms=(*self.vms[:index], state, *self.vms[index + 1 :]))
 
+    def with_record(self, record: DutyRecord) -> "World":
+        """Return the world after a successful write."""
+        revision = evolve(self.revision, number=self.revision.number + 1)
+        return evolve(self, record=record, revision=revision, writes=self.writes + 1)
+
 
 class UnsafeError(Exception):
     """Two orders share a fencing token, or an older order was executed after a newer one."""
@@ -93,13 +106,16 @@
 
 def _steps(world: World, make_record: NextRecord) -> Iterator[World]:
     for index, vm in enumerate(VMS):
+        state = world.vms[index]
         yield _read(world, index)
-        yield world.with_vm(index, evolve(world.vms[index], is_expired=True))
-        if world.vms[index].unanswered_write is None and world.vms[index].may_acquire(vm):
+        yield world.with_vm(index, evolve(state, is_expired=True))
+        if state.unanswered_write is None and state.may_acquire(vm):
             for member in MEMBERS:
-                yield from _write(world, index, make_record(world.vms[index].record, vm, member))
+                record = make_record(state.record, vm, member, state.revision)
+                yield from _write(world, index, record)
         yield from _send(world, index)
     yield from _deliver_late(world)
+    yield from _copy_and_restore(world)
 
 
 def _read(world: World, index: int) -> World:
@@ -107,8 +123,10 @@
     state = world.vms[index]
     is_expired = state.is_expired and state.revision == world.revision
     order = state.order
-    if state.unanswered_write is not None and state.unanswered_write == world.record:
-        order = state.unanswered_write
+    if state.unanswered_write is not None:
+        record, revision = state.unanswered_write
+        if record == world.record and revision.era == world.revision.era:
+            order = record
     return world.with_vm(index, VmState(world.record, world.revision, is_expired, order))
 
 
@@ -118,18 +136,30 @@
     if record == state.record:
         yield world.with_vm(index, evolve(state, order=record))
         return
-    if record.fencing_token > MAX_RECORDS:
+    if world.writes >= MAX_WRITES:
         return
-    unanswered = world.with_vm(index, evolve(state, unanswered_write=record, order=None))
+    write = (record, state.revision)
+    unanswered = world.with_vm(index, evolve(state, unanswered_write=write, order=None))
     if len(world.late_writes) < MAX_IN_FLIGHT:
-        yield evolve(unanswered, late_writes=world.late_writes | {(record, state.revision)})
-    if state.revision != world.revision:
+        yield evolve(unanswered, late_writes=world.late_writes | {write})
+    if state.revision.number != world.revision.number:
         yield world.with_vm(index, VmState())
         return
-    revision = world.revision + 1
-    yield evolve(unanswered, record=record, revision=revision)
-    done = world.with_vm(index, VmState(record, revision, False, record))
-    yield evolve(done, record=record, revision=revision)
+    yield unanswered.with_record(record)
+    done = world.with_record(record)
+    if state.revision.era != world.revision.era:
+        # The answer tells another era than the read, so the VM does not use the record.
+        yield done.with_vm(index, VmState())
+        return
+    yield done.with_vm(index, VmState(record, done.revision, False, record))
+
+
+def _copy_and_restore(world: World) -> Iterator[World]:
+    if world.revision.era > MAX_RESTORES:
+        return
+    yield evolve(world, copy=(world.record, world.revision.number))
+    record, number = world.copy
+    yield evolve(world, record=record, revision=StoreRevision(world.revision.era + 1, number))
 
 
 def _send(world: World, index: int) -> Iterator[World]:
@@ -147,12 +177,11 @@
 def _deliver_late(world: World) -> Iterator[World]:
     for order in world.late_orders:
         yield _execute(evolve(world, late_orders=world.late_orders - {order}), order)
-    for record, revision in world.late_writes:
-        delivered = evolve(world, late_writes=world.late_writes - {(record, revision)})
-        if revision == world.revision:
-            yield evolve(delivered, record=record, revision=revision + 1)
-        else:
-            yield delivered
+    for write in world.late_writes:
+        delivered = evolve(world, late_writes=world.late_writes - {write})
+        record, revision = write
+        matches = revision.number == world.revision.number
+        yield delivered.with_record(record) if matches else delivered
 
 
 def _execute(world: World, order: DutyRecord) -> World:
@@ -168,8 +197,9 @@
     """Explore and print the bounds."""
     states = explore()
     print(
-        f"{len(VMS)} VMs, {len(MEMBERS)} members, {MAX_RECORDS} records, {MAX_IN_FLIGHT} late "
-        f"orders and {MAX_IN_FLIGHT} late writes: {states} states, no token used twice"
+        f"{len(VMS)} VMs, {len(MEMBERS)} members, {MAX_WRITES} writes, {MAX_RESTORES} restores, "
+        f"{MAX_IN_FLIGHT} late orders and {MAX_IN_FLIGHT} late writes: {states} states, no token "
+        "used twice"
     )
     return 0
 
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -1,9 +1,11 @@
 """Leases of the duties to appoint primaries: records in the store, taken by conditional update."""
 
 from datetime import timedelta
+from typing import Any
 
 from attrs import define
 from bramleyrill_base import log_event
+from bramleyrill_core.history import NO_ERA
 from bramleyrill_core.leadership import (
     DUTY_LEASE,
     KIND_DUTIES,
@@ -62,13 +64,12 @@
         if not self.may_acquire(supervised):
             return None
         now = self._state.now()
-        record = next_record(
-            supervised.duty.record, self._state.vm, member, supervised.duty.revision
-        )
-        if record == supervised.duty.record:
+        duty = supervised.duty
+        record = next_record(duty.record, self._state.vm, member, duty.revision)
+        if record == duty.record:
             if self.holds(supervised):
                 return record
-            record = renewed_record(record)
+            record = renewed_record(record, duty.revision)
         try:
             stored = self._write(supervised, record)
         except ConflictError:
@@ -85,47 +86,71 @@
             written=stored.position,
             read_revision=supervised.duty.revision,
         )
-        supervised.duty = DutyView(record, stored.revision, now)
+        supervised.duty = DutyView(record, stored.position, now)
         supervised.duty_written_at = now
         return record
 
     def may_acquire(self, supervised: SupervisedService) -> bool:
         """Return whether no other VM holds the duty, by what was read last."""
         duty = supervised.duty
-        if duty.may_acquire(self._state.vm, self._state.now()):
+        current = duty.current_record
+        # A lease outlasts a restore, as the other VMs wait for its length in the new era.
+        if duty.seen_at is not None and current is None and self.holds(supervised):
+            return True
+        era_known_for = self._state.history.known_for()
+        if duty.may_acquire(self._state.vm, self._state.now(), era_known_for):
             return True
-        holder = duty.record.holder if duty.record is not None else "malformed"
-        log_event("duty_held", service=supervised.service, holder=holder)
+        holder = current.holder if current is not None else "unknown"
+        log_event(
+            "duty_held",
+            service=supervised.service,
+            holder=holder,
+            revision=duty.revision,
+            era_known_for=era_known_for,
+        )
         return False
 
+    def may_take_duties(self, supervised: SupervisedService) -> bool:
+        """Return whether a duty without a record of this era would be free for this VM."""
+        history = self._state.history
+        if history.era == NO_ERA or history.known_for() >= DUTY_LEASE:
+            return True
+        return self.holds(supervised)
+
     def read(self, supervised: SupervisedService) -> bool:
         """Update the view of the service's duty; return False if the store does not answer."""
         now = self._state.now()
         try:
             stored = self._store.get(KIND_DUTIES, supervised.service)
-        except NotFoundError:
-            supervised.duty = DutyView(None, 0, now)
+        except NotFoundError as error:
+            supervised.duty.update(None, error.revision, now)
             return True
         except StoreError as error:
             log_event("duty_not_read", service=supervised.service, reason=error)
             return False
-        supervised.duty.update(DutyRecord.from_value(stored.value), stored.revision, now)
+        supervised.duty.update(DutyRecord.from_value(stored.value), stored.position, now)
         return True
 
     def _write(self, supervised: SupervisedService, record: DutyRecord) -> StoredObject:
         """Write the record; if the answer is lost, read it back to see whether it was written."""
         value = record.to_value()
+        revision = supervised.duty.revision
         try:
-            if supervised.duty.record is None and supervised.duty.revision == 0:
-                return self._store.create(KIND_DUTIES, supervised.service, value)
-            return self._store.replace(
-                KIND_DUTIES, supervised.service, value, supervised.duty.revision
-            )
+            stored = self._put(supervised, value)
         except UnansweredError:
             stored = self._store.get(KIND_DUTIES, supervised.service)
-            if stored.value != value:
+            if stored.value != value or stored.era != revision.era:
                 raise
-            return stored
+        if stored.era != revision.era:
+            # The revision that was read is of another history, so the condition proves nothing.
+            raise StoreError("the store was restored since the duty was read")
+        return stored
+
+    def _put(self, supervised: SupervisedService, value: Any) -> StoredObject:
+        duty = supervised.duty
+        if duty.record is None and duty.revision.number == 0:
+            return self._store.create(KIND_DUTIES, supervised.service, value)
+        return self._store.replace(KIND_DUTIES, supervised.service, value, duty.revision.number)
 
     def holds(self, supervised: SupervisedService) -> bool:
         """Return whether no other VM can have acquired the duty since this VM wrote its record."""
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -14,7 +14,7 @@
 from bramleyrill_wire.entries import frames
 
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError, decode_vm, encode_vm
-from bramleyrill_entry._peers import PeerNet, handlers, make_pong
+from bramleyrill_entry._peers import PeerNet, era_age_ms, handlers, make_pong
 from bramleyrill_entry._state import EntryState
 
 PING_INTERVAL = timedelta(milliseconds=500)
@@ -25,6 +25,8 @@
 BEHIND_GRACE = timedelta(seconds=1)
 # The other VMs pull within this time at random, so that they do not load one peer all at once.
 FOLLOWER_GRACE = timedelta(milliseconds=100)
+# A longer age tells no more, and a huge one would overflow.
+MAX_ERA_AGE_MS = 3_600_000
 # Number of random VMs of this failure domain that are pinged each time.
 OWN_DOMAIN_PINGS = 2
 # Probability of pinging a VM of another failure domain; low because that traffic costs more.
@@ -74,6 +76,7 @@
                     vm=encode_vm(state.vms.own),
                     members_revision=state.members.revision.number,
                     store_era=state.members.revision.era,
+                    store_era_age_ms=era_age_ms(state),
                 ),
                 PING_TIMEOUT,
             )
@@ -84,7 +87,7 @@
         state.vms.record_answer(vm, now)
         try:
             entries = [decode_vm(known) for known in (answer.vm, *(answer.vms or ()))]
-            members_revision = told_revision(state, answer)
+            members_revision = hear_revision(state, answer)
         except ValueError as error:
             log_event("frame_rejected", vm=vm, frame="Pong", reason=error)
             return
@@ -106,7 +109,6 @@
         A VM that watches the platform gets both from it a moment later, so it waits first unless it
         has no configuration yet. The others pull soon.
         """
-        self._state.history.hear(members_revision.era)
         if not self._is_behind(version, members_revision) or self._catching_up:
             return
         self._catching_up = True
@@ -185,6 +187,15 @@
     return state.history.place(frame.store_era, frame.members_revision or 0)
 
 
+def hear_revision(state: EntryState, frame: Any) -> StoreRevision:
+    """Return the revision that a ping or pong tells, after learning its era."""
+    revision = told_revision(state, frame)
+    if frame.store_era is not None:
+        lasted = timedelta(milliseconds=min(frame.store_era_age_ms or 0, MAX_ERA_AGE_MS))
+        state.history.hear(revision.era, lasted)
+    return revision
+
+
 def _read_pushed(item: Any, era: int) -> StoredObject:
     """Return a member's entry that a peer sent as name, revision and value; raise ValueError."""
     name, revision, value = item
@@ -201,7 +212,7 @@
         net.state.vms.update(decode_vm(frame.vm), now)
         net.state.vms.record_answer(link.peer.id, now)
         net.services[Gossip].handle_peer_versions(
-            link.peer.id, frame.catalog_version or 0, told_revision(net.state, frame)
+            link.peer.id, frame.catalog_version or 0, hear_revision(net.state, frame)
         )
     link.send(
         make_pong(net, frame.call, frame.vms_known if frame.vm else len(net.state.vms.entries()))
--- a/packages/entry/bramleyrill_entry/_peers.py
+++ b/packages/entry/bramleyrill_entry/_peers.py
@@ -161,13 +161,20 @@
 
 def make_pong(net: PeerNet, call: int, vms_known: int) -> Any:
     """Return the answer to a ping; it lists all VMs if the sender knows a different number."""
-    entries = net.state.vms.entries()
+    state = net.state
+    entries = state.vms.entries()
     listed = [] if vms_known == len(entries) else [encode_vm(entry) for entry in entries]
     return frames.Pong(
         call=call,
-        catalog_version=net.state.catalog.version,
+        catalog_version=state.catalog.version,
         vms=listed,
-        vm=encode_vm(net.state.vms.own),
-        members_revision=net.state.members.revision.number,
-        store_era=net.state.members.revision.era,
+        vm=encode_vm(state.vms.own),
+        members_revision=state.members.revision.number,
+        store_era=state.members.revision.era,
+        store_era_age_ms=era_age_ms(state),
     )
+
+
+def era_age_ms(state: EntryState) -> int:
+    """Return for how long the era of the member entries has lasted at least, in ms."""
+    return state.history.age_of(state.members.revision.era) // timedelta(milliseconds=1)
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -226,7 +226,7 @@
         if not self._leases.read(supervised):
             return
         candidates = self._query_candidates(supervised, primary)
-        pending = pending_member(supervised.duty.record, primary.id if primary else "")
+        pending = pending_member(supervised.duty, primary.id if primary else "")
         if pending in (candidate.member for candidate in candidates):
             chosen = pending
         else:
@@ -335,6 +335,9 @@
             ):
                 self._replace_primary(supervised, row.entry)
             return
+        if not self._leases.may_take_duties(supervised):
+            # Pausing the primary's work would not help before the duty can be taken.
+            return
         log_event("planned_change", service=supervised.service, member=row.entry.id)
         scheduler = self._schedulers.scheduler_for(row.entry.id)
         if scheduler is None:
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -16,15 +16,16 @@
 struct Hello { 1: i32 protocol, 2: Vm vm }
 
 // `members_revision` is the newest revision of a member's entry that the sender has, in the era
-// `store_era` of the store; a build that knows no eras leaves it out.
+// `store_era` of the store, which has lasted for `store_era_age_ms` at least; a build that knows no
+// eras leaves both out.
 struct Ping {
   1: i64 call, 2: i64 catalog_version, 3: i64 vms_known, 4: Vm vm, 5: i64 members_revision,
-  6: i64 store_era
+  6: i64 store_era, 7: i64 store_era_age_ms
 }
 // `vms` is empty if the requesting VM knows the same number of VMs.
 struct Pong {
   1: i64 call, 2: i64 catalog_version, 3: list<Vm> vms, 4: Vm vm, 5: i64 members_revision,
-  6: i64 store_era
+  6: i64 store_era, 7: i64 store_era_age_ms
 }
 
 // Runs one statement on a member. `exchange` is 0 for a single statement, else the ID of the
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -70,6 +70,7 @@
         4: (TType.STRUCT, "vm", Vm, False),
         5: (TType.I64, "members_revision", False),
         6: (TType.I64, "store_era", False),
+        7: (TType.I64, "store_era_age_ms", False),
     }
     default_spec = [
         ("call", None),
@@ -78,6 +79,7 @@
         ("vm", None),
         ("members_revision", None),
         ("store_era", None),
+        ("store_era_age_ms", None),
     ]
 
 
@@ -91,6 +93,7 @@
         4: (TType.STRUCT, "vm", Vm, False),
         5: (TType.I64, "members_revision", False),
         6: (TType.I64, "store_era", False),
+        7: (TType.I64, "store_era_age_ms", False),
     }
     default_spec = [
         ("call", None),
@@ -99,6 +102,7 @@
         ("vm", None),
         ("members_revision", None),
         ("store_era", None),
+        ("store_era_age_ms", None),
     ]
 
 
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -8,10 +8,17 @@
 
 import gevent
 from attrs import evolve
+from bramleyrill_base import ManualClock
 from bramleyrill_core.catalog import Catalog
-from bramleyrill_core.history import StoreRevision
+from bramleyrill_core.history import StoreHistory, StoreRevision
 from bramleyrill_entry import _gossip
-from bramleyrill_entry._gossip import Gossip, _read_pushed, handle_catalog_pull, told_revision
+from bramleyrill_entry._gossip import (
+    Gossip,
+    _read_pushed,
+    handle_catalog_pull,
+    hear_revision,
+    told_revision,
+)
 from bramleyrill_platform import StoredObject
 from bramleyrill_standins.prepared import LineGroup
 from bramleyrill_wire.entries import frames
@@ -99,9 +106,28 @@
         self.state.history.accept(1)
         self.state.history.hooks.append(lambda: renewed.append(True))
         for _ in range(2):
-            self.gossip.handle_peer_versions("vm2", 1, StoreRevision(2, 0))
+            hear_revision(self.state, frames.Ping(members_revision=0, store_era=2))
         self.assertEqual((renewed, self.state.history.era), ([True], 1))
 
+    def test_vm_that_started_learns_the_age_of_the_era(self):
+        """It would leave a failed primary in place until a lease after its own start."""
+        for first_told in (True, False):
+            history = self.state.history = StoreHistory(ManualClock())
+            if first_told:
+                history.accept(1)
+            for age_ms in (9000, 20, -5, 2**62):
+                ping = frames.Ping(store_era=1, store_era_age_ms=age_ms)
+                hear_revision(self.state, ping)
+                if age_ms == 20:
+                    history.accept(1)
+                    self.assertEqual(history.known_for(), timedelta(seconds=9))
+
+    def test_age_of_another_era_says_nothing(self):
+        history = self.state.history = StoreHistory(ManualClock())
+        history.accept(2)
+        hear_revision(self.state, frames.Ping(store_era=1, store_era_age_ms=9000))
+        self.assertEqual(history.known_for(), timedelta())
+
     def test_build_without_eras_is_in_this_era_until_a_restore(self):
         self.state.history.accept(1)
         told = told_revision(self.state, frames.Ping(members_revision=40))
--- a/tests/entry/test_leadership.py
+++ b/tests/entry/test_leadership.py
@@ -5,8 +5,10 @@
 from unittest import mock
 
 from bramleyrill_core import Mark
+from bramleyrill_core.history import StoreRevision
 from bramleyrill_core.leadership import (
     DUTY_LEASE,
+    NO_HOLDER,
     REFUSED_AFTER,
     SUSPECT_AFTER,
     Candidate,
@@ -18,55 +20,116 @@
     choose_successor,
     explore,
     next_record,
+    pending_member,
 )
 
 MS = timedelta(milliseconds=1)
 
 
+def record(number, member, holder="vm2", era=1):
+    """Return a record with a token of the era."""
+    return DutyRecord(holder, (era << 32) + number, member)
+
+
 class DutyTest(unittest.TestCase):
     def test_unread_duty_is_not_acquired(self):
         """Without the record a VM cannot know whether another holder's lease is still valid."""
-        self.assertFalse(DutyView().may_acquire("vm1", 100 * DUTY_LEASE))
+        self.assertFalse(DutyView().may_acquire("vm1", 100 * DUTY_LEASE, DUTY_LEASE))
 
     def test_other_holder_keeps_the_duty_for_a_lease(self):
         """Two holders must not alternate within a lease."""
         view = DutyView()
-        view.update(DutyRecord("vm2", 4, "m1"), 17, 1000 * MS)
-        self.assertFalse(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE - MS))
-        self.assertTrue(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE))
+        view.update(record(4, "m1"), StoreRevision(1, 17), 1000 * MS)
+        self.assertFalse(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE - MS, DUTY_LEASE))
+        self.assertTrue(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE, DUTY_LEASE))
 
     def test_changed_record_restarts_the_lease(self):
         """A changed record shows that the holder was active."""
         view = DutyView()
-        view.update(DutyRecord("vm2", 4, "m1"), 17, 1000 * MS)
-        view.update(DutyRecord("vm2", 5, "m2"), 18, 5000 * MS)
-        self.assertFalse(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE))
+        view.update(record(4, "m1"), StoreRevision(1, 17), 1000 * MS)
+        view.update(record(5, "m2"), StoreRevision(1, 18), 5000 * MS)
+        self.assertFalse(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE, DUTY_LEASE))
 
     def test_unchanged_record_does_not_extend_the_lease(self):
         """Reading an unchanged record must not extend the lease."""
         view = DutyView()
-        view.update(DutyRecord("vm2", 4, "m1"), 17, 1000 * MS)
-        view.update(DutyRecord("vm2", 4, "m1"), 17, 5000 * MS)
-        self.assertTrue(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE))
+        view.update(record(4, "m1"), StoreRevision(1, 17), 1000 * MS)
+        view.update(record(4, "m1"), StoreRevision(1, 17), 5000 * MS)
+        self.assertTrue(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE, DUTY_LEASE))
 
     def test_token_rises_with_every_other_order(self):
         """An order that takes effect late must lose against a newer one of the same holder."""
-        first = next_record(None, "vm1", "m2")
-        second = next_record(first, "vm1", "m3")
-        third = next_record(second, "vm2", "m3")
+        first = next_record(None, "vm1", "m2", StoreRevision(0, 0))
+        second = next_record(first, "vm1", "m3", StoreRevision(0, 1))
+        third = next_record(second, "vm2", "m3", StoreRevision(0, 2))
         tokens = [first.fencing_token, second.fencing_token, third.fencing_token]
         self.assertEqual(tokens, [1, 2, 3])
 
     def test_repeated_order_keeps_its_token(self):
         """Repeating an unanswered order must not create a new one."""
-        first = next_record(None, "vm1", "m2")
-        self.assertEqual(next_record(first, "vm1", "m2"), first)
+        first = next_record(None, "vm1", "m2", StoreRevision(1, 0))
+        self.assertEqual(next_record(first, "vm1", "m2", StoreRevision(1, 7)), first)
 
     def test_value_of_another_writer_is_no_record(self):
         for value in (None, [], {"holder": "vm1"}, {"holder": 1, "token": 2, "member": "m"}):
             self.assertIsNone(DutyRecord.from_value(value))
 
 
+class RestoredDutyTest(unittest.TestCase):
+    """The store was restored from a copy, and is in era 2."""
+
+    def view(self, stored, number, era=2):
+        view = DutyView()
+        view.update(stored, StoreRevision(era, number), 1000 * MS)
+        return view
+
+    def test_token_of_a_lost_record_is_not_used_again(self):
+        """Two holders sent orders with token 1, and a member cannot tell them apart."""
+        lost = next_record(None, "vm1", "m2", StoreRevision(1, 0))
+        again = next_record(None, "vm2", "m3", StoreRevision(2, 0))
+        self.assertGreater(again.fencing_token, lost.fencing_token)
+
+    def test_token_rises_after_a_late_write_of_the_earlier_era(self):
+        """Its condition holds again, so an old record replaces one with a higher token."""
+        newest = next_record(None, "vm2", "m3", StoreRevision(2, 24))
+        late = next_record(None, "vm1", "m2", StoreRevision(1, 25))
+        following = next_record(late, "vm3", "m3", StoreRevision(2, 26))
+        self.assertGreater(following.fencing_token, newest.fencing_token)
+
+    def test_order_of_an_earlier_era_is_not_repeated_by_its_record(self):
+        earlier = record(5, "m2", "vm1", era=1)
+        self.assertNotEqual(next_record(earlier, "vm1", "m2", StoreRevision(2, 5)), earlier)
+
+    def test_duty_without_a_record_is_held_until_leases_of_the_earlier_era_have_expired(self):
+        """The holder's record was lost, and a second VM sent orders within its lease."""
+        view = self.view(None, 0)
+        self.assertFalse(view.may_acquire("vm1", 9000 * MS, DUTY_LEASE - MS))
+        self.assertTrue(view.may_acquire("vm1", 9000 * MS, DUTY_LEASE))
+
+    def test_record_of_an_earlier_era_gives_its_holder_nothing(self):
+        """Another VM may have taken the duty after the copy was made."""
+        view = self.view(record(5, "m1", "vm1", era=1), 5)
+        self.assertFalse(view.may_acquire("vm1", 1000 * MS, DUTY_LEASE - MS))
+        self.assertTrue(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE, DUTY_LEASE))
+
+    def test_record_of_this_era_counts_as_ever(self):
+        view = self.view(record(5, "m1", "vm1", era=2), 5)
+        self.assertTrue(view.may_acquire("vm1", 1000 * MS, 0 * MS))
+        self.assertFalse(view.may_acquire("vm3", 1000 * MS, DUTY_LEASE))
+
+    def test_store_without_eras_is_never_restored(self):
+        self.assertTrue(self.view(None, 0, era=0).may_acquire("vm1", 1000 * MS, 0 * MS))
+
+    def test_duty_that_only_confirms_the_primary_is_free(self):
+        view = self.view(record(5, "m1", NO_HOLDER, era=2), 5)
+        self.assertTrue(view.may_acquire("vm3", 1000 * MS, 0 * MS))
+
+    def test_order_of_an_earlier_era_is_not_pending(self):
+        """The copy may name a member that was replaced since, and is behind."""
+        self.assertEqual(pending_member(self.view(record(5, "m2", era=1), 5), "m1"), "")
+        self.assertEqual(pending_member(self.view(record(5, "m2", era=2), 5), "m1"), "m2")
+
+
 class SuccessorTest(unittest.TestCase):
     def test_term_goes_before_position(self):
         """The end of a longer log of an older term was discarded in the newer term."""
@@ -107,16 +170,32 @@
     """Late orders, lost answers, late writes, pauses and expired leases in all sequences."""
 
     def test_no_order_shares_its_token(self):
-        with mock.patch.multiple(explore, MAX_RECORDS=2):
+        with mock.patch.multiple(explore, MAX_WRITES=2, MAX_RESTORES=0):
+            self.assertGreater(explore.explore(), 1000)
+
+    def test_no_order_shares_its_token_after_a_restore(self):
+        with mock.patch.multiple(explore, MAX_WRITES=2, MAX_RESTORES=1, MAX_IN_FLIGHT=0):
             self.assertGreater(explore.explore(), 1000)
 
     def test_token_that_does_not_rise_for_the_same_holder_is_found(self):
         """Guards the exploration itself: a late order with an equal token undoes a newer one."""
 
-        def without_rise(record, vm, member):
+        def without_rise(record, vm, member, revision):
             if record is not None and record.holder == vm:
                 return DutyRecord(vm, record.fencing_token, member)
-            return next_record(record, vm, member)
+            return next_record(record, vm, member, revision)
 
-        with mock.patch.multiple(explore, MAX_RECORDS=2), self.assertRaises(explore.UnsafeError):
+        with mock.patch.multiple(explore, MAX_WRITES=2), self.assertRaises(explore.UnsafeError):
             explore.explore(without_rise)
+
+    def test_token_from_the_record_alone_is_found(self):
+        """Guards the exploration itself: a restore takes the record away, and its token with it."""
+
+        def from_record(record, vm, member, revision):
+            if record is not None and (record.holder, record.member) == (vm, member):
+                return record
+            token = record.fencing_token + 1 if record is not None else 1
+            return DutyRecord(vm, token, member)
+
+        with self.assertRaises(explore.UnsafeError):
+            explore.explore(from_record)
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -8,6 +8,7 @@
 import gevent
 from bramleyrill_base import ManualClock
 from bramleyrill_core.catalog import MemberState
+from bramleyrill_core.history import StoreHistory, StoreRevision
 from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
 from bramleyrill_core.permits import LONGEST_PERMIT
 from bramleyrill_entry import _fence, _supervisor
@@ -30,16 +31,19 @@
 class PermitCase(unittest.TestCase):
     """A VM on a platform that does not check fencing tokens, with a clock that tests advance."""
 
+    ERA = None
+
     def setUp(self):
         self.group = LineGroup(SERVICE, ["m1", "m2", "m3"])
         self.group.split = True
         self.addCleanup(self.group.close)
-        self.platform = PreparedPlatform({SERVICE: self.group}, checks_tokens=False)
+        self.platform = PreparedPlatform({SERVICE: self.group}, checks_tokens=False, era=self.ERA)
         thread = PlatformThread(self.platform)
         self.addCleanup(thread.close)
         self.state = make_state(self.group, fenced_orders=False)
         self.state.clock = ManualClock()
-        self.store = StoreClient(thread.address)
+        self.state.history = StoreHistory(self.state.clock)
+        self.store = StoreClient(thread.address, self.state.history)
         self.permits = PermitKeeper(self.state, self.store)
         self.addCleanup(self.permits.close)
         self.schedulers = MemberSchedulers(self.state, self.permits)
@@ -156,7 +160,7 @@
         self.assertEqual(self.state.members.primary_of(SERVICE).entry.id, "m2")
 
 
-class OrderTest(PermitCase):
+class OrderCase(PermitCase):
     def setUp(self):
         super().setUp()
         net = LocalNet(self.state, self.schedulers)
@@ -199,6 +203,8 @@
             self.supervisor._replace_primary(self.supervised, primary)
         return sum(waits)
 
+
+class OrderTest(OrderCase):
     def test_order_waits_until_every_permit_has_expired(self):
         waited = self.replace_by_force()
         self.assertGreaterEqual(waited, LONGEST_PERMIT.total_seconds())
@@ -240,8 +246,8 @@
         self.group.members_by_name["m3"].lag = TEN_SECONDS
         self.assertTrue(self.run_at("m1", "WRITE a 1").answer.succeeded)
         self.record_order("m3")
-        self.supervised.duty.update(DutyRecord("vm9", 4, "m3"), 2, timedelta())
-        self.supervised.duty.revision = self.store.get(KIND_DUTIES, SERVICE).revision
+        self.supervised.duty.update(DutyRecord("vm9", 4, "m3"), StoreRevision(0, 2), timedelta())
+        self.supervised.duty.revision = self.store.get(KIND_DUTIES, SERVICE).position
         self.replace_by_force()
         self.assertEqual(self.appointed(), ["m3"])
 
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import gevent
+from attrs import evolve
 from bramleyrill_core.catalog import MemberState
 from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
 from bramleyrill_entry import _supervisor
@@ -13,7 +14,7 @@
 from bramleyrill_entry._run_request import Opens
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_entry._supervisor import Supervisor
-from bramleyrill_platform import DutyClient, StoreClient
+from bramleyrill_platform import DutyClient, StoreClient, UnansweredError
 from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
 from gevent.event import Event
 
@@ -36,10 +37,12 @@
 
 
 class SupervisorTest(unittest.TestCase):
+    ERA = None
+
     def setUp(self):
         self.group = LineGroup(SERVICE, ["m1", "m2", "m3"])
         self.addCleanup(self.group.close)
-        self.platform = PreparedPlatform({SERVICE: self.group})
+        self.platform = PreparedPlatform({SERVICE: self.group}, era=self.ERA)
         thread = PlatformThread(self.platform)
         self.addCleanup(thread.close)
         address = thread.address
@@ -48,8 +51,9 @@
         self.addCleanup(self.schedulers.close)
         net = LocalNet(self.state, self.schedulers)
         executor = Executor(net, self.schedulers)
+        self.store = StoreClient(address, self.state.history)
         self.supervisor = Supervisor(
-            self.state, net, self.schedulers, executor, StoreClient(address), DutyClient(address)
+            self.state, net, self.schedulers, executor, self.store, DutyClient(address)
         )
         # The primary has been known for long, so its silence is acted on at once.
         self.supervised = SupervisedService(
@@ -131,6 +135,92 @@
         self.assertEqual({appointment[3] for appointment in self.platform.appointments}, {1})
 
 
+class RestoredTest(SupervisorTest):
+    """The store is restored from a copy that lacks the newest records."""
+
+    ERA = 1
+
+    def setUp(self):
+        super().setUp()
+        self.store.list("config")
+        self.pass_lease()
+
+    def pass_lease(self):
+        """Let the era have lasted for the length of a lease."""
+        self.state.history._known_since -= DUTY_LEASE
+
+    def replace(self):
+        """Replace the presumed primary, whichever member that is."""
+        self.supervisor._replace_primary(
+            self.supervised, self.state.members.primary_of(SERVICE).entry
+        )
+
+    def orders(self):
+        return [(order[2], order[3]) for order in self.platform.appointments]
+
+    def test_token_of_a_record_that_was_lost_is_not_given_again(self):
+        """Two holders ordered with token 1 after the first one's record was gone."""
+        copy = self.platform.copy()
+        self.replace()
+        self.platform.restore(copy)
+        self.supervised.duty_written_at = timedelta.min
+        self.state.settings = evolve(self.state.settings, id="vm2")
+        self.store.list("config")
+        self.pass_lease()
+        self.replace()
+        (first, token), (second, later_token) = self.orders()
+        self.assertNotEqual(first, second)
+        self.assertGreater(later_token, token)
+
+    def test_no_order_until_leases_of_the_earlier_era_have_expired(self):
+        self.platform.restore(self.platform.copy())
+        self.replace()
+        self.assertEqual(self.orders(), [])
+        self.pass_lease()
+        self.replace()
+        self.assertEqual(len(self.orders()), 1)
+
+    def test_holder_goes_on_after_a_restore(self):
+        """Nobody else may take the duty yet, so its services would stay without a primary."""
+        copy = self.platform.copy()
+        self.replace()
+        self.platform.restore(copy)
+        self.replace()
+        (_, token), (_, later_token) = self.orders()
+        self.assertGreater(later_token, token)
+
+    def test_record_written_in_another_era_than_it_was_read_in_is_not_used(self):
+        """The revision it replaced was given out again, and another VM may hold the duty."""
+        self.supervisor._leases.read(self.supervised)
+        self.platform.restore(self.platform.copy())
+        self.assertIsNone(self.supervisor._leases.acquire(self.supervised, "m2"))
+        self.assertEqual(self.orders(), [])
+
+    def test_lost_answer_is_not_read_back_from_another_era(self):
+        self.supervisor._leases.read(self.supervised)
+        era = self.platform.era
+
+        def restore_and_fail(supervised, value):
+            self.platform.put(KIND_DUTIES, SERVICE, value)
+            self.platform.era = era + 1
+            raise UnansweredError("lost")
+
+        with mock.patch.object(self.supervisor._leases, "_put", restore_and_fail):
+            self.assertIsNone(self.supervisor._leases.acquire(self.supervised, "m2"))
+
+    def test_leaving_primary_is_not_paused_before_the_duty_is_free(self):
+        """Its writes would stop though nobody may order a successor yet."""
+        self.platform.restore(self.platform.copy())
+        self.store.list("config")
+        self.state.members.put(member_entry(self.group, "m1", MemberState.DRAINING, revision=9))
+        with mock.patch.object(self.supervisor, "_hand_over") as hand_over:
+            self.supervise()
+            hand_over.assert_not_called()
+            self.pass_lease()
+            self.supervise()
+            hand_over.assert_called_once()
+
+
 class CheckTest(SupervisorTest):
     def check(self):
         return self.supervisor._collect_proofs(self.supervised, member_entry(self.group, "m1"))
