Take permits only from a duty record of the present era, and confirm the primary in each

What callers can meet where a replaced primary does not notice it: a restore takes away the record that names the successor, the store then seems to say that none was ordered, and a VM beside the old primary gets a permit and acknowledges writes that are lost. Cause: a missing record was proof that no successor had been ordered. Change: only a record that was written in the era of the answer counts; without one the replicas are asked. Once an era has lasted a lease, the first supervisor writes a record without a holder that names the primary, if the primary and another member agree; such a record leaves the duty free. Remains: an order without an answer that a platform without token checks executes after the confirmation.

--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -9,6 +9,7 @@
 from bramleyrill_core.leadership import (
     DUTY_LEASE,
     KIND_DUTIES,
+    NO_HOLDER,
     DutyRecord,
     DutyView,
     next_record,
@@ -36,6 +37,8 @@
     last showed that it lives without a proof of its role. `highest_term` is the highest term that
     a member reported. `in_progress` is True while a check runs. `index` is this VM's position among
     the supervisors, or None if it is not one of them; it is cached until `index_valid_until`.
+    `confirmed_era` is the era of the store in which the duty is known to have a record, and
+    `confirm_at` the time of the next attempt to write one.
     """
 
     service: str
@@ -47,6 +50,8 @@
     index_valid_until: timedelta = timedelta()
     highest_term: int = 0
     duty_written_at: timedelta = timedelta.min
+    confirmed_era: int = NO_ERA
+    confirm_at: timedelta = timedelta.min
 
 
 class DutyLeases:
@@ -90,6 +95,31 @@
         supervised.duty_written_at = now
         return record
 
+    def confirm(self, supervised: SupervisedService, member: str) -> bool:
+        """Write a record without a holder that names the primary; the duty must have been read.
+
+        Return whether the duty has a record of this era then.
+        """
+        duty = supervised.duty
+        if duty.current_record is not None:
+            return True
+        if not self.may_acquire(supervised):
+            return False
+        record = next_record(duty.record, NO_HOLDER, member, duty.revision)
+        try:
+            stored = self._write(supervised, record)
+        except StoreError as error:
+            log_event("primary_not_confirmed", service=supervised.service, reason=error)
+            return False
+        supervised.duty = DutyView(record, stored.position, self._state.now())
+        log_event(
+            "primary_confirmed",
+            service=supervised.service,
+            member=member,
+            written=stored.position,
+        )
+        return True
+
     def may_acquire(self, supervised: SupervisedService) -> bool:
         """Return whether no other VM holds the duty, by what was read last."""
         duty = supervised.duty
--- a/packages/entry/bramleyrill_entry/_permits.py
+++ b/packages/entry/bramleyrill_entry/_permits.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from bramleyrill_base import log_event
 from bramleyrill_core.catalog import MemberEntry
+from bramleyrill_core.history import NO_ERA
 from bramleyrill_core.leadership import KIND_DUTIES, DutyRecord
 from bramleyrill_core.permits import LeadEvidence, StatusReport
 from bramleyrill_platform import NotFoundError, StoreClient, StoreError, lines
@@ -170,16 +171,20 @@
         row.evidence.record_order(ordered_member, asked_at)
 
     def _read_ordered_member(self, service: str) -> str:
-        """Return the member that the duty's record names, empty without a record.
+        """Return the member that the duty's record names, empty on a store without eras.
 
-        Raises StoreError, and ValueError if the record is malformed.
+        Raises StoreError, and ValueError if the record is malformed or of an earlier era: a
+        restore may have taken a later one away.
         """
         try:
-            record = DutyRecord.from_value(self._store.get(KIND_DUTIES, service).value)
-        except NotFoundError:
-            return ""
-        if record is None:
-            raise ValueError("the record is malformed")
+            stored = self._store.get(KIND_DUTIES, service)
+        except NotFoundError as error:
+            if error.revision.era == NO_ERA:
+                return ""
+            raise
+        record = DutyRecord.from_value(stored.value)
+        if record is None or record.era != stored.era:
+            raise ValueError("the record is malformed or of an earlier era")
         return record.member
 
     def _ask_replicas(self, row: PermitRow, member: MemberEntry) -> None:
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -59,6 +59,8 @@
 POLL_INTERVAL = timedelta(milliseconds=40)
 MAX_APPOINT_ATTEMPTS = 6
 APPOINT_RETRY_PAUSE = timedelta(milliseconds=300)
+# Pause between two attempts to confirm the primary of an era.
+CONFIRMATION_INTERVAL = timedelta(seconds=1)
 # How long to wait for the platform to name the primary of a service that has none.
 NO_PRIMARY_GRACE = timedelta(seconds=3)
 
@@ -126,6 +128,8 @@
                 self._replace_primary(supervised, None)
             return
         if assess_primary(Evidence(silent_for - index * SUPERVISOR_DELAY)) is Verdict.FINE:
+            if index == 0 and self._permits.needed:
+                self._confirm_primary(supervised, row.entry)
             return
         silent_for, refused = self._collect_proofs(supervised, row.entry)
         evidence = Evidence(silent_for - index * SUPERVISOR_DELAY, checked=True, refused=refused)
@@ -220,6 +224,43 @@
             )
         return False
 
+    def _confirm_primary(self, supervised: SupervisedService, primary: MemberEntry) -> None:
+        """Write once an era which member leads, as VMs take permits only from such a record.
+
+        The primary must say so itself and be the one that this VM knows, and another member must
+        know of no later term.
+        """
+        now = self._state.now()
+        if supervised.confirmed_era == self._state.history.era or now < supervised.confirm_at:
+            return
+        if not self._leases.may_take_duties(supervised):
+            return
+        supervised.confirm_at = now + CONFIRMATION_INTERVAL
+        if not self._leases.read(supervised):
+            return
+        if supervised.duty.current_record is None and not self._is_leader(primary):
+            return
+        if self._leases.confirm(supervised, primary.id):
+            supervised.confirmed_era = supervised.duty.revision.era
+
+    def _is_leader(self, primary: MemberEntry) -> bool:
+        """Return whether the primary and another member agree with this VM that it leads."""
+        clock = self._state.clock
+        rows = self._state.members.members_of_service(primary.service)
+        others = [row.entry for row in rows if row.entry.id != primary.id]
+        queries = [gevent.spawn(ask_status, member, clock) for member in (primary, *others)]
+        gevent.joinall(queries)
+        own, *reports = (query.value for query in queries)
+        known = [report for report in reports if report is not None]
+        if own is None or not own.is_primary or (others and not known):
+            return False
+        if own.term < self._state.members.term_of(primary.service):
+            return False
+        return all(
+            not report.is_primary and max(report.term, report.fenced_term) <= own.term
+            for report in known
+        )
+
     # Choosing and appointing a successor.
 
     def _replace_primary(self, supervised: SupervisedService, primary: MemberEntry | None) -> None:
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -287,3 +287,67 @@
         self.assertEqual(self.supervise(), 0)
         self.assertFalse(self.group.members_by_name["m1"].is_primary)
         self.assertEqual([entry.data for entry in self.group.primary.log], [{"a": "1"}])
+
+
+class RestoredTest(OrderCase):
+    """A restore takes away the record that names the successor."""
+
+    ERA = 1
+
+    def setUp(self):
+        super().setUp()
+        self.store.list("config")
+        self.state.clock.advance(DUTY_LEASE)
+
+    def restore(self):
+        self.platform.restore(self.platform.copy())
+        self.platform.remove(KIND_DUTIES, SERVICE)
+        self.store.list("config")
+        self.expire_permits()
+
+    def confirm(self):
+        self.supervised.confirm_at = timedelta.min
+        self.supervisor._confirm_primary(self.supervised, member_entry(self.group, "m1"))
+
+    def test_lost_record_does_not_bring_the_old_primary_back(self):
+        """Without a record the store seemed to say that no successor had been ordered."""
+        self.replace_by_force()
+        self.restore()
+        self.assertIs(self.run_at("m1", "WRITE a 1").problem, RunProblem.NO_PERMIT)
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def test_record_of_the_copy_is_no_proof(self):
+        self.confirm()
+        copy = self.platform.copy()
+        self.replace_by_force()
+        self.platform.restore(copy)
+        self.expire_permits()
+        self.assertIs(self.run_at("m1", "WRITE a 1").problem, RunProblem.NO_PERMIT)
+
+    def test_replicas_carry_the_permit_until_the_primary_is_confirmed(self):
+        self.confirm()
+        self.restore()
+        self.assertTrue(self.run_at("m1", "WRITE a 1").answer.succeeded)
+        self.group.members_by_name["m3"].stop()
+        self.expire_permits()
+        self.assertIs(self.run_at("m1", "WRITE b 2", "q2").problem, RunProblem.NO_PERMIT)
+        self.state.clock.advance(DUTY_LEASE)
+        self.confirm()
+        self.assertTrue(self.run_at("m1", "WRITE c 3", "q3").answer.succeeded)
+
+    def test_primary_is_not_confirmed_before_earlier_leases_have_expired(self):
+        """The order of their holder may still be on its way."""
+        self.restore()
+        self.confirm()
+        self.assertIsNone(self.platform.value(KIND_DUTIES, SERVICE))
+
+    def test_replaced_primary_is_not_confirmed(self):
+        self.group.promote("m2")
+        self.confirm()
+        self.assertIsNone(self.platform.value(KIND_DUTIES, SERVICE))
+
+    def test_confirmed_primary_leaves_the_duty_free(self):
+        self.confirm()
+        self.group.members_by_name["m1"].stop()
+        self.assertEqual(self.supervise(), 0)
+        self.assertEqual(len(self.appointed()), 1)
