Ask the other VMs before waiting out leases of an earlier era

What callers met: after a restore a failed primary stayed in place until the era had lasted 6 s. Cause: without a record every VM has to assume that another one holds the duty. Change: a supervisor that finds no record of the era asks all VMs it knows; if each denies that it holds or writes the duty, the duty is free in this era. A VM that does not answer, or of a build that does not say, may hold it. Confirming the primary uses the same, and moves to a module of its own.

--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -38,7 +38,9 @@
     a member reported. `in_progress` is True while a check runs. `index` is this VM's position among
     the supervisors, or None if it is not one of them; it is cached until `index_valid_until`.
     `confirmed_era` is the era of the store in which the duty is known to have a record, and
-    `confirm_at` the time of the next attempt to write one.
+    `confirm_at` the time of the next attempt to write one. `free_in_era` is the era in which all
+    other VMs said that they do not hold the duty, and `inquiry_at` the time of the next attempt to
+    ask them. `is_acquiring` is True while the record is written.
     """
 
     service: str
@@ -52,6 +54,9 @@
     duty_written_at: timedelta = timedelta.min
     confirmed_era: int = NO_ERA
     confirm_at: timedelta = timedelta.min
+    free_in_era: int = NO_ERA
+    inquiry_at: timedelta = timedelta.min
+    is_acquiring: bool = False
 
 
 class DutyLeases:
@@ -60,6 +65,12 @@
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self._state = state
         self._store = store
+        self._acquired_by_service: dict[str, SupervisedService] = {}
+
+    def may_hold(self, service: str) -> bool:
+        """Return whether this VM holds a service's duty, or is about to."""
+        supervised = self._acquired_by_service.get(service)
+        return supervised is not None and (supervised.is_acquiring or self.holds(supervised))
 
     def acquire(self, supervised: SupervisedService, member: str) -> DutyRecord | None:
         """Write the record of the next order and return it; the duty must have been read.
@@ -75,6 +86,8 @@
             if self.holds(supervised):
                 return record
             record = renewed_record(record, duty.revision)
+        self._acquired_by_service[supervised.service] = supervised
+        supervised.is_acquiring = True
         try:
             stored = self._write(supervised, record)
         except ConflictError:
@@ -83,6 +96,8 @@
         except StoreError as error:
             log_event("duty_not_written", service=supervised.service, reason=error)
             return None
+        finally:
+            supervised.is_acquiring = False
         log_event(
             "duty_acquired",
             service=supervised.service,
@@ -127,7 +142,7 @@
         # A lease outlasts a restore, as the other VMs wait for its length in the new era.
         if duty.seen_at is not None and current is None and self.holds(supervised):
             return True
-        era_known_for = self._state.history.known_for()
+        era_known_for = self._era_known_for(supervised)
         if duty.may_acquire(self._state.vm, self._state.now(), era_known_for):
             return True
         holder = current.holder if current is not None else "unknown"
@@ -142,11 +157,17 @@
 
     def may_take_duties(self, supervised: SupervisedService) -> bool:
         """Return whether a duty without a record of this era would be free for this VM."""
-        history = self._state.history
-        if history.era == NO_ERA or history.known_for() >= DUTY_LEASE:
+        if self._state.history.era == NO_ERA or self._era_known_for(supervised) >= DUTY_LEASE:
             return True
         return self.holds(supervised)
 
+    def _era_known_for(self, supervised: SupervisedService) -> timedelta:
+        """Return for how long the era has lasted; a duty that is free in it counts as old."""
+        history = self._state.history
+        if supervised.free_in_era == history.era:
+            return max(history.known_for(), DUTY_LEASE)
+        return history.known_for()
+
     def read(self, supervised: SupervisedService) -> bool:
         """Update the view of the service's duty; return False if the store does not answer."""
         now = self._state.now()
--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -9,6 +9,7 @@
 from bramleyrill_core import Mark
 from bramleyrill_wire.entries import frames
 
+from bramleyrill_entry._duty_leases import DutyLeases
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError
 from bramleyrill_entry._peers import PeerNet, handlers
 from bramleyrill_entry._run_codec import (
@@ -155,6 +156,8 @@
             position=proof.mark.position,
             age_us=age // timedelta(microseconds=1),
         )
+    if frame.duty_era is not None:
+        answer.may_hold_duty = net.services[DutyLeases].may_hold(frame.service_name)
     try:
         link.send(answer)
     except PeerLostError as error:
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -13,6 +13,7 @@
 from bramleyrill_platform import DutyClient, StoreClient
 from gevent.event import Event
 
+from bramleyrill_entry._duty_leases import DutyLeases
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._front import Front
 from bramleyrill_entry._gossip import PING_INTERVAL, Gossip
@@ -76,6 +77,7 @@
         self.supervisor = Supervisor(
             self.state, self.net, self.schedulers, self.executor, self.store, duties, self.permits
         )
+        services[DutyLeases] = self.supervisor.leases
         self.proofs = ProofRefresher(self.state, self.executor)
         self.configuration = ConfigurationWatch(self.state, self.store)
         self.members = MemberWatch(self.state, self.store)
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -25,6 +25,8 @@
 )
 from bramleyrill_wire.entries import frames
 
+from bramleyrill_entry._confirmation import PrimaryConfirmation
+from bramleyrill_entry._duty_inquiry import DutyInquiry
 from bramleyrill_entry._duty_leases import DutyLeases, SupervisedService
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._fence import demote, end_permits
@@ -59,8 +61,6 @@
 POLL_INTERVAL = timedelta(milliseconds=40)
 MAX_APPOINT_ATTEMPTS = 6
 APPOINT_RETRY_PAUSE = timedelta(milliseconds=300)
-# Pause between two attempts to confirm the primary of an era.
-CONFIRMATION_INTERVAL = timedelta(seconds=1)
 # How long to wait for the platform to name the primary of a service that has none.
 NO_PRIMARY_GRACE = timedelta(seconds=3)
 
@@ -82,7 +82,9 @@
         self._net = net
         self._schedulers = schedulers
         self._executor = executor
-        self._leases = DutyLeases(state, store)
+        self.leases = DutyLeases(state, store)
+        self._inquiry = DutyInquiry(state, net, self.leases)
+        self._confirmation = PrimaryConfirmation(state, self.leases, self._inquiry)
         self._duties = duties
         self._permits = permits or PermitKeeper(state, store)
         self._services: dict[str, SupervisedService] = {}
@@ -129,7 +131,7 @@
             return
         if assess_primary(Evidence(silent_for - index * SUPERVISOR_DELAY)) is Verdict.FINE:
             if index == 0 and self._permits.needed:
-                self._confirm_primary(supervised, row.entry)
+                self._confirmation.confirm(supervised, row.entry)
             return
         silent_for, refused = self._collect_proofs(supervised, row.entry)
         evidence = Evidence(silent_for - index * SUPERVISOR_DELAY, checked=True, refused=refused)
@@ -224,48 +226,18 @@
             )
         return False
 
-    def _confirm_primary(self, supervised: SupervisedService, primary: MemberEntry) -> None:
-        """Write once an era which member leads, as VMs take permits only from such a record.
-
-        The primary must say so itself and be the one that this VM knows, and another member must
-        know of no later term.
-        """
-        now = self._state.now()
-        if supervised.confirmed_era == self._state.history.era or now < supervised.confirm_at:
-            return
-        if not self._leases.may_take_duties(supervised):
-            return
-        supervised.confirm_at = now + CONFIRMATION_INTERVAL
-        if not self._leases.read(supervised):
-            return
-        if supervised.duty.current_record is None and not self._is_leader(primary):
-            return
-        if self._leases.confirm(supervised, primary.id):
-            supervised.confirmed_era = supervised.duty.revision.era
-
-    def _is_leader(self, primary: MemberEntry) -> bool:
-        """Return whether the primary and another member agree with this VM that it leads."""
-        clock = self._state.clock
-        rows = self._state.members.members_of_service(primary.service)
-        others = [row.entry for row in rows if row.entry.id != primary.id]
-        queries = [gevent.spawn(ask_status, member, clock) for member in (primary, *others)]
-        gevent.joinall(queries)
-        own, *reports = (query.value for query in queries)
-        known = [report for report in reports if report is not None]
-        if own is None or not own.is_primary or (others and not known):
-            return False
-        if own.term < self._state.members.term_of(primary.service):
-            return False
-        return all(
-            not report.is_primary and max(report.term, report.fenced_term) <= own.term
-            for report in known
-        )
+    def _is_duty_free(self, supervised: SupervisedService) -> bool:
+        """Return whether a duty that has no record of this era is free for this VM."""
+        self._inquiry.ask(supervised)
+        return self.leases.may_take_duties(supervised)
 
     # Choosing and appointing a successor.
 
     def _replace_primary(self, supervised: SupervisedService, primary: MemberEntry | None) -> None:
-        if not self._leases.read(supervised):
+        if not self.leases.read(supervised):
             return
+        if supervised.duty.current_record is None:
+            self._inquiry.ask(supervised)
         candidates = self._query_candidates(supervised, primary)
         pending = pending_member(supervised.duty, primary.id if primary else "")
         if pending in (candidate.member for candidate in candidates):
@@ -312,13 +284,13 @@
         `demoted` is whether the old primary is known to be a replica by now. Return whether the
         order was carried out.
         """
-        record = self._leases.acquire(supervised, chosen)
+        record = self.leases.acquire(supervised, chosen)
         if record is None:
             return False
         if not demoted and not self._end_permits(supervised, chosen, primary):
             return False
         for _ in range(MAX_APPOINT_ATTEMPTS):
-            if not self._leases.holds(supervised):
+            if not self.leases.holds(supervised):
                 log_event("duty_lease_ended", service=supervised.service, member=chosen)
                 return False
             result = self._duties.appoint(
@@ -376,7 +348,7 @@
             ):
                 self._replace_primary(supervised, row.entry)
             return
-        if not self._leases.may_take_duties(supervised):
+        if not self._is_duty_free(supervised):
             # Pausing the primary's work would not help before the duty can be taken.
             return
         log_event("planned_change", service=supervised.service, member=row.entry.id)
@@ -408,7 +380,7 @@
         if scheduler.prove() is None:
             primary_mark = self._state.proofs.history_of(supervised.service).newest.mark
         chosen = self._wait_for_successor(supervised, row.entry, primary_mark)
-        if chosen is None or not self._leases.read(supervised):
+        if chosen is None or not self.leases.read(supervised):
             self._replace_primary(supervised, row.entry)
             return
         self._appoint(supervised, chosen, row.entry)
@@ -418,9 +390,9 @@
 
         Its last position is then final, and a replica that has it loses nothing.
         """
-        if not self._leases.read(supervised):
+        if not self.leases.read(supervised):
             return
-        if not self._leases.may_acquire(supervised):
+        if not self.leases.may_acquire(supervised):
             return
         self._query_candidates(supervised, primary)
         report = demote(self._state, primary, self._next_term(supervised))
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -50,12 +50,16 @@
 // The owner of a transaction no longer needs it; if it is still open, it is rolled back.
 struct Release { 1: i64 exchange }
 
-// Requests proof of the current log position of a service's primary.
-struct Prove { 1: i64 call, 2: string service_name, 3: bool known_only }
+// Requests proof of the current log position of a service's primary. With `duty_era` it also asks
+// whether the VM may hold the service's duty, on behalf of a VM that knows that era of the store.
+struct Prove {
+  1: i64 call, 2: string service_name, 3: bool known_only, 4: optional i64 duty_era
+}
 // Response to Prove. `age_us` is negative if there is no proof; `member` is the primary that
-// gave it.
+// gave it. `may_hold_duty` is left out if it was not asked for.
 struct Proved {
-  1: i64 call, 2: string member, 3: i64 term, 4: i64 position, 5: i64 age_us
+  1: i64 call, 2: string member, 3: i64 term, 4: i64 position, 5: i64 age_us,
+  6: optional bool may_hold_duty
 }
 
 // Requests what is newer than the version and revision that the sender has.
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -204,8 +204,14 @@
         1: (TType.I64, "call", False),
         2: (TType.STRING, "service_name", False),
         3: (TType.BOOL, "known_only", False),
+        4: (TType.I64, "duty_era", False),
     }
-    default_spec = [("call", None), ("service_name", None), ("known_only", None)]
+    default_spec = [
+        ("call", None),
+        ("service_name", None),
+        ("known_only", None),
+        ("duty_era", None),
+    ]
 
 
 class Proved(TPayload):
@@ -217,6 +223,7 @@
         3: (TType.I64, "term", False),
         4: (TType.I64, "position", False),
         5: (TType.I64, "age_us", False),
+        6: (TType.BOOL, "may_hold_duty", False),
     }
     default_spec = [
         ("call", None),
@@ -224,6 +231,7 @@
         ("term", None),
         ("position", None),
         ("age_us", None),
+        ("may_hold_duty", None),
     ]
 
 
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -307,7 +307,7 @@
 
     def confirm(self):
         self.supervised.confirm_at = timedelta.min
-        self.supervisor._confirm_primary(self.supervised, member_entry(self.group, "m1"))
+        self.supervisor._confirmation.confirm(self.supervised, member_entry(self.group, "m1"))
 
     def test_lost_record_does_not_bring_the_old_primary_back(self):
         """Without a record the store seemed to say that no successor had been ordered."""
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -8,14 +8,17 @@
 from attrs import evolve
 from bramleyrill_core.catalog import MemberState
 from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
+from bramleyrill_core.placement import VmEntry
 from bramleyrill_entry import _supervisor
 from bramleyrill_entry._duty_leases import SupervisedService
 from bramleyrill_entry._executor import Executor
+from bramleyrill_entry._peer_link import PeerLostError
 from bramleyrill_entry._run_request import Opens
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_entry._supervisor import Supervisor
 from bramleyrill_platform import DutyClient, StoreClient, UnansweredError
 from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
+from bramleyrill_wire.entries import frames
 from gevent.event import Event
 
 from tests.entry.builders import SERVICE, make_state, member_entry, request
@@ -180,6 +183,61 @@
         self.replace()
         self.assertEqual(len(self.orders()), 1)
 
+    def answer_inquiry(self, **answers):
+        """Let other VMs answer whether they may hold the duty; None is no answer."""
+        net = self.supervisor._inquiry._net
+
+        def call(vm, make_frame, timeout):
+            self.assertEqual(make_frame(1).duty_era, self.state.history.era)
+            if answers[vm] is None:
+                raise PeerLostError("no answer in time")
+            return frames.Proved(call=1, may_hold_duty=answers[vm])
+
+        net.call = call
+        for name in answers:
+            entry = VmEntry(name, "north-a", ("127.0.0.1", 1), 1)
+            self.state.vms.update(entry, self.state.now())
+
+    def orders_after_a_restore(self, **answers):
+        self.answer_inquiry(**answers)
+        self.platform.restore(self.platform.copy())
+        self.replace()
+        return len(self.orders())
+
+    def test_no_wait_if_no_other_vm_holds_the_duty(self):
+        """A failed primary stayed in place for 6 s after each restore."""
+        self.assertEqual(self.orders_after_a_restore(vm2=False, vm3=False), 1)
+
+    def test_vm_that_may_hold_the_duty_is_waited_for(self):
+        self.assertEqual(self.orders_after_a_restore(vm2=False, vm3=True), 0)
+
+    def test_vm_that_does_not_answer_may_hold_the_duty(self):
+        """It may be suspended, or on the other side of a cut."""
+        self.assertEqual(self.orders_after_a_restore(vm2=False, vm3=None), 0)
+
+    def test_denial_counts_for_one_era(self):
+        self.assertEqual(self.orders_after_a_restore(vm2=False), 1)
+        self.supervised.duty_written_at = timedelta.min
+        self.supervised.inquiry_at = timedelta.min
+        self.assertEqual(self.orders_after_a_restore(vm2=True), 1)
+
+    def test_vm_that_writes_the_record_may_hold_the_duty(self):
+        """Its write may have been acknowledged just before the restore."""
+        leases = self.supervisor.leases
+        leases.read(self.supervised)
+        self.assertFalse(leases.may_hold(SERVICE))
+        seen = []
+
+        def put(supervised, value):
+            seen.append(leases.may_hold(SERVICE))
+            return self.store.create(KIND_DUTIES, SERVICE, value)
+
+        with mock.patch.object(leases, "_put", put):
+            leases.acquire(self.supervised, "m2")
+        self.assertEqual((seen, leases.may_hold(SERVICE)), ([True], True))
+        self.supervised.duty_written_at -= DUTY_LEASE
+        self.assertFalse(leases.may_hold(SERVICE))
+
     def test_holder_goes_on_after_a_restore(self):
         """Nobody else may take the duty yet, so its services would stay without a primary."""
         copy = self.platform.copy()
@@ -191,13 +249,13 @@
 
     def test_record_written_in_another_era_than_it_was_read_in_is_not_used(self):
         """The revision it replaced was given out again, and another VM may hold the duty."""
-        self.supervisor._leases.read(self.supervised)
+        self.supervisor.leases.read(self.supervised)
         self.platform.restore(self.platform.copy())
-        self.assertIsNone(self.supervisor._leases.acquire(self.supervised, "m2"))
+        self.assertIsNone(self.supervisor.leases.acquire(self.supervised, "m2"))
         self.assertEqual(self.orders(), [])
 
     def test_lost_answer_is_not_read_back_from_another_era(self):
-        self.supervisor._leases.read(self.supervised)
+        self.supervisor.leases.read(self.supervised)
         era = self.platform.era
 
         def restore_and_fail(supervised, value):
@@ -205,8 +263,8 @@
             self.platform.era = era + 1
             raise UnansweredError("lost")
 
-        with mock.patch.object(self.supervisor._leases, "_put", restore_and_fail):
-            self.assertIsNone(self.supervisor._leases.acquire(self.supervised, "m2"))
+        with mock.patch.object(self.supervisor.leases, "_put", restore_and_fail):
+            self.assertIsNone(self.supervisor.leases.acquire(self.supervised, "m2"))
 
     def test_leaving_primary_is_not_paused_before_the_duty_is_free(self):
         """Its writes would stop though nobody may order a successor yet."""
