Restore the store in the soak

Cause: the soak had no restore, so it showed neither of the faults of the restored store. Change: a fault store_restored; at the end the store goes back once more and a change is written among the revisions given out again; two promises: each token belongs to one order, and the last configuration is in force at every VM within 4 s. Measured: both promises notice a planted breach (tests.soak.test_promises).

--- a/soak/bramleyrill_soak/_faults.py
+++ b/soak/bramleyrill_soak/_faults.py
@@ -221,6 +221,19 @@
     world.deployment.platform.forget_history()
 
 
+@fault
+def store_restored(world: SoakWorld, rng: random.Random, fault_s: float) -> None:
+    """Bring the store back from a copy; members and operator write again what it has lost."""
+    platform = world.deployment.platform
+    copy = platform.copy()
+    gevent.sleep(fault_s)
+    platform.unavailable = True
+    gevent.sleep(rng.uniform(0.0, 1.0))
+    platform.restore(copy)
+    platform.unavailable = False
+    world.put_configuration_again()
+
+
 @fault
 def change_configuration(world: SoakWorld, rng: random.Random, fault_s: float) -> None:
     """Add a route and remove it again."""
--- a/soak/bramleyrill_soak/_history.py
+++ b/soak/bramleyrill_soak/_history.py
@@ -20,6 +20,8 @@
     OWN_ROWS = "a read returned a value that nobody wrote under its key"
     SERVED_AGAIN = "a caller was not served after the faults had ended"
     ONE_WRITER = "a write was acknowledged that a replaced primary had committed"
+    UNIQUE_TOKENS = "two different orders had one fencing token"
+    CONFIGURATION_IN_FORCE = "the last configuration was not in force after the faults had ended"
     CLEAN_EXIT = "a process did not stop with exit code 0"
 
 
@@ -118,6 +120,15 @@
                 return index
         return -1
 
+    def check_orders(self, orders: list[tuple[str, str, str, int]]) -> None:
+        """Check that each fencing token belongs to one order of one holder."""
+        orders_by_token: dict[tuple[str, int], set[tuple[str, str]]] = {}
+        for service, member, holder, token in orders:
+            orders_by_token.setdefault((service, token), set()).add((member, holder))
+        for (service, token), different in orders_by_token.items():
+            if len(different) > 1:
+                self.record_violation(Promise.UNIQUE_TOKENS, f"{service} {token}: {different}")
+
     def check(self) -> None:
         """Check all recorded writes against the commits of the whole run."""
         commits_by_value: dict[str, int] = {}
--- a/soak/bramleyrill_soak/_run.py
+++ b/soak/bramleyrill_soak/_run.py
@@ -6,6 +6,7 @@
 
 import gevent
 from attrs import define, field
+from bramleyrill_standins.prepared import LineCaller
 
 from bramleyrill_soak._callers import SoakCaller, operations_by_database
 from bramleyrill_soak._faults import faults_by_name, pick_duration
@@ -20,6 +21,9 @@
 # Time after the last fault within which every caller must be served again. It is far longer than
 # needed, so that the result does not depend on the load of the machine.
 SERVED_AGAIN_LIMIT_S = 40.0
+# Time within which a change of the configuration has to be in force at every VM.
+CONFIGURATION_LIMIT_S = 4.0
+LAST_DATABASE = "last-db"
 
 
 @define(eq=False)
@@ -53,11 +57,13 @@
         jobs = [gevent.spawn(caller.run) for caller in callers]
         _inject_faults(world, rng, duration_s, kinds or sorted(faults_by_name), report)
         _wait_until_served(callers, history)
+        _wait_for_configuration(world, history)
         gevent.killall(jobs)
         for caller in callers:
             caller.disconnect()
         _stop_all(world, history)
         history.check()
+        history.check_orders(deployment.platform.appointments)
         report.served = sum(caller.served for caller in callers)
         report.commits = len(deployment.group.history)
         report.violations = history.violations
@@ -106,6 +112,27 @@
         gevent.sleep(0.05)
 
 
+def _wait_for_configuration(world: SoakWorld, history: History) -> None:
+    """Restore the store and wait until every VM serves a database that a last change adds."""
+    world.change_configuration_in_restore(LAST_DATABASE)
+    deadline = time.monotonic() + CONFIGURATION_LIMIT_S
+    for address in world.deployment.caller_addresses:
+        while not _serves(address, LAST_DATABASE):
+            if time.monotonic() > deadline:
+                history.record_violation(Promise.CONFIGURATION_IN_FORCE, str(address))
+                break
+            gevent.sleep(0.1)
+
+
+def _serves(address: tuple[str, int], database: str) -> bool:
+    try:
+        caller = LineCaller(address, database)
+    except OSError:
+        return False
+    caller.close()
+    return caller.opening_answer.startswith("READY")
+
+
 def _stop_all(world: SoakWorld, history: History) -> None:
     stops = [gevent.spawn(vm.stop) for vm in world.deployment.vms]
     codes = [stop.get() for stop in gevent.joinall(stops)]
--- a/soak/bramleyrill_soak/_world.py
+++ b/soak/bramleyrill_soak/_world.py
@@ -7,6 +7,8 @@
 
 PRIMARY, OWN_WRITES, BOUNDED = "primary-db", "own-db", "bounded-db"
 MAX_STALENESS_S = 2.0
+# Kind of objects of another writer, which use up revisions.
+OTHER_KIND = "soak-other"
 _TYPES_BY_DATABASE = {
     PRIMARY: "primary",
     OWN_WRITES: "read_your_writes",
@@ -62,7 +64,8 @@
     """The deployment, and the VMs and members that are reserved for faults.
 
     `writers` has the names of the writing callers, `exit_codes` the exit codes of processes that
-    a fault stopped in order.
+    a fault stopped in order. `version` and `more_databases` are those of the configuration that the
+    operator wrote last.
     """
 
     deployment: SoakDeployment
@@ -70,11 +73,28 @@
     reserved: set[object] = field(factory=set)
     exit_codes: list[int] = field(factory=list)
     version: int = 1
+    more_databases: tuple[str, ...] = ()
 
     def put_next_configuration(self, *more_databases: str) -> None:
         """Store the next version of the configuration, with routes to `more_databases` added."""
         self.version += 1
-        self.deployment.put_configuration(self.version, *more_databases)
+        self.more_databases = more_databases
+        self.put_configuration_again()
+
+    def put_configuration_again(self) -> None:
+        """Store the configuration that the operator wrote last."""
+        self.deployment.put_configuration(self.version, *self.more_databases)
+
+    def change_configuration_in_restore(self, *more_databases: str) -> None:
+        """Restore the store and store the next configuration among revisions given out again."""
+        platform = self.deployment.platform
+        copy = platform.copy()
+        self.put_configuration_again()
+        earlier_revision = platform.revision
+        platform.restore(copy)
+        self.put_next_configuration(*more_databases)
+        while platform.revision <= earlier_revision:
+            platform.put(OTHER_KIND, "object", platform.revision)
 
     def unreserved_vms(self) -> list[EntryVm]:
         """Return the VMs that no fault has reserved."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -50,6 +50,12 @@
         self.write("v1", "a")
         self.assertEqual(self.broken_promises(), [Promise.DURABLE_WRITE])
 
+    def test_token_of_two_orders(self):
+        self.history.check_orders([("s", "m1", "vm1", 1), ("s", "m1", "vm1", 1)])
+        self.assertEqual(self.broken_promises(), [])
+        self.history.check_orders([("s", "m1", "vm1", 1), ("s", "m2", "vm2", 1)])
+        self.assertEqual(self.broken_promises(), [Promise.UNIQUE_TOKENS])
+
     def test_write_of_a_replaced_primary_that_was_acknowledged(self):
         self.group.split = True
         old = self.group.primary
@@ -108,6 +114,13 @@
             _run._wait_until_served([caller], self.history)
         self.assertEqual(self.broken_promises(), [Promise.SERVED_AGAIN])
 
+    def test_configuration_that_is_not_in_force(self):
+        unused_address = ("127.0.0.1", 1)
+        deployment = mock.Mock(caller_addresses=[unused_address])
+        with mock.patch.object(_run, "CONFIGURATION_LIMIT_S", 0.1):
+            _run._wait_for_configuration(SoakWorld(deployment), self.history)
+        self.assertEqual(self.broken_promises(), [Promise.CONFIGURATION_IN_FORCE])
+
     def test_process_that_does_not_end_in_order(self):
         vm = SimpleNamespace(stop=lambda: -9)
         _run._stop_all(SoakWorld(SimpleNamespace(vms=[vm])), self.history)
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -27,6 +27,7 @@
 SEED = 1
 # With this seed processes without permits acknowledge writes of a replaced primary.
 UNFENCED_SEED, UNFENCED_S = 502, 8.0
+RESTORED_SEED, RESTORED_S = 600, 8.0
 
 
 class SoakTest(unittest.TestCase):
@@ -47,6 +48,11 @@
         kinds = ("silence_member", "cut_from_store", "pause_vm", "store_unavailable")
         self.check(UNFENCED_SEED, UNFENCED_S, kinds, fenced_orders=False)
 
+    def test_store_that_comes_back_from_a_copy(self):
+        """Checks tokens and the configuration while the store is restored again and again."""
+        kinds = ("store_restored", "crash_member", "pause_vm", "change_configuration")
+        self.check(RESTORED_SEED, RESTORED_S, kinds)
+
     def test_replica_that_lags_while_callers_reconnect(self):
         """Guards against a check by which own-writes reads must include earlier sessions' writes.
 
