Do not wait for a lease of a record that an earlier era wrote

Cause: a VM that first saw such a record after the restore counted a new lease from then. Change: after the leases of the earlier era only a record of this era, or of a build without eras, holds the duty. Evidence: test_record_of_an_earlier_era_holds_nobody_back_once_its_leases_have_expired failed before.

--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -96,9 +96,14 @@
             return True
         if current is None and self.revision.era != NO_ERA and era_known_for < DUTY_LEASE:
             return False
-        if self.record is None and not self.revision.number:
-            return True
-        return now - self.seen_at >= DUTY_LEASE
+        return self._is_expired() or now - self.seen_at >= DUTY_LEASE
+
+    def _is_expired(self) -> bool:
+        """Return whether there is no record, or one that nobody renews in this era."""
+        if self.record is None:
+            return not self.revision.number
+        # A build without eras writes records of NO_ERA in every era.
+        return self.record.era not in (NO_ERA, self.revision.era)
 
 
 def pending_member(view: DutyView, primary: str) -> str:
