Do not fail a check of a duty that this VM never held

Change: no time until a record was written; a check that fails is logged as supervision_failed, and the next tick starts another one. Evidence: both tests failed before.

--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -32,7 +32,8 @@
     """Supervision state of one service.
 
     `duty` is this VM's view of the service's duty: a lease in the store, whose holder alone may
-    order a change of primary; `duty_written_at` is the time at which this VM sent its last record.
+    order a change of primary; `duty_written_at` is the time at which this VM sent its last record,
+    or None.
     `member` is the known primary, or empty, and `primary_since` the time when it became known or
     last showed that it lives without a proof of its role. `highest_term` is the highest term that
     a member reported. `in_progress` is True while a check runs. `index` is this VM's position among
@@ -51,7 +52,7 @@
     index: int | None = None
     index_valid_until: timedelta = timedelta()
     highest_term: int = 0
-    duty_written_at: timedelta = timedelta.min
+    duty_written_at: timedelta | None = None
     confirmed_era: int = NO_ERA
     confirm_at: timedelta = timedelta.min
     free_in_era: int = NO_ERA
@@ -205,4 +206,5 @@
 
     def holds(self, supervised: SupervisedService) -> bool:
         """Return whether no other VM can have acquired the duty since this VM wrote its record."""
-        return self._state.now() - supervised.duty_written_at < DUTY_LEASE
+        written_at = supervised.duty_written_at
+        return written_at is not None and self._state.now() - written_at < DUTY_LEASE
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -109,6 +109,9 @@
     def _run_check(self, supervised: SupervisedService) -> None:
         try:
             self._supervise(supervised)
+        except Exception as error:
+            # The next tick starts a new check.
+            log_event("supervision_failed", service=supervised.service, error=repr(error))
         finally:
             supervised.in_progress = False
 
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -6,6 +6,7 @@
 
 import gevent
 from attrs import evolve
+from bramleyrill_base import ManualClock
 from bramleyrill_core.catalog import MemberState
 from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
 from bramleyrill_core.placement import VmEntry
@@ -166,7 +167,7 @@
         copy = self.platform.copy()
         self.replace()
         self.platform.restore(copy)
-        self.supervised.duty_written_at = timedelta.min
+        self.supervised.duty_written_at = None
         self.state.settings = evolve(self.state.settings, id="vm2")
         self.store.list("config")
         self.pass_lease()
@@ -217,10 +218,26 @@
 
     def test_denial_counts_for_one_era(self):
         self.assertEqual(self.orders_after_a_restore(vm2=False), 1)
-        self.supervised.duty_written_at = timedelta.min
+        self.supervised.duty_written_at = None
         self.supervised.inquiry_at = timedelta.min
         self.assertEqual(self.orders_after_a_restore(vm2=True), 1)
 
+    def test_duty_that_was_never_held_is_asked_about_on_a_machine_that_runs_for_days(self):
+        """Subtracting the earliest time from one of more than a day overflows."""
+        self.state.clock = ManualClock()
+        self.state.clock.advance(timedelta(days=2))
+        self.assertFalse(self.supervisor.leases.holds(self.supervised))
+
+    def test_failed_check_is_logged_and_the_next_one_runs(self):
+        """The greenlet ended with a traceback and no event."""
+        with (
+            mock.patch.object(self.supervisor, "_supervise", side_effect=OverflowError("late")),
+            mock.patch.object(_supervisor, "log_event") as log,
+        ):
+            self.supervisor._run_check(self.supervised)
+        self.assertEqual(log.call_args.args, ("supervision_failed",))
+        self.assertFalse(self.supervised.in_progress)
+
     def test_vm_that_writes_the_record_may_hold_the_duty(self):
         """Its write may have been acknowledged just before the restore."""
         leases = self.supervisor.leases
