--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -78,6 +78,13 @@
             gevent.sleep(0.01)
         self.assertEqual(self.pulled, ["vm2"])
 
+    def test_vm_that_started_from_an_older_copy_takes_the_version_of_its_peers(self):
+        """A VM that starts just after a restore lists the configuration of the copy."""
+        self.state.catalog = Catalog(4)
+        self.gossip.handle_peer_versions("vm2", 11, StoreRevision(2, 0))
+        gevent.sleep(0.05)
+        self.assertEqual(self.pulled, ["vm2"])
+
     def test_older_versions_are_ignored(self):
         self.state.catalog = Catalog(5)
         self.gossip.handle_peer_versions("vm2", 4, NONE)
