Ask the other VMs about a duty at confirmation only after a restore

Cause: by reading: where primaries are confirmed, the first supervisors of a starting fleet would dial every VM, though callers come later than the end of a lease. Change: in the first era of a process the confirmation waits; after a restore it asks. Evidence: test_other_vms_are_asked_only_after_a_restore failed before.

--- a/packages/entry/bramleyrill_entry/_confirmation.py
+++ b/packages/entry/bramleyrill_entry/_confirmation.py
@@ -35,7 +35,10 @@
         if not self._leases.read(supervised):
             return
         if supervised.duty.current_record is None:
-            self._inquiry.ask(supervised)
+            if self._state.history.changes:
+                # In the first era callers come later than the end of a lease, and asking would
+                # make every VM dial all others at its start.
+                self._inquiry.ask(supervised)
             if not self._leases.may_take_duties(supervised) or not self._is_leader(primary):
                 return
         if self._leases.confirm(supervised, primary.id):
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -341,6 +341,16 @@
         self.confirm()
         self.assertIsNone(self.platform.value(KIND_DUTIES, SERVICE))
 
+    def test_other_vms_are_asked_only_after_a_restore(self):
+        """At the start of a large fleet the first supervisors dialed all VMs."""
+        self.state.history._known_since = self.state.now()
+        with mock.patch.object(self.supervisor._inquiry, "ask") as ask:
+            self.confirm()
+            ask.assert_not_called()
+            self.restore()
+            self.confirm()
+            ask.assert_called_once()
+
     def test_replaced_primary_is_not_confirmed(self):
         self.group.promote("m2")
         self.confirm()
