Hold back the last acknowledgement behind a large result

Callers of the PostgreSQL path could see the CommandComplete of an INSERT, without ReadyForQuery, before the permit was checked: a batch of SELECT, large SELECT and INSERT holds more than 64 KiB, and all of it was sent. Change: beyond the limit the answer is held from its last CommandComplete on; a longer result behind that one shows that it acknowledges no commit. Evidence: test_acknowledgement_behind_a_large_result_is_held failed before for whole answers and parts of 5,000 bytes; both pass now. tests.holder and tests.peers passed.

--- a/packages/daemon/bramleyrill_daemon/_answers.py
+++ b/packages/daemon/bramleyrill_daemon/_answers.py
@@ -8,7 +8,8 @@
 
 STATUS_SQL = "SELECT * FROM group_status()"
 # The answer to a request that may commit is held back from the first CommandComplete on. If more
-# than this is held, all of it is forwarded, so that memory stays bounded.
+# than this is held, what comes before the last CommandComplete is forwarded, so that memory stays
+# bounded.
 MAX_HELD_BYTES = 64 * 1024
 # Frames that are parsed as a whole are small; a larger one is a protocol error of the upstream.
 MAX_BUFFERED_FRAME_BYTES = 1024 * 1024
@@ -38,11 +39,14 @@
     if any. `failed` says that the answer has an ErrorResponse, `forwarded` that `feed` has returned
     a part of it, `has_extra_data` that bytes follow the end of the answer.
 
-    With `hold`, the answer is held back from its first CommandComplete on; if that is more than
-    MAX_HELD_BYTES, all of it is forwarded and the next CommandComplete starts to hold again.
+    With `hold`, the answer is held back from its first CommandComplete on. If that is more than
+    MAX_HELD_BYTES, it is held from the last one on, which may acknowledge a commit. A longer result
+    behind that shows that it does not, so then all of it is forwarded and the next CommandComplete
+    starts to hold again.
     """
 
     __slots__ = (
+        "_completion_offset",
         "_hold",
         "_held",
         "_held_bytes",
@@ -65,6 +69,8 @@
         self.wants_status = wants_status
         self._held: list[bytes] = []
         self._held_bytes = 0
+        # Where the last CommandComplete begins in the held bytes.
+        self._completion_offset = 0
         self._holding = False
         self._in_status = False
         self._partial_frame = b""
@@ -109,8 +115,9 @@
                     return b""
                 if kind == _ERROR_RESPONSE:
                     self.failed = True
-                elif self._hold and hold_from < 0 and kind in _COMPLETION_KINDS:
-                    hold_from = position
+                elif self._hold and kind in _COMPLETION_KINDS:
+                    hold_from = position if hold_from < 0 else hold_from
+                    self._completion_offset = self._held_bytes + position - hold_from
             if frame_end > end:
                 self._skip_bytes = frame_end - end
                 position = end
@@ -130,14 +137,23 @@
         self._held_bytes += end - hold_from
         forwardable = data[:hold_from]
         if self._held_bytes > MAX_HELD_BYTES:
-            forwardable += b"".join(self._held)
-            self._held.clear()
-            self._held_bytes = 0
-            self._holding = False
+            forwardable += self._release_held()
         if forwardable:
             self.forwarded = True
         return forwardable
 
+    def _release_held(self) -> bytes:
+        """Return the held bytes before the last CommandComplete, or all if too many follow it."""
+        held = b"".join(self._held)
+        kept = held[self._completion_offset :]
+        if len(kept) > MAX_HELD_BYTES:
+            kept = b""
+        self._held = [kept] if kept else []
+        self._held_bytes = len(kept)
+        self._completion_offset = 0
+        self._holding = bool(kept)
+        return held[: len(held) - len(kept)]
+
     def _end_answer(self, data: bytes, frame_end: int, hold_from: int) -> None:
         self.tx_status = data[frame_end - 1 : frame_end]
         tail = data if frame_end == len(data) else data[:frame_end]
