Tell the member that gave a proof, not the one appointed since

Cause: an answer to a peer joined the newest proof of a service with its presumed primary; just after an appointment the old primary's position was told as the new one's. Change: a proof keeps its member. Evidence: test_proof_names_the_member_that_gave_it failed before.

--- a/packages/core/bramleyrill_core/freshness/_proofs.py
+++ b/packages/core/bramleyrill_core/freshness/_proofs.py
@@ -19,12 +19,13 @@
 class Proof:
     """A log position that includes every commit acknowledged before `proved_at`.
 
-    `proved_at` is a time on this VM's clock, no later than the sending of the request whose answer
+    `member` was the primary that gave it. `proved_at` is a time on this VM's clock, no later than the sending of the request whose answer
     proved that its member was the primary.
     """
 
     mark: Mark
     proved_at: timedelta
+    member: str = ""
 
 
 class ProofHistory:
@@ -34,12 +35,12 @@
         self._proofs: deque[Proof] = deque()
         self.newest: Proof | None = None
 
-    def record(self, mark: Mark, proved_at: timedelta) -> None:
+    def record(self, mark: Mark, proved_at: timedelta, member: str = "") -> None:
         """Add a proof; ignore it if it is no newer than the newest one or its mark is lower."""
         newest = self.newest
         if newest is not None and (proved_at <= newest.proved_at or mark < newest.mark):
             return
-        self.newest = Proof(mark, proved_at)
+        self.newest = Proof(mark, proved_at, member)
         if not self._proofs or proved_at - self._proofs[-1].proved_at >= MIN_PROOF_SPACING:
             self._proofs.append(self.newest)
         while self._proofs[0].proved_at < proved_at - HISTORY_LENGTH:
--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -145,13 +145,12 @@
     ensure_fresh_proof(net, frame.service_name, frame.known_only)
     state = net.state
     proof = state.proofs.history_of(frame.service_name).newest
-    row = state.members.primaries.get(frame.service_name)
     answer = frames.Proved(call=frame.call, member="", term=0, position=0, age_us=-1)
-    if proof is not None and row is not None:
+    if proof is not None:
         age = state.now() - proof.proved_at
         answer = frames.Proved(
             call=frame.call,
-            member=row.member,
+            member=proof.member,
             term=proof.mark.term,
             position=proof.mark.position,
             age_us=age // timedelta(microseconds=1),
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -104,7 +104,7 @@
         if self.members.record_primary_proof(service, member, term):
             log_event("primary_changed", service=service, member=member, term=term, source="proof")
             self.primary_changed.fire()
-        self.proofs.history_of(service).record(mark, proved_at)
+        self.proofs.history_of(service).record(mark, proved_at, member)
 
     def record_claimed_lead(self, service: str, member: str, term: int) -> None:
         """Record that a member says that it leads `term`: no proof, but the best one to ask."""
