--- a/packages/core/bramleyrill_core/freshness/_proofs.py
+++ b/packages/core/bramleyrill_core/freshness/_proofs.py
@@ -19,8 +19,8 @@
 class Proof:
     """A log position that includes every commit acknowledged before `proved_at`.
 
-    `member` was the primary that gave it. `proved_at` is a time on this VM's clock, no later than the sending of the request whose answer
-    proved that its member was the primary.
+    `member` was the primary that gave it. `proved_at` is a time on this VM's clock, no later than
+    the sending of the request whose answer proved that.
     """
 
     mark: Mark
