--- a/tests/entry/test_decode.py
+++ b/tests/entry/test_decode.py
@@ -56,6 +56,14 @@
             len(decode_catalog({"version": 7, "routes": routes}).routes_by_database), 1
         )
 
+    def test_number_beyond_all_bounds_is_not_used(self):
+        """The configuration was not taken at all, and its watch ended."""
+        for number in (1e300, float("inf"), float("nan"), 10**400):
+            routes = [ROUTE | {"timeoutMs": number, "maxStalenessMs": number}, ROUTE]
+            value = {"version": 7, "routes": routes, "limits": {"txIdleMs": number}}
+            with self.subTest(number=number):
+                self.assertEqual(len(decode_catalog(value).routes_by_database), 1)
+
     def test_configuration_without_a_version_is_rejected(self):
         for value in (None, [], {}, {"version": "7"}, {"version": True}):
             with self.assertRaises(DecodeError):
