Go on with a watch whose handler fails

Cause: any error but a StoreError ended the greenlet of a watch, so that one object could stop this VM from hearing of changes. Change: the error is logged as watch_failed, and the kind is listed again after the retry pause. Evidence: test_watch_lists_again_after_an_error_of_its_handler and test_number_beyond_all_bounds_leaves_the_others failed before.

--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -99,8 +99,12 @@
                 self._position = None
             except StoreError as error:
                 self._record_availability(False, error)
-                gevent.sleep(pause.total_seconds() * random.uniform(0.5, 1.0))
-                pause = min(pause * 2, MAX_RETRY_PAUSE)
+                pause = _sleep_before_retry(pause)
+            except Exception as error:
+                # One object that a handler fails at must not end the watch.
+                log_event("watch_failed", kind=self._kind, error=repr(error))
+                self._position = None
+                pause = _sleep_before_retry(pause)
 
     def _step(self) -> None:
         if self._position is None or self._position.era != self._store.history.era:
@@ -159,6 +163,12 @@
             self._available = available
 
 
+def _sleep_before_retry(pause: timedelta) -> timedelta:
+    """Sleep for up to `pause` and return the next one."""
+    gevent.sleep(pause.total_seconds() * random.uniform(0.5, 1.0))
+    return min(pause * 2, MAX_RETRY_PAUSE)
+
+
 class ConfigurationWatch:
     """Apply each new version of the configuration."""
 
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -207,6 +207,36 @@
         self.assertIsNotNone(self.state.members.members.get("m1"))
         self.assertIsNone(self.state.members.members.get("m2"))
 
+    def test_number_beyond_all_bounds_leaves_the_others(self):
+        """An entry of another writer with such a number ended the watch for good."""
+        for field in ("born", "warmupLeftMs", "slots"):
+            for number in (1e300, float("inf"), float("nan"), 10**400):
+                with self.subTest(field=field, number=number):
+                    self.platform.put("servers", "m2", ENTRY | {field: number})
+                    self.step()
+        self.platform.put("servers", "m1", ENTRY)
+        self.step()
+        self.assertIsNotNone(self.state.members.members.get("m1"))
+
+
+class FailedWatchTest(StoreTest):
+    def test_watch_lists_again_after_an_error_of_its_handler(self):
+        """The greenlet ended, and this VM heard of no change any more."""
+        listings = []
+
+        def on_listing(listing):
+            listings.append(listing)
+            if len(listings) == 1:
+                raise TypeError("malformed")
+
+        watch = StoreWatch(self.store, "kind", on_listing, mock.Mock())
+        watch.wait = SHORT
+        with mock.patch.object(_watch, "INITIAL_RETRY_PAUSE", SHORT):
+            greenlet = gevent.spawn(watch.run)
+            gevent.sleep(0.1)
+        greenlet.kill()
+        self.assertEqual(len(listings), 2)
+
 
 class RegistrationTest(StoreTest):
     def test_vm_that_starts_again_replaces_its_entry(self):
