Treat a duty record with an impossible token as malformed

Cause: by reading: a negative token, or one of hundreds of digits, would be counted up from. Change: tokens from 0 to 2**53 only; a malformed record is replaced as before. Evidence: test_token_that_no_vm_writes_is_no_record failed before (by its code; the old one returned the record).

--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -24,6 +24,8 @@
 DUTY_LEASE = timedelta(seconds=6)
 # Bits of a fencing token that hold the revision; the era is above them.
 TOKEN_REVISION_BITS = 32
+# Beyond this a number is not exact in JSON.
+MAX_TOKEN = 2**53
 # Holder of a record that confirms the primary and leaves the duty free for all.
 NO_HOLDER = ""
 
@@ -57,6 +59,8 @@
         holder, token, member = (value.get(name) for name in ("holder", "token", "member"))
         if not isinstance(holder, str) or not isinstance(token, int) or not isinstance(member, str):
             return None
+        if not 0 <= token <= MAX_TOKEN:
+            return None
         return cls(holder, token, member)
 
 
--- a/tests/entry/test_leadership.py
+++ b/tests/entry/test_leadership.py
@@ -74,6 +74,12 @@
         for value in (None, [], {"holder": "vm1"}, {"holder": 1, "token": 2, "member": "m"}):
             self.assertIsNone(DutyRecord.from_value(value))
 
+    def test_token_that_no_vm_writes_is_no_record(self):
+        """The next token would be above it, and no later one could be."""
+        for token in (-1, 10**400):
+            value = {"holder": "vm1", "token": token, "member": "m"}
+            self.assertIsNone(DutyRecord.from_value(value))
+
 
 class RestoredDutyTest(unittest.TestCase):
     """The store was restored from a copy, and is in era 2."""
