Give up a dial to an address that cannot be one

What callers can meet: a VM's entry with such a port or host, from a peer or from the store, ended the dial with an OverflowError or ValueError. Statements and pings that waited for the same dial waited forever, since nothing told them. At a member's address the error ended the statement's greenlet. Change: these errors are a lost peer, or a failed dial of a member, like any other; entries of VMs with an impossible port are rejected.

--- a/packages/entry/bramleyrill_entry/_peer_link.py
+++ b/packages/entry/bramleyrill_entry/_peer_link.py
@@ -30,6 +30,11 @@
     """The peer cannot be reached, or the link was lost before the answer arrived."""
 
 
+def is_port(value: object) -> bool:
+    """Return whether a value that another process told is a port to connect to."""
+    return isinstance(value, int) and not isinstance(value, bool) and 0 < value < 65536
+
+
 def encode_vm(entry: VmEntry) -> Any:
     """Return the thrift struct of a VM's entry."""
     host, port = entry.address
@@ -44,10 +49,12 @@
 
 
 def decode_vm(vm: Any) -> VmEntry:
-    """Return the VM's entry of a thrift struct; raise ValueError if it is incomplete."""
+    """Return the VM's entry of a thrift struct; raise ValueError if it is malformed."""
     fields = (vm.id, vm.domain, vm.host, vm.port, vm.started_ms) if vm is not None else ()
     if not fields or None in fields:
         raise ValueError("incomplete entry of a VM")
+    if not is_port(vm.port):
+        raise ValueError(f"{vm.port} is not a port")
     return VmEntry(vm.id, vm.domain, (vm.host, vm.port), vm.started_ms, bool(vm.leaving))
 
 
--- a/packages/entry/bramleyrill_entry/_peers.py
+++ b/packages/entry/bramleyrill_entry/_peers.py
@@ -110,7 +110,8 @@
         sock.settimeout(DIAL_TIMEOUT.total_seconds())
         try:
             sock.connect(address)
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The address was told by a peer or the store, and may not be one.
             sock.close()
             raise PeerLostError(str(error)) from error
         return self._establish(sock)
--- a/packages/entry/bramleyrill_entry/_upstream.py
+++ b/packages/entry/bramleyrill_entry/_upstream.py
@@ -75,7 +75,7 @@
         except ConnectionRefusedError as error:
             connection.close()
             raise UpstreamError("connection refused", refused=True) from error
-        except (OSError, lines.LineError) as error:
+        except (OSError, ValueError, OverflowError, lines.LineError) as error:
             connection.close()
             raise UpstreamError(f"cannot connect: {error}") from error
         except UpstreamError:
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -28,6 +28,7 @@
     decode_member,
 )
 
+from bramleyrill_entry._peer_link import is_port
 from bramleyrill_entry._state import EntryState
 
 # How long a watch call waits for changes; the platform allows no more. The client finds a dead
@@ -379,7 +380,7 @@
     domain, host = value.get("domain"), value.get("host")
     port, started_ms = value.get("port"), value.get("started_ms")
     has_text_fields = isinstance(domain, str) and isinstance(host, str)
-    if not has_text_fields or not isinstance(port, int) or not isinstance(started_ms, int):
+    if not has_text_fields or not is_port(port) or not isinstance(started_ms, int):
         return None
     return VmEntry(stored.name, domain, (host, port), started_ms)
 
