--- a/tests/entry/test_decode.py
+++ b/tests/entry/test_decode.py
@@ -71,6 +71,15 @@
 
 
 class MemberTest(unittest.TestCase):
+    def test_name_that_would_end_a_message_is_rejected(self):
+        """The first message to the member has both names, and what follows was read as another."""
+        for name in ("a b", "a\r\nQUERY 1 WRITE a b", "", "a\t", "a\x00", "\ud800"):
+            with self.subTest(name=name):
+                with self.assertRaises(DecodeError):
+                    decode_member(StoredObject("m1", 12, ENTRY | {"backend": name}))
+                with self.assertRaises(DecodeError):
+                    decode_member(StoredObject(name, 12, ENTRY))
+
     def test_entry(self):
         entry = decode_member(StoredObject("m1", 12, ENTRY, era=3))
         revision = StoreRevision(3, 12)
