Resume a transaction whose rank has not been queued at the member yet

Callers saw no answer to the second statement of a transaction until their timeout, and the transaction kept its connection. Cause: the first statement had been admitted in the late stage, whose class is another; the queue makes a class with its first new request, and the resumed one found none. Change: a resumed request makes its class as well. Evidence: test_transaction_that_started_late_goes_on failed before.

--- a/packages/core/bramleyrill_core/admission/_queue.py
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -182,7 +182,7 @@
         if self._paused.pop(request.id, None) is None:
             raise ValueError(f"request {request.id!r} is not paused")
         now = self._clock.monotonic()
-        state = self._classes[request.work_class]
+        state = self._classes.get(request.work_class) or self._add_class(request.work_class)
         if not self._queued and len(self._running) < int(self._limit.value):
             return self._start(request, state, now)
         self._enqueue(state.resumed, request, state, now)
--- a/tests/entry/test_stages.py
+++ b/tests/entry/test_stages.py
@@ -56,6 +56,13 @@
         self.submit(3, rank=Rank.URGENT)
         self.assertEqual(self.admission.finish(1), [Started(3)])
 
+    def test_transaction_that_started_late_goes_on(self):
+        """Its next statement failed, as no request of its rank had been on time there yet."""
+        self.assertIsInstance(self.submit(1, on_time=0), Started)
+        self.admission.pause(1)
+        now = self.clock.monotonic()
+        self.assertEqual(self.admission.resume(1, Rank.EVERYDAY, now + 100 * MS), Started(1))
+
     def test_transaction_gives_its_slot_back_between_statements(self):
         self.submit(1)
         self.submit(2)
