Keep a watch that is renewed before its call began

What callers can meet: a VM that hears of no change any more. Hearing of an era renews watches more often; the landed code could do it after behind_peer. Change: such a call counts as cancelled. Evidence: test_watch_renewed_before_its_call_began_goes_on failed before.

--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -112,7 +112,11 @@
             self._list()
             return
         self._call = gevent.spawn(self._watch, self._position.number, self.wait)
-        changes = self._call.get()
+        try:
+            changes = self._call.get()
+        except WatchRenewedError:
+            # The call was cancelled before it began.
+            return
         if changes is None:
             return
         if isinstance(changes, StoreError):
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -220,6 +220,17 @@
 
 
 class FailedWatchTest(StoreTest):
+    def test_watch_renewed_before_its_call_began_goes_on(self):
+        """The greenlet ended with the error that cancels the call."""
+        watch = StoreWatch(self.store, "kind", mock.Mock(), mock.Mock())
+        watch.wait = SHORT
+        watch._step()
+        step = gevent.spawn(watch._step)
+        gevent.sleep(0)
+        watch.renew()
+        step.join(1)
+        self.assertIsNone(step.exception)
+
     def test_watch_lists_again_after_an_error_of_its_handler(self):
         """The greenlet ended, and this VM heard of no change any more."""
         listings = []
