Answer a peer's statement whose run failed

Cause: an unexpected error ended the greenlet of a peer's statement without an answer, and the peer waited for its whole timeout. Change: the answer is that the outcome is unknown, and run_failed has the error. Evidence: test_failed_run_is_answered_with_an_unknown_outcome failed before.

--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -123,6 +123,10 @@
     except ValueError as error:
         log_event("malformed_request", vm=link.peer.id, reason=error)
         result = RunResult(problem=RunProblem.UNREACHABLE)
+    except Exception as error:
+        # The statement may have run; without an answer the peer would wait for its timeout.
+        log_event("run_failed", vm=link.peer.id, id=frame.id, error=repr(error))
+        result = RunResult(problem=RunProblem.LOST)
     try:
         link.send(encode_result(frame.call, result))
     except PeerLostError as error:
--- a/tests/entry/test_executor.py
+++ b/tests/entry/test_executor.py
@@ -1,15 +1,33 @@
-"""Answers to peers that ask for a proof of a primary, or whether this VM holds a duty."""
+"""Answers to peers: to statements that fail, and to questions for proofs and duties."""
 
 import unittest
 from unittest import mock
 
 from bramleyrill_core import Mark
 from bramleyrill_entry._duty_leases import DutyLeases
-from bramleyrill_entry._executor import _prove_and_reply
+from bramleyrill_entry._executor import _prove_and_reply, _run_and_reply
+from bramleyrill_entry._run_codec import encode_request
+from bramleyrill_entry._run_request import RunProblem
+from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_standins.prepared import LineGroup
 from bramleyrill_wire.entries import frames
 
-from tests.entry.builders import SERVICE, make_state
+from tests.entry.builders import SERVICE, make_state, request
+
+
+class RunTest(unittest.TestCase):
+    def test_failed_run_is_answered_with_an_unknown_outcome(self):
+        """The peer, and its caller, waited for an answer until their timeout."""
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        schedulers = mock.Mock()
+        schedulers.run.side_effect = KeyError("class")
+        net = mock.Mock(state=make_state(group), services={MemberSchedulers: schedulers})
+        link = mock.Mock()
+        frame = encode_request(7, request("WRITE a 1", "m1"))
+        _run_and_reply(net, link, frame)
+        answer = link.send.call_args.args[0]
+        self.assertEqual((answer.call, answer.problem), (7, RunProblem.LOST))
 
 
 class ProveTest(unittest.TestCase):
