Let the watches go on before the soak restores the store

Cause: the soak did not show the CONFIG fault on the landed code, as its watches still stood at the copy's revision when the store went back. Change: half a second between the last change before the restore and the restore itself.

--- a/soak/bramleyrill_soak/_world.py
+++ b/soak/bramleyrill_soak/_world.py
@@ -1,5 +1,6 @@
 """A prepared deployment with proxies on its links, and the parts that faults affect."""
 
+import gevent
 from attrs import define, field
 from bramleyrill_standins.prepared import EntryVm, LineMember, PreparedDeployment
 
@@ -9,6 +10,8 @@
 MAX_STALENESS_S = 2.0
 # Kind of objects of another writer, which use up revisions.
 OTHER_KIND = "soak-other"
+# Time for the watches to continue behind a change.
+WATCH_DELAY_S = 0.5
 _TYPES_BY_DATABASE = {
     PRIMARY: "primary",
     OWN_WRITES: "read_your_writes",
@@ -90,6 +93,7 @@
         platform = self.deployment.platform
         copy = platform.copy()
         self.put_configuration_again()
+        gevent.sleep(WATCH_DELAY_S)
         earlier_revision = platform.revision
         platform.restore(copy)
         self.put_next_configuration(*more_databases)
