--- a/packages/core/bramleyrill_core/history/_history.py
+++ b/packages/core/bramleyrill_core/history/_history.py
@@ -19,8 +19,8 @@
     The store begins a new era when it is restored from a copy: it has lost what was written since
     the copy was made, and gives those revisions out again. So revisions, leases and answers of an
     earlier era prove nothing. Only the store's own answers change `era`; what other VMs tell
-    (`hear`) is a reason to ask the store. `hooks` are called when the era changes or a newer one
-    was heard of, but not for the first era.
+    (`hear`) is a reason to ask the store. `changes` counts the restores that this VM has noticed.
+    `hooks` are called when the era changes or a newer one was heard of, but not for the first era.
 
     Example: `history.accept(3)` after an answer of era 3, then `history.known_for()`.
     """
@@ -28,7 +28,6 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.era = NO_ERA
-        # Restores since this VM started, as far as it noticed them.
         self.changes = 0
         self.hooks: list[Callable[[], None]] = []
         self._known_since = clock.monotonic()
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -32,16 +32,18 @@
     """Supervision state of one service.
 
     `duty` is this VM's view of the service's duty: a lease in the store, whose holder alone may
-    order a change of primary; `duty_written_at` is the time at which this VM sent its last record,
-    or None.
+    order a change of primary. `duty_written_at` is the time at which this VM sent its last record,
+    or None, and `is_acquiring` is True while it writes one.
+
     `member` is the known primary, or empty, and `primary_since` the time when it became known or
     last showed that it lives without a proof of its role. `highest_term` is the highest term that
     a member reported. `in_progress` is True while a check runs. `index` is this VM's position among
     the supervisors, or None if it is not one of them; it is cached until `index_valid_until`.
-    `confirmed_era` is the era of the store in which the duty is known to have a record, and
-    `confirm_at` the time of the next attempt to write one. `free_in_era` is the era in which all
-    other VMs said that they do not hold the duty, and `inquiry_at` the time of the next attempt to
-    ask them. `is_acquiring` is True while the record is written.
+
+    After a restore of the store, `free_in_era` is the era in which all other VMs said that they do
+    not hold the duty, and `inquiry_at` the time of the next attempt to ask them. `confirmed_era` is
+    the era in which the duty is known to have a record, and `confirm_at` the time of the next
+    attempt to write one.
     """
 
     service: str
