Give the planted breach of the configuration's promise a real store

Deterministic; not seen before since the module was not run after that change. Change: the stand-in of the store in place of the mock; the check is the same.

--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,7 +7,7 @@
 from bramleyrill_soak import _run
 from bramleyrill_soak._history import History, Promise
 from bramleyrill_soak._world import SoakWorld
-from bramleyrill_standins.prepared import LineGroup
+from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
 
 ACKNOWLEDGED = "COMPLETE s1"
 BUSY = "ERROR BUSY full"
@@ -116,7 +116,12 @@
 
     def test_configuration_that_is_not_in_force(self):
         unused_address = ("127.0.0.1", 1)
-        deployment = mock.Mock(caller_addresses=[unused_address])
+        platform = PreparedPlatform()
+        deployment = SimpleNamespace(
+            caller_addresses=[unused_address],
+            platform=platform,
+            put_configuration=lambda version, *_: platform.put("config", "main", version),
+        )
         with mock.patch.object(_run, "CONFIGURATION_LIMIT_S", 0.1):
             _run._wait_for_configuration(SoakWorld(deployment), self.history)
         self.assertEqual(self.broken_promises(), [Promise.CONFIGURATION_IN_FORCE])
