Run each team's work under its own name, and refuse unknown keys

Cause: nothing knew who a caller is. The key in a caller's OPEN was dropped, and every connection to a member was opened in one fixed name, so that members ran all teams' work under the same name and callers without a key were served.

Change: teams with keys are decoded from the configuration into a directory that keeps digests only; peers get the configuration with digests in place of keys. A session looks its team up when an operation starts; an unknown key gets NOAUTH at once, a withdrawn one ends the session between operations. A pooled connection belongs to one team; at the limit an idle one of another team is closed for a team that waits. Configurations without teams are served as before.

--- a/packages/core/bramleyrill_core/admission/_stages.py
+++ b/packages/core/bramleyrill_core/admission/_stages.py
@@ -98,6 +98,7 @@
         rank: Rank,
         on_time_until: timedelta,
         wait_deadline: timedelta,
+        team: str = "",
     ) -> Started | Queued | Refused:
         """Start, queue or refuse a new request.
 
@@ -125,7 +126,7 @@
         return self._move_expired_to_late(self._queue.pause(request_id))
 
     def resume(
-        self, request_id: Hashable, rank: Rank, wait_deadline: timedelta
+        self, request_id: Hashable, rank: Rank, wait_deadline: timedelta, team: str = ""
     ) -> Started | Queued | Refused:
         """Request a slot for the next statement of a paused transaction.
 
--- a/packages/core/bramleyrill_core/catalog/_model.py
+++ b/packages/core/bramleyrill_core/catalog/_model.py
@@ -7,6 +7,7 @@
 
 from bramleyrill_core._values import MemberRole, Rank
 from bramleyrill_core.history import StoreRevision
+from bramleyrill_core.teams import NO_TEAMS, TeamDirectory
 
 Address = tuple[str, int]
 
@@ -28,6 +29,7 @@
     """Service and quality of service of one database.
 
     `statement_timeout` bounds one statement. `target` is the target latency of a whole operation.
+    A `public` route needs no key, and its work belongs to no team.
     """
 
     database: str
@@ -37,6 +39,7 @@
     statement_timeout: timedelta
     target: timedelta
     max_staleness: timedelta
+    public: bool = False
 
 
 @frozen
@@ -51,13 +54,15 @@
 class Catalog:
     """One version of the configuration.
 
-    `transaction_idle_timeout` bounds the time between two statements of a transaction.
+    `transaction_idle_timeout` bounds the time between two statements of a transaction. `teams` is
+    not enabled where the configuration names none.
     """
 
     version: int
     routes_by_database: dict[str, DatabaseRoute] = field(factory=dict, repr=False)
     services_by_name: dict[str, ServiceEntry] = field(factory=dict, repr=False)
     transaction_idle_timeout: timedelta = timedelta(seconds=3)
+    teams: TeamDirectory = NO_TEAMS
 
 
 EMPTY_CATALOG = Catalog(0)
--- a/packages/core/bramleyrill_core/statements/_session.py
+++ b/packages/core/bramleyrill_core/statements/_session.py
@@ -20,7 +20,8 @@
     """Values and prepared statements of a session, its transaction and the mark it must read.
 
     Values and prepared statements belong to the session and not to an upstream connection, so that
-    any pooled connection can serve the session. `read_only` is whether the open transaction is
+    any pooled connection can serve the session. `team` is the team of the operation in progress, or
+    empty. `read_only` is whether the open transaction is
     read-only. `mark_unknown` is true if the outcome of a write is unknown, so that only the primary
     is certain to have it.
 
@@ -37,6 +38,7 @@
     read_only: bool = False
     mark: Mark | None = None
     mark_unknown: bool = False
+    team: str = ""
 
     def apply(self, statement: Statement) -> bool:
         """Execute a statement that needs no member; return whether it was valid.
--- a/packages/core/bramleyrill_core/statements/_values.py
+++ b/packages/core/bramleyrill_core/statements/_values.py
@@ -69,7 +69,8 @@
 
     With a code of the first group after SUCCESS (from BUSY), the statement had no effect. With one
     of the second group (from FAILED), it may have had an effect. The third group (from
-    UNKNOWN_DATABASE) reports an error in the statement itself, which did not run.
+    UNKNOWN_DATABASE) reports an error in the statement itself, or in the key of the caller; the
+    statement did not run.
     """
 
     SUCCESS = auto()
@@ -90,6 +91,7 @@
     MALFORMED = auto()
     TOO_LARGE = auto()
     OTHER = auto()
+    NOT_AUTHORIZED = auto()
 
 
 NOT_RUN_CODES = frozenset(
--- a/packages/entry/bramleyrill_entry/_front.py
+++ b/packages/entry/bramleyrill_entry/_front.py
@@ -1,6 +1,7 @@
 """Listener for callers, and their open sessions."""
 
 import socket
+from datetime import timedelta
 
 import gevent
 from bramleyrill_base import log_event
@@ -12,6 +13,8 @@
 from bramleyrill_entry._session import CallerSession
 from bramleyrill_entry._state import EntryState, to_cooperative_socket
 
+# Bounds the delay if a change of the configuration is missed between two checks.
+CONFIGURATION_CHECK_INTERVAL = timedelta(seconds=10)
 # File descriptors that are reserved for connections to members, peers and the platform.
 RESERVED_DESCRIPTORS = 600
 
@@ -36,6 +39,7 @@
     def start(self) -> None:
         """Start to accept connections."""
         self._server.start()
+        gevent.spawn(self._follow_configuration)
 
     def stop_accepting(self) -> None:
         """Close the listener; open sessions continue."""
@@ -50,6 +54,15 @@
         for session in list(self.sessions):
             session.abort_transaction(reason)
 
+    def _follow_configuration(self) -> None:
+        """End the sessions whose keys a new version of the configuration withdraws."""
+        while True:
+            version = self._state.catalog.version
+            for session in list(self.sessions):
+                session.end_if_unauthorized()
+            while version == self._state.catalog.version:
+                self._state.catalog_changed.wait(CONFIGURATION_CHECK_INTERVAL.total_seconds())
+
     def _serve(self, sock: gevent.socket.socket, address: Address) -> None:
         if len(self.sessions) >= self._max_sessions:
             log_event("session_refused", reason="too many sessions", open=len(self.sessions))
--- a/packages/entry/bramleyrill_entry/_pool.py
+++ b/packages/entry/bramleyrill_entry/_pool.py
@@ -1,10 +1,11 @@
 """Connection pool for one member; connections are dialed in the background."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from datetime import timedelta
 
 import gevent
+from attrs import frozen
 from bramleyrill_base import Clock, log_event
 from bramleyrill_core.catalog import MemberEntry
 from bramleyrill_core.statements import AnswerCode, ConnectionState
@@ -38,8 +39,19 @@
     return 0
 
 
+@frozen(eq=False)
+class _Waiter:
+    """A lease that waits for a connection of `team`, or of any team if it is None."""
+
+    team: str | None
+    connection: AsyncResult
+
+    def accepts(self, team: str) -> bool:
+        return self.team is None or self.team == team
+
+
 class UpstreamPool:
-    """Connections to one member, at most `limit`.
+    """Connections to one member, at most `limit`; each belongs to one team, or to none.
 
     `refused` is True if the last dial found the machine up but nothing listening.
     `failing_since` is the time of the first failed dial since the last successful one, or None.
@@ -56,8 +68,8 @@
         self._clock = clock
         self._idle: deque[UpstreamConnection] = deque()
         self._open: set[UpstreamConnection] = set()
-        self._dialing = 0
-        self._waiters: deque[AsyncResult] = deque()
+        self._dialing_by_team: Counter[str] = Counter()
+        self._waiters: deque[_Waiter] = deque()
         self._backoff = INITIAL_BACKOFF
         self._next_dial_at = timedelta()
         self._closed = False
@@ -65,16 +77,19 @@
     @property
     def size(self) -> int:
         """Return the number of connections that are open or being dialed."""
-        return len(self._open) + self._dialing
+        return len(self._open) + self._dialing_by_team.total()
 
-    def lease(self, timeout: timedelta, cost_of: StateCost = _no_cost) -> UpstreamConnection:
-        """Return a working connection; raise UpstreamError if there is none in time.
+    def lease(
+        self, timeout: timedelta, cost_of: StateCost = _no_cost, team: str | None = ""
+    ) -> UpstreamConnection:
+        """Return a working connection of a team; raise UpstreamError if there is none in time.
 
-        Prefers the idle connection with the lowest `cost_of` its state.
+        `team` is None for work of the proxy itself, which may use any connection. Prefers the idle
+        connection with the lowest `cost_of` its state.
         """
         deadline = self._clock.monotonic() + timeout
         while True:
-            connection = self._pop_idle(cost_of) or self._wait_for_connection(deadline)
+            connection = self._pop_idle(cost_of, team) or self._wait_for_connection(deadline, team)
             if self._is_alive(connection):
                 return connection
 
@@ -84,10 +99,10 @@
             self.discard(connection)
         elif connection.in_transaction:
             gevent.spawn(self._roll_back, connection)
-        elif self._waiters:
-            self._waiters.popleft().set(connection)
-        else:
+        elif not self._give_to_waiter(connection):
             self._idle.append(connection)
+            if self._waiters:
+                self._start_dial()
 
     def discard(self, connection: UpstreamConnection) -> None:
         """Close a leased connection and remove it from the pool."""
@@ -96,16 +111,13 @@
         if self._waiters:
             self._start_dial()
 
-    def maintain_connections(self) -> None:
-        """Dial until a few connections are open, and close surplus ones that are idle for long."""
+    def maintain_connections(self, warm: int = WARM_CONNECTIONS) -> None:
+        """Dial until `warm` connections are open, and close surplus ones that are idle for long."""
         now = self._clock.monotonic()
-        while (
-            len(self._idle) > WARM_CONNECTIONS
-            and now - self._idle[0].last_answer_at > MAX_IDLE_TIME
-        ):
+        while len(self._idle) > warm and now - self._idle[0].last_answer_at > MAX_IDLE_TIME:
             self.discard(self._idle.popleft())
-        for _ in range(WARM_CONNECTIONS - self.size):
-            self._start_dial()
+        for _ in range(warm - self.size):
+            self._start_dial("")
 
     def close_idle(self, unused_for: timedelta) -> None:
         """Close the idle connections that were not used for this long."""
@@ -122,22 +134,32 @@
         self._idle.clear()
         self._fail_waiters(UpstreamError("the pool is closed"))
 
-    def _pop_idle(self, cost_of: StateCost) -> UpstreamConnection | None:
+    def _pop_idle(self, cost_of: StateCost, team: str | None) -> UpstreamConnection | None:
         self._idle = deque(connection for connection in self._idle if not connection.closed)
-        if not self._idle:
+        usable = [item for item in reversed(self._idle) if team is None or item.team == team]
+        if not usable:
             return None
         # Among equal costs, the most recently used connection is the least likely to be dead.
-        chosen = min(reversed(self._idle), key=lambda connection: cost_of(connection.state))
+        chosen = min(usable, key=lambda connection: cost_of(connection.state))
         self._idle.remove(chosen)
         return chosen
 
-    def _wait_for_connection(self, deadline: timedelta) -> UpstreamConnection:
-        waiter: AsyncResult = AsyncResult()
+    def _give_to_waiter(self, connection: UpstreamConnection) -> bool:
+        """Give a connection to the first lease that may use it; return whether there is one."""
+        for waiter in self._waiters:
+            if waiter.accepts(connection.team):
+                self._waiters.remove(waiter)
+                waiter.connection.set(connection)
+                return True
+        return False
+
+    def _wait_for_connection(self, deadline: timedelta, team: str | None) -> UpstreamConnection:
+        waiter = _Waiter(team, AsyncResult())
         self._waiters.append(waiter)
         self._start_dial()
         remaining = (deadline - self._clock.monotonic()).total_seconds()
         try:
-            return waiter.get(timeout=max(remaining, 0.0))
+            return waiter.connection.get(timeout=max(remaining, 0.0))
         except gevent.Timeout as error:
             raise UpstreamError("no free connection in time") from error
         finally:
@@ -171,22 +193,48 @@
         else:
             self.discard(connection)
 
-    def _start_dial(self) -> None:
+    def _start_dial(self, team: str | None = None) -> None:
+        """Dial for a team, or for the first lease that waits without a dial of its own."""
         now = self._clock.monotonic()
-        if self._closed or self._dialing >= MAX_CONCURRENT_DIALS or self.size >= self.limit:
+        if self._closed or self._dialing_by_team.total() >= MAX_CONCURRENT_DIALS:
+            return
+        if team is None:
+            team = self._next_team_to_dial()
+        if team is None or not self._make_room():
             return
-        self._dialing += 1
-        gevent.spawn(self._dial, max(self._next_dial_at - now, timedelta()))
+        self._dialing_by_team[team] += 1
+        gevent.spawn(self._dial, team, max(self._next_dial_at - now, timedelta()))
+
+    def _next_team_to_dial(self) -> str | None:
+        """Return the team of the first waiting lease for which no dial is in progress."""
+        dialing = Counter(self._dialing_by_team)
+        for waiter in self._waiters:
+            team = waiter.team or ""
+            if not dialing[team]:
+                return team
+            dialing[team] -= 1
+        return None
+
+    def _make_room(self) -> bool:
+        """Return whether another connection may be opened, after closing an idle one if needed."""
+        if self.size < self.limit:
+            return True
+        if not self._idle:
+            return False
+        unused_longest = self._idle.popleft()
+        self._open.discard(unused_longest)
+        unused_longest.close()
+        return True
 
-    def _dial(self, pause: timedelta) -> None:
+    def _dial(self, team: str, pause: timedelta) -> None:
         gevent.sleep(pause.total_seconds())
         try:
-            connection = UpstreamConnection.dial(self.member, DIAL_TIMEOUT, self._clock)
+            connection = UpstreamConnection.dial(self.member, DIAL_TIMEOUT, self._clock, team)
         except UpstreamError as error:
-            self._dialing -= 1
+            self._dialing_by_team[team] -= 1
             self._handle_dial_failure(error)
             return
-        self._dialing -= 1
+        self._dialing_by_team[team] -= 1
         self.dialed += 1
         self.refused, self.failing_since = False, None
         self._backoff = INITIAL_BACKOFF
@@ -207,11 +255,11 @@
             self.failing_since = self.failing_since or now
         self._next_dial_at = now + self._backoff
         self._backoff = min(self._backoff * 2, MAX_BACKOFF)
-        if not self._open and not self._dialing:
+        if not self._open and not self._dialing_by_team.total():
             self._fail_waiters(error)
         elif self._waiters:
             self._start_dial()
 
     def _fail_waiters(self, error: UpstreamError) -> None:
         while self._waiters:
-            self._waiters.popleft().set_exception(error)
+            self._waiters.popleft().connection.set_exception(error)
--- a/packages/entry/bramleyrill_entry/_preparation.py
+++ b/packages/entry/bramleyrill_entry/_preparation.py
@@ -24,13 +24,15 @@
     def __init__(self, pool: UpstreamPool) -> None:
         self._pool = pool
 
-    def lease(self, values: dict[str, str], prepared: Prepared | None) -> UpstreamConnection:
-        """Return a connection with the session's values and the prepared statement, if any.
+    def lease(
+        self, values: dict[str, str], prepared: Prepared | None, team: str = ""
+    ) -> UpstreamConnection:
+        """Return a connection of a team with the session's values and the prepared statement.
 
         Raises UpstreamError if there is no connection in time.
         """
         connection = self._pool.lease(
-            LEASE_TIMEOUT, lambda state: state.preparation_cost(values, prepared)
+            LEASE_TIMEOUT, lambda state: state.preparation_cost(values, prepared), team
         )
         self.set_up(connection, values, prepared)
         return connection
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -147,6 +147,7 @@
             mark=session.mark if route.consistency is Consistency.OWN_WRITES else None,
             max_staleness=route.max_staleness,
             values=session.values,
+            team=session.team,
         )
 
     # Reads that any member may serve.
--- a/packages/entry/bramleyrill_entry/_run_codec.py
+++ b/packages/entry/bramleyrill_entry/_run_codec.py
@@ -66,6 +66,7 @@
         patience_left_us=request.max_wait // _MICROSECOND,
         timeout_us=request.timeout // _MICROSECOND,
         values={name: _encode_text(value) for name, value in request.values.items()},
+        team=request.team or None,
     )
 
 
@@ -104,6 +105,7 @@
         mark=_decode_mark(frame.mark_term, frame.mark_position),
         max_staleness=_decode_duration(frame.max_staleness_us),
         values={name: _decode_text(value) for name, value in (frame.values or {}).items()},
+        team=frame.team or "",
     )
 
 
--- a/packages/entry/bramleyrill_entry/_run_request.py
+++ b/packages/entry/bramleyrill_entry/_run_request.py
@@ -55,7 +55,8 @@
     prove that it is the primary; otherwise the read may lack commits that are not covered by
     `mark` and are younger than `max_staleness`. `on_time_left` is how long the statement can
     wait and still meet its latency target; it is refused after a wait of `max_wait`. `timeout`
-    limits its run at the member. `values` are the session values to set on the connection.
+    limits its run at the member. `values` are the session values to set on the connection, which
+    must be one of the team `team`; it is empty if the work belongs to no team.
     """
 
     statement: Statement
@@ -71,6 +72,7 @@
     mark: Mark | None = None
     max_staleness: timedelta = NO_TIME
     values: dict[str, str] = field(factory=dict, repr=False)
+    team: str = ""
 
 
 @define(eq=False)
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -143,7 +143,7 @@
         Return None and record the proof on success, otherwise return the reason.
         """
         try:
-            connection = self.pool.lease(LEASE_TIMEOUT)
+            connection = self.pool.lease(LEASE_TIMEOUT, team=None)
         except UpstreamError:
             return RunProblem.UNREACHABLE
         try:
@@ -179,7 +179,11 @@
         """Submit a request and wait until it is started or refused; return the refusal, if any."""
         now = self._state.now()
         outcome = admission.submit(
-            admission_id, request.rank, now + request.on_time_left, now + request.max_wait
+            admission_id,
+            request.rank,
+            now + request.on_time_left,
+            now + request.max_wait,
+            request.team,
         )
         return self._wait_for_admission(admission, admission_id, outcome)
 
@@ -238,7 +242,7 @@
         return RunResult(problem=RunProblem.UNREACHABLE)
 
     def _lease_connection(self, request: RunRequest) -> UpstreamConnection:
-        return self._preparation.lease(request.values, request.statement.prepared)
+        return self._preparation.lease(request.values, request.statement.prepared, request.team)
 
     def _run_on_connection(self, connection: UpstreamConnection, request: RunRequest) -> RunResult:
         """Run a statement outside a transaction.
@@ -353,7 +357,9 @@
         transaction.running = True
         submitted_at = self._state.now()
         deadline = submitted_at + request.max_wait
-        outcome = self._statement_admission.resume(transaction.admission_id, request.rank, deadline)
+        outcome = self._statement_admission.resume(
+            transaction.admission_id, request.rank, deadline, request.team
+        )
         refusal = self._wait_for_admission(
             self._statement_admission, transaction.admission_id, outcome
         )
--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -7,6 +7,7 @@
 from bramleyrill_core.placement import holder_candidates
 
 from bramleyrill_entry._permits import PermitKeeper
+from bramleyrill_entry._pool import WARM_CONNECTIONS
 from bramleyrill_entry._run_request import NO_TRANSACTION, Opens, RunProblem, RunRequest, RunResult
 from bramleyrill_entry._scheduler import MemberScheduler
 from bramleyrill_entry._state import EntryState
@@ -93,9 +94,11 @@
                 self._close(scheduler, "member_draining")
         if self._state.stopping:
             return
+        # A connection of no team would serve only the proxy's own checks.
+        warm = 0 if self._state.catalog.teams.enabled else WARM_CONNECTIONS
         for row in self._state.members.members.rows():
             if row.accepts_work and self._holds(row):
-                self.scheduler_for(row.entry.id).pool.maintain_connections()
+                self.scheduler_for(row.entry.id).pool.maintain_connections(warm)
         for scheduler in self.by_member.values():
             row = self._state.members.members.get(scheduler.member.id)
             if row is not None and not self._holds(row):
--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -17,6 +17,7 @@
     StatementSession,
     TransactionState,
 )
+from bramleyrill_core.teams import key_digest
 from bramleyrill_platform import lines
 
 from bramleyrill_entry._metrics import EntryMetrics
@@ -60,9 +61,11 @@
         self._pending_lines: list[str] = []
         self._session = StatementSession("")
         self._route: DatabaseRoute | None = None
+        self._key_digest: str | None = None
         self._transaction: TransactionHandle | None = None
         # Why the proxy ended the open transaction; reported with the caller's next statement.
         self._abort_reason = ""
+        self._key_withdrawn = False
 
     @property
     def in_transaction(self) -> bool:
@@ -96,8 +99,24 @@
             return False
         return self._end_if_idle()
 
+    def end_if_unauthorized(self) -> None:
+        """End the session between operations if its key identifies no team any more.
+
+        One with an operation in progress or on its way is refused when its next operation starts.
+        """
+        if not self._session.database or self._is_authorized():
+            return
+        if self.closing or self.busy or self.in_transaction or self._has_pending_input():
+            return
+        with contextlib.suppress(OSError):
+            self._refuse_key()
+        self._end_if_idle()
+
+    def _has_pending_input(self) -> bool:
+        return bool(self._pending_lines) or self._has_input()
+
     def _end_if_idle(self) -> bool:
-        if self.busy or self.in_transaction or self._pending_lines or self._has_input():
+        if self.busy or self.in_transaction or self._has_pending_input():
             return False
         self.closing = True
         with contextlib.suppress(OSError):
@@ -144,6 +163,10 @@
             self._sock.sendall(lines.encode_error(AnswerCode.UNKNOWN_DATABASE, message.database))
             return False
         self._session.database = message.database
+        self._key_digest = key_digest(message.key) if message.key else None
+        if not self._is_authorized():
+            self._refuse_key()
+            return False
         self._sock.sendall(lines.encode_ready(TransactionState.IDLE, None))
         self._last_active_at = self._state.now()
         return True
@@ -158,6 +181,8 @@
                 return
             if isinstance(message, Statement):
                 self._serve_statement(message)
+                if self._key_withdrawn:
+                    return
                 self._last_active_at = self._state.now()
                 if self._state.closing_sessions:
                     self._end_if_idle()
@@ -247,6 +272,9 @@
         route = self._find_route()
         if route is None:
             return Answer(AnswerCode.UNKNOWN_DATABASE, text=self._session.database)
+        refusal = self._start_operation(route)
+        if refusal is not None:
+            return refusal
         self._session.begin(statement.kind is StatementKind.BEGIN_READ_ONLY)
         return Answer()
 
@@ -254,6 +282,9 @@
         route = self._find_route()
         if route is None:
             return Answer(AnswerCode.UNKNOWN_DATABASE, text=self._session.database)
+        refusal = self._start_operation(route)
+        if refusal is not None:
+            return refusal
         answer = self._router.run_single(self._session, route, statement)
         if answer.succeeded and statement.writes:
             self._session.record_mark(answer.mark)
@@ -284,6 +315,44 @@
             self._session.fail()
         return answer
 
+    def _start_operation(self, route: DatabaseRoute) -> Answer | None:
+        """Return why a new operation may not start, or None if it may.
+
+        An operation is a single statement or a transaction. It belongs to the team that the
+        caller's key identifies now.
+        """
+        teams = self._state.catalog.teams
+        if route.public or not teams.enabled:
+            self._session.team = ""
+            return None
+        team = teams.team_of(self._key_digest)
+        if team is None:
+            self._key_withdrawn = True
+            self._log_refused_key()
+            return Answer(AnswerCode.NOT_AUTHORIZED, text="the key was withdrawn")
+        self._session.team = team.name
+        return None
+
+    def _is_authorized(self) -> bool:
+        """Return whether the caller may use the database in the configuration in force."""
+        teams = self._state.catalog.teams
+        route = self._state.catalog.routes_by_database.get(self._session.database)
+        if not teams.enabled or (route is not None and route.public):
+            return True
+        return teams.team_of(self._key_digest) is not None
+
+    def _refuse_key(self) -> None:
+        self._log_refused_key()
+        self._sock.sendall(lines.encode_error(AnswerCode.NOT_AUTHORIZED, "unknown key"))
+
+    def _log_refused_key(self) -> None:
+        log_event(
+            "key_refused",
+            database=self._session.database,
+            version=self._state.catalog.version,
+            reason="unknown" if self._key_digest else "missing",
+        )
+
     def _invalidate_mark(self, answer: Answer) -> None:
         """Mark the session's mark as unknown after a write whose outcome is unknown."""
         if answer.code in (AnswerCode.OUTCOME_UNKNOWN, AnswerCode.TIMED_OUT):
--- a/packages/entry/bramleyrill_entry/_upstream.py
+++ b/packages/entry/bramleyrill_entry/_upstream.py
@@ -43,12 +43,16 @@
     """One connection to a member, used by one greenlet at a time.
 
     `state` is the session state that the member holds for the connection: values and prepared
-    statements. `opened_at` is the time when the member accepted it, `last_answer_at` the time of
-    the last answer, and `in_transaction` whether a transaction is open.
+    statements. `team` is the team whose work it may run, or empty. `opened_at` is the time when the
+    member accepted it, `last_answer_at` the time of the last answer, and `in_transaction` whether a
+    transaction is open.
     """
 
-    def __init__(self, member: MemberEntry, sock: socket.socket, clock: Clock) -> None:
+    def __init__(
+        self, member: MemberEntry, sock: socket.socket, clock: Clock, team: str = ""
+    ) -> None:
         self.member = member
+        self.team = team
         self.state = ConnectionState()
         self.opened_at = self.last_answer_at = clock.monotonic()
         self.in_transaction = False
@@ -60,17 +64,19 @@
         self._pending_lines: list[str] = []
 
     @classmethod
-    def dial(cls, member: MemberEntry, timeout: timedelta, clock: Clock) -> "UpstreamConnection":
-        """Connect and send the first message; raise UpstreamError if the member refuses it."""
+    def dial(
+        cls, member: MemberEntry, timeout: timedelta, clock: Clock, team: str = ""
+    ) -> "UpstreamConnection":
+        """Connect for the work of a team; raise UpstreamError if the member refuses it."""
         sock = gevent.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        connection = cls(member, sock, clock)
+        connection = cls(member, sock, clock, team)
         deadline = clock.monotonic() + timeout
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
             sock.settimeout(timeout.total_seconds())
             sock.connect(member.address)
-            sock.sendall(lines.encode_open(member.service, member.id))
+            sock.sendall(lines.encode_open(member.service, member.id, team))
             answer = lines.parse_open_answer(connection._read_line(deadline))
         except ConnectionRefusedError as error:
             connection.close()
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -26,6 +26,7 @@
     StoreError,
     decode_catalog,
     decode_member,
+    without_keys,
 )
 
 from bramleyrill_entry._peer_link import is_port
@@ -203,7 +204,7 @@
         except DecodeError as error:
             log_event("configuration_rejected", revision=stored.revision, reason=error)
             return
-        self._state.apply_catalog(catalog, stored.value, "store")
+        self._state.apply_catalog(catalog, without_keys(stored.value), "store")
 
 
 class MemberWatch:
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -30,11 +30,15 @@
 
 @define(eq=False)
 class Run:
-    """A statement that a member ran, recorded for assertions of tests."""
+    """A statement that a member ran, recorded for assertions of tests.
+
+    `team` is the team that was named when the connection was opened.
+    """
 
     member: str
     statement_id: str
     text: str
+    team: str
 
 
 class LineMember:
@@ -212,7 +216,8 @@
 
     `state` is I (idle), T (in a transaction) or E (failed). `plain` marks a transaction begun by a
     BEGIN without arguments, which only a primary accepts. `term` is the term of the group when the
-    transaction began, `pending` has its uncommitted writes.
+    transaction began, `pending` has its uncommitted writes. `team` is the team that the
+    proxy named.
     """
 
     member: LineMember
@@ -223,6 +228,7 @@
     plain: bool = False
     term: int = 0
     pending: dict[str, str] = field(factory=dict)
+    team: str = ""
 
     def serve(self) -> None:
         """Serve until the connection ends."""
@@ -252,6 +258,7 @@
         if self.member.connections > group.max_connections:
             self._send("ERROR MAXCONN full")
             return False
+        self.team = fields[2]
         self._send(f"READY I {self._position()}")
         return True
 
@@ -268,7 +275,8 @@
         if words[0] in ("SET", "RESET", "PREPARE"):
             self.member.controls.append(words[0])
         if words[0] in ("READ", "WRITE", "EXECUTE", "COMMIT"):
-            self.member.group.runs.append(Run(self.member.name, statement_id, text))
+            run = Run(self.member.name, statement_id, text, self.team)
+            self.member.group.runs.append(run)
             gevent.sleep(self.member.statement_time.total_seconds())
         lines = handler(words[1:])
         if self.member.lose_answers and statement_id != "-":
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -31,13 +31,14 @@
 // Runs one statement on a member. `exchange` is 0 for a single statement, else the ID of the
 // transaction. `opens` is 0 to continue the transaction, 1 to begin a read-write one and 2 to begin
 // a read-only one. `fence` requires proof that the member is the primary; otherwise
-// `max_staleness_us` and the mark limit how stale the read may be.
+// `max_staleness_us` and the mark limit how stale the read may be. `team` is left out for work that
+// belongs to no team.
 struct Run {
   1: i64 call, 2: i64 exchange, 3: string service_name, 4: string member, 5: i16 kind, 6: string id,
   7: binary text, 8: string name, 9: binary argument, 10: i16 prepared, 11: string shape,
   12: i16 opens, 13: bool fence, 14: optional i64 mark_term, 15: optional i64 mark_position,
   16: i64 max_staleness_us, 17: i16 rank, 18: i64 on_time_left_us, 19: i64 patience_left_us,
-  20: i64 timeout_us, 21: map<string, binary> values
+  20: i64 timeout_us, 21: map<string, binary> values, 22: optional string team
 }
 
 // Response to Run. `problem` is 0 if the member answered, else the number of a RunProblem.
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -131,6 +131,7 @@
         19: (TType.I64, "patience_left_us", False),
         20: (TType.I64, "timeout_us", False),
         21: (TType.MAP, "values", (TType.STRING, TType.BINARY), False),
+        22: (TType.STRING, "team", False),
     }
     default_spec = [
         ("call", None),
@@ -154,6 +155,7 @@
         ("patience_left_us", None),
         ("timeout_us", None),
         ("values", None),
+        ("team", None),
     ]
 
 
