--- a/packages/standins/bramleyrill_standins/prepared/__init__.py
+++ b/packages/standins/bramleyrill_standins/prepared/__init__.py
@@ -8,7 +8,7 @@
     LineCaller,
     PreparedDeployment,
 )
-from bramleyrill_standins.prepared._group import LineGroup, LineMember
+from bramleyrill_standins.prepared._group import LineGroup, LineMember, Run
 from bramleyrill_standins.prepared._store import PreparedPlatform
 
 __all__ = [
@@ -21,4 +21,5 @@
     "LineMember",
     "PreparedDeployment",
     "PreparedPlatform",
+    "Run",
 ]
--- a/packages/standins/bramleyrill_standins/prepared/_deployment.py
+++ b/packages/standins/bramleyrill_standins/prepared/_deployment.py
@@ -112,7 +112,8 @@
     """A platform, a group of three members and entry VMs.
 
     Without `fenced_orders` the platform checks no fencing tokens, and a replaced primary goes on
-    until it is demoted.
+    until it is demoted. `keys_by_team` are the teams of the configuration; it names none if that is
+    empty.
 
     Example: `with PreparedDeployment(vms=2) as deployment: deployment.vms[0].caller_address`.
     """
@@ -126,6 +127,7 @@
         self._unlisted: set[str] = set()
         self._vm_count = vms
         self.vms: list[EntryVm] = []
+        self.keys_by_team: dict[str, list[str]] = {}
 
     def __enter__(self) -> "PreparedDeployment":
         address = self.platform.start()
@@ -174,6 +176,10 @@
         ]
         backends = [{"name": SERVICE, "maxConns": self.group.max_connections}]
         value = {"version": version, "routes": routes, "backends": backends}
+        if self.keys_by_team:
+            value["tenants"] = [
+                {"name": team, "apiKeys": keys} for team, keys in self.keys_by_team.items()
+            ]
         self.platform.put("config", "main", value | {"limits": {"txIdleMs": 3000}})
 
     def stop_member(self, name: str) -> None:
@@ -244,14 +250,18 @@
 class LineCaller:
     """A caller's session at an entry VM.
 
+    `key` identifies the caller's team, where the configuration names teams.
+
     Example: `LineCaller(vm.caller_address).ask("READ a")` returns the lines of the answer.
     """
 
-    def __init__(self, address: tuple[str, int], database: str = DATABASE) -> None:
+    def __init__(
+        self, address: tuple[str, int], database: str = DATABASE, key: str = "any"
+    ) -> None:
         self._sock = gevent.socket.create_connection(address, timeout=15)
         self._reader = self._sock.makefile("rb")
         self._number = 0
-        self.send(f"OPEN {database}")
+        self.send(f"OPEN {database} {key}")
         self.opening_answer = self.line()
 
     def send(self, line: str) -> None:
--- a/soak/bramleyrill_soak/_callers.py
+++ b/soak/bramleyrill_soak/_callers.py
@@ -11,7 +11,14 @@
 from bramleyrill_standins.prepared import DeploymentError, LineCaller
 
 from bramleyrill_soak._history import History, Outcome, Write
-from bramleyrill_soak._world import BOUNDED, MAX_STALENESS_S, OWN_WRITES, PRIMARY, SoakWorld
+from bramleyrill_soak._world import (
+    BOUNDED,
+    KEY_BY_TEAM,
+    MAX_STALENESS_S,
+    OWN_WRITES,
+    PRIMARY,
+    SoakWorld,
+)
 
 OPERATION_PAUSE_S = 0.01
 RECONNECT_PAUSE_S = 0.1
@@ -50,6 +57,7 @@
 
     name: str
     database: str
+    team: str
     world: SoakWorld
     history: History
     rng: random.Random
@@ -113,7 +121,7 @@
         if self.session is not None:
             return
         address = self.rng.choice(self.world.deployment.caller_addresses)
-        self.session = LineCaller(address, self.database)
+        self.session = LineCaller(address, self.database, KEY_BY_TEAM[self.team])
         self.sessions += 1
         if not self.session.opening_answer.startswith("READY"):
             raise ConnectionError(self.session.opening_answer)
--- a/soak/bramleyrill_soak/_history.py
+++ b/soak/bramleyrill_soak/_history.py
@@ -18,6 +18,8 @@
     ATOMIC_TRANSACTION = "a part of a transaction took effect without the rest"
     FRESH_READ = "a read missed an acknowledged write"
     OWN_ROWS = "a read returned a value that nobody wrote under its key"
+    OWN_TEAM = "a statement ran under another team than its caller's"
+    WITHDRAWN_KEY = "a withdrawn key was accepted after the faults had ended"
     SERVED_AGAIN = "a caller was not served after the faults had ended"
     ONE_WRITER = "a write was acknowledged that a replaced primary had committed"
     UNIQUE_TOKENS = "two different orders had one fencing token"
@@ -120,6 +122,13 @@
                 return index
         return -1
 
+    def check_teams(self, team_by_caller: dict[str, str]) -> None:
+        """Check that members ran each statement under the team of its caller."""
+        for run in self.group.runs:
+            team = team_by_caller.get(run.statement_id.rpartition("-")[0])
+            if team is not None and run.team != team:
+                self.record_violation(Promise.OWN_TEAM, f"{run.statement_id} ran as {run.team}")
+
     def check_orders(self, orders: list[tuple[str, str, str, int]]) -> None:
         """Check that each fencing token belongs to one order of one holder."""
         orders_by_token: dict[tuple[str, int], set[tuple[str, str]]] = {}
--- a/soak/bramleyrill_soak/_run.py
+++ b/soak/bramleyrill_soak/_run.py
@@ -1,5 +1,6 @@
 """One soak: runs callers under overlapping faults and checks the promises."""
 
+import itertools
 import random
 import time
 from collections.abc import Sequence
@@ -11,7 +12,13 @@
 from bramleyrill_soak._callers import SoakCaller, operations_by_database
 from bramleyrill_soak._faults import faults_by_name, pick_duration
 from bramleyrill_soak._history import History, Promise, Violation
-from bramleyrill_soak._world import BOUNDED, SoakDeployment, SoakWorld
+from bramleyrill_soak._world import (
+    BOUNDED,
+    KEY_BY_TEAM,
+    WITHDRAWN_KEY,
+    SoakDeployment,
+    SoakWorld,
+)
 
 VM_COUNT = 3
 CALLERS_PER_DATABASE = 3
@@ -64,6 +71,7 @@
         _stop_all(world, history)
         history.check()
         history.check_orders(deployment.platform.appointments)
+        history.check_teams({caller.name: caller.team for caller in callers})
         report.served = sum(caller.served for caller in callers)
         report.commits = len(deployment.group.history)
         report.violations = history.violations
@@ -73,9 +81,16 @@
 
 def _make_callers(world: SoakWorld, history: History, rng: random.Random) -> list[SoakCaller]:
     callers = [
-        SoakCaller(f"{database}-{number}", database, world, history, random.Random(rng.random()))
+        SoakCaller(
+            f"{database}-{number}",
+            database,
+            team,
+            world,
+            history,
+            random.Random(rng.random()),
+        )
         for database in operations_by_database
-        for number in range(CALLERS_PER_DATABASE)
+        for number, team in zip(range(CALLERS_PER_DATABASE), itertools.cycle(KEY_BY_TEAM))
     ]
     world.writers = [caller.name for caller in callers if caller.database != BOUNDED]
     return callers
@@ -113,20 +128,26 @@
 
 
 def _wait_for_configuration(world: SoakWorld, history: History) -> None:
-    """Restore the store and wait until every VM serves a database that a last change adds."""
+    """Restore the store and wait until every VM serves a database that a last change adds.
+
+    The change also withdraws a key, which no VM accepts from then on.
+    """
+    world.withdraw_key()
     world.change_configuration_in_restore(LAST_DATABASE)
     deadline = time.monotonic() + CONFIGURATION_LIMIT_S
     for address in world.deployment.caller_addresses:
-        while not _serves(address, LAST_DATABASE):
+        while not _serves(address, LAST_DATABASE, KEY_BY_TEAM["harbour"]):
             if time.monotonic() > deadline:
                 history.record_violation(Promise.CONFIGURATION_IN_FORCE, str(address))
                 break
             gevent.sleep(0.1)
+        if _serves(address, LAST_DATABASE, WITHDRAWN_KEY):
+            history.record_violation(Promise.WITHDRAWN_KEY, str(address))
 
 
-def _serves(address: tuple[str, int], database: str) -> bool:
+def _serves(address: tuple[str, int], database: str, key: str) -> bool:
     try:
-        caller = LineCaller(address, database)
+        caller = LineCaller(address, database, key)
     except OSError:
         return False
     caller.close()
--- a/soak/bramleyrill_soak/_world.py
+++ b/soak/bramleyrill_soak/_world.py
@@ -10,6 +10,10 @@
 MAX_STALENESS_S = 2.0
 # Kind of objects of another writer, which use up revisions.
 OTHER_KIND = "soak-other"
+# Teams of the callers, each with the key that its callers use.
+KEY_BY_TEAM = {"harbour": "harbour-key", "mill": "mill-key"}
+# A further key of the first team, which the last configuration withdraws.
+WITHDRAWN_KEY = "withdrawn-key"
 # Time for the watches to continue behind a change.
 WATCH_DELAY_S = 0.5
 _TYPES_BY_DATABASE = {
@@ -24,6 +28,8 @@
 
     def __init__(self, vms: int, fenced_orders: bool = True) -> None:
         super().__init__(vms, fenced_orders=fenced_orders)
+        self.keys_by_team = {team: [key] for team, key in KEY_BY_TEAM.items()}
+        self.keys_by_team["harbour"].append(WITHDRAWN_KEY)
         self.member_proxies = {
             name: LoopbackProxy(member.address)
             for name, member in self.group.members_by_name.items()
@@ -88,6 +94,10 @@
         """Store the configuration that the operator wrote last."""
         self.deployment.put_configuration(self.version, *self.more_databases)
 
+    def withdraw_key(self) -> None:
+        """Leave the spare key out of all further configurations."""
+        self.deployment.keys_by_team["harbour"].remove(WITHDRAWN_KEY)
+
     def change_configuration_in_restore(self, *more_databases: str) -> None:
         """Restore the store and store the next configuration among revisions given out again."""
         platform = self.deployment.platform
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -6,8 +6,8 @@
 
 from bramleyrill_soak import _run
 from bramleyrill_soak._history import History, Promise
-from bramleyrill_soak._world import SoakWorld
-from bramleyrill_standins.prepared import LineGroup, PreparedPlatform
+from bramleyrill_soak._world import WITHDRAWN_KEY, SoakWorld
+from bramleyrill_standins.prepared import LineGroup, PreparedPlatform, Run
 
 ACKNOWLEDGED = "COMPLETE s1"
 BUSY = "ERROR BUSY full"
@@ -120,12 +120,33 @@
         deployment = SimpleNamespace(
             caller_addresses=[unused_address],
             platform=platform,
+            keys_by_team={"harbour": [WITHDRAWN_KEY]},
             put_configuration=lambda version, *_: platform.put("config", "main", version),
         )
         with mock.patch.object(_run, "CONFIGURATION_LIMIT_S", 0.1):
             _run._wait_for_configuration(SoakWorld(deployment), self.history)
         self.assertEqual(self.broken_promises(), [Promise.CONFIGURATION_IN_FORCE])
 
+    def test_statement_under_the_team_of_another_caller(self):
+        self.group.runs.append(Run("m1", "c-1-7", "READ a", "mill"))
+        self.history.check_teams({"c-1": "mill"})
+        self.assertEqual(self.broken_promises(), [])
+        self.history.check_teams({"c-1": "harbour"})
+        self.assertEqual(self.broken_promises(), [Promise.OWN_TEAM])
+
+    def test_withdrawn_key_that_is_accepted(self):
+        deployment = SimpleNamespace(
+            caller_addresses=[("127.0.0.1", 1)],
+            platform=PreparedPlatform(),
+            keys_by_team={"harbour": [WITHDRAWN_KEY]},
+            put_configuration=lambda version, *_: None,
+        )
+        world = SoakWorld(deployment)
+        changed = mock.patch.object(SoakWorld, "change_configuration_in_restore")
+        with changed, mock.patch.object(_run, "_serves", lambda *_: True):
+            _run._wait_for_configuration(world, self.history)
+        self.assertEqual(self.broken_promises(), [Promise.WITHDRAWN_KEY])
+
     def test_process_that_does_not_end_in_order(self):
         vm = SimpleNamespace(stop=lambda: -9)
         _run._stop_all(SoakWorld(SimpleNamespace(vms=[vm])), self.history)
