--- a/packages/core/bramleyrill_core/placement/_vms.py
+++ b/packages/core/bramleyrill_core/placement/_vms.py
@@ -2,16 +2,20 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from typing import Any
 
 from attrs import define, frozen
 from bramleyrill_base import Table
 
 from bramleyrill_core.catalog._model import Address
+from bramleyrill_core.placement._capacity import UNKNOWN_CAPACITY
 
 # A VM that failed gets no work until it answers a ping. It is pinged after this time, which doubles
 # with each further failure.
 MIN_SUSPENSION = timedelta(milliseconds=500)
 MAX_SUSPENSION = timedelta(seconds=4)
+# A peer that tells more has not counted its own changes, and would hide all that follow.
+MAX_SEQUENCE = 1_000_000_000
 # A VM that has not answered for this long is removed from the table.
 REMOVE_AFTER_SILENCE = timedelta(seconds=60)
 
@@ -21,7 +25,10 @@
     """Identity of a VM, with its failure domain and its address for peers.
 
     `started_ms` is its start time in Unix milliseconds; the entry with the later one replaces the
-    other. `leaving` is set when the VM is about to stop.
+    other. `leaving` is set when the VM is about to stop. `capacity` is in thousandths of a core, 0
+    if unknown. `slow_ms` is 0, or by how much the VM was late when it judged itself slow.
+    `sequence` grows each time the VM changes `slow_ms`, so that an earlier value never replaces a
+    later one.
     """
 
     id: str
@@ -29,6 +36,14 @@
     address: Address
     started_ms: int
     leaving: bool = False
+    capacity: int = UNKNOWN_CAPACITY
+    slow_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def age_key(self) -> tuple[int, bool, int]:
+        """Return what orders the entries of a VM in time: a VM that leaves does not stay."""
+        return self.started_ms, self.leaving, self.sequence
 
 
 @define(eq=False)
@@ -51,25 +66,41 @@
 
 
 class VmTable:
-    """Other VMs by id, and the entry of this VM; `version` grows with each change of an entry."""
+    """Other VMs by id, and the entry of this VM.
+
+    `version` grows with each change of an entry and each time a VM becomes usable or unusable, so
+    that what is computed from the table can be cached: `cache` is emptied at each growth.
+    """
 
     def __init__(self, own: VmEntry) -> None:
-        self.own = own
+        self._own = own
         self.vms: Table[str, VmRow] = Table()
         self.version = 0
+        self.cache: dict[Any, Any] = {}
+
+    @property
+    def own(self) -> VmEntry:
+        """Return the entry of this VM."""
+        return self._own
+
+    @own.setter
+    def own(self, entry: VmEntry) -> None:
+        self._own = entry
+        self._record_change()
 
     def update(self, entry: VmEntry, now: timedelta) -> bool:
         """Store an entry; return whether it is new or newer than the stored one."""
         if entry.id == self.own.id:
             return False
         row = self.vms.get(entry.id)
-        if row is not None and (entry.started_ms, entry.leaving) <= (
-            row.entry.started_ms,
-            row.entry.leaving,
-        ):
+        if row is not None and entry.age_key <= row.entry.age_key:
             return False
-        self.vms.add(entry.id, VmRow(entry, now))
-        self.version += 1
+        if row is not None and entry.started_ms == row.entry.started_ms:
+            # The process is the same; what a third VM tells of it doesn't make it reachable.
+            row.entry = entry
+        else:
+            self.vms.add(entry.id, VmRow(entry, now))
+        self._record_change()
         return True
 
     def update_all(self, entries: Iterable[VmEntry], now: timedelta) -> list[VmEntry]:
@@ -79,16 +110,21 @@
     def record_answer(self, vm: str, now: timedelta) -> None:
         """Record that a VM answered."""
         row = self.vms.get(vm)
-        if row is not None:
-            row.last_answer_at = now
+        if row is None:
+            return
+        row.last_answer_at = now
+        if row.failures:
             row.failures = 0
             row.suspended_until = timedelta()
+            self._record_change()
 
     def record_failure(self, vm: str, now: timedelta) -> None:
         """Record that a VM could not be reached or stopped answering."""
         row = self.vms.get(vm)
         if row is None:
             return
+        if not row.failures:
+            self._record_change()
         suspension = min(MIN_SUSPENSION * 2**row.failures, MAX_SUSPENSION)
         row.failures = min(row.failures + 1, 8)
         row.suspended_until = now + suspension
@@ -100,7 +136,7 @@
         ]
         for vm in removed:
             self.vms.remove(vm)
-            self.version += 1
+            self._record_change()
         return removed
 
     def usable(self) -> list[VmEntry]:
@@ -119,3 +155,7 @@
     def entries(self) -> list[VmEntry]:
         """Return all known VMs, including this one."""
         return [self.own, *(row.entry for row in self.vms)]
+
+    def _record_change(self) -> None:
+        self.version += 1
+        self.cache.clear()
--- /dev/null
+++ b/packages/core/bramleyrill_core/vm_health/_hysteresis.py
@@ -0,0 +1,98 @@
+"""When a VM calls itself slow and when it stops to: quickly in, slowly out.
+
+This answers the load of a VM that is slow again as soon as its work is back: each further time it
+waits longer, so that its members do not move to and fro.
+"""
+
+from datetime import timedelta
+from enum import Enum
+
+from bramleyrill_core.vm_health._evidence import FINE_PROCESSOR, LATE_TIMER, Evidence, Verdict
+
+# How long the evidence must last before the VM calls itself slow. Much own work passes by itself
+# more often, and moving it costs new connections.
+SLOW_AFTER = timedelta(milliseconds=400)
+BUSY_AFTER = timedelta(seconds=4)
+# How long a VM must be fine before it takes work again; doubles with each time that follows soon.
+FINE_FOR = timedelta(seconds=3)
+MAX_FINE_FOR = timedelta(seconds=12)
+REPEATED_WITHIN = timedelta(seconds=30)
+
+
+class Change(Enum):
+    """What a VM should tell the others."""
+
+    MARK = "mark"
+    CLEAR = "clear"
+
+
+class SlownessState:
+    """Whether this VM calls itself slow; `update` is to be called several times a second.
+
+    `verdict` is the one for which it does, and `evidence_at` the time of the last verdict that was
+    not FINE.
+    """
+
+    def __init__(self) -> None:
+        self.slow = False
+        self.verdict = Verdict.FINE
+        self.evidence_at: timedelta | None = None
+        self._late_since: timedelta | None = None
+        self._slow_since: timedelta | None = None
+        self._fine_since: timedelta | None = None
+        self._fine_for = FINE_FOR
+        self._cleared_at: timedelta | None = None
+
+    def update(self, evidence: Evidence, now: timedelta, may_mark: bool) -> Change | None:
+        """Take a new verdict into account; return the change that it leads to.
+
+        While `may_mark` is False, because enough VMs are slow already, no mark is set.
+        """
+        if evidence.verdict is Verdict.FINE:
+            return self._update_fine(evidence, now)
+        self._record_late(evidence.verdict, now)
+        if self.slow:
+            if evidence.verdict is Verdict.SLOW:
+                self.verdict = Verdict.SLOW
+            return None
+        if not may_mark or not self.is_due(now):
+            return None
+        self.slow, self.verdict = True, evidence.verdict
+        self._set_fine_for(now)
+        return Change.MARK
+
+    def is_due(self, now: timedelta) -> bool:
+        """Return whether the evidence has lasted long enough for a mark."""
+        if self._slow_since is not None and now - self._slow_since >= SLOW_AFTER:
+            return True
+        return self._late_since is not None and now - self._late_since >= BUSY_AFTER
+
+    def _record_late(self, verdict: Verdict, now: timedelta) -> None:
+        self._fine_since = None
+        self.evidence_at = now
+        if self._late_since is None:
+            self._late_since = now
+        if verdict is not Verdict.SLOW:
+            self._slow_since = None
+        elif self._slow_since is None:
+            self._slow_since = now
+
+    def _update_fine(self, evidence: Evidence, now: timedelta) -> Change | None:
+        """Clear the mark once the VM has been clearly fine for long enough."""
+        self._late_since = self._slow_since = None
+        if evidence.loop_delay > LATE_TIMER / 2 or evidence.slowdown > FINE_PROCESSOR:
+            self._fine_since = None
+            return None
+        if self._fine_since is None:
+            self._fine_since = now
+        if not self.slow or now - self._fine_since < self._fine_for:
+            return None
+        self.slow, self.verdict = False, Verdict.FINE
+        self._cleared_at = now
+        return Change.CLEAR
+
+    def _set_fine_for(self, now: timedelta) -> None:
+        if self._cleared_at is not None and now - self._cleared_at < REPEATED_WITHIN:
+            self._fine_for = min(self._fine_for * 2, MAX_FINE_FOR)
+        else:
+            self._fine_for = FINE_FOR
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -10,13 +10,16 @@
 import gevent
 from bramleyrill_base import log_event
 from bramleyrill_core.history import StoreRevision
+from bramleyrill_core.placement import VmEntry, VmNews, VmRow, is_news
 from bramleyrill_platform import DecodeError, Listing, StoredObject, decode_catalog
 from bramleyrill_wire.entries import frames
 
+from bramleyrill_entry._health import VmHealth
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError, decode_vm, encode_vm
 from bramleyrill_entry._peers import PeerNet, era_age_ms, handlers, make_pong
 from bramleyrill_entry._state import EntryState
 
+_MICROSECOND = timedelta(microseconds=1)
 PING_INTERVAL = timedelta(milliseconds=500)
 PING_TIMEOUT = timedelta(milliseconds=900)
 PULL_TIMEOUT = timedelta(seconds=2)
@@ -29,6 +32,8 @@
 MAX_ERA_AGE_MS = 3_600_000
 # Number of random VMs of this failure domain that are pinged each time.
 OWN_DOMAIN_PINGS = 2
+# News of a VM wait this long before they are passed on, for others that come at the same time.
+NEWS_DELAY = timedelta(milliseconds=20)
 # Probability of pinging a VM of another failure domain; low because that traffic costs more.
 OTHER_DOMAIN_PING_CHANCE = 0.3
 # Maximum number of failed VMs that are pinged each time to see whether they are back.
@@ -39,13 +44,17 @@
     """Exchange state with a few random VMs at a time.
 
     `behind_hooks` are called when this VM still has older versions than a peer after
-    BEHIND_GRACE, and `listing_hooks` with member entries pulled from a peer.
+    BEHIND_GRACE, and `listing_hooks` with member entries pulled from a peer. `health` gets the
+    round trips and what peers tell of their delays; None measures nothing.
     """
 
     def __init__(self, net: PeerNet) -> None:
         self._net = net
         self._state = net.state
         self._catching_up = False
+        self.news = VmNews()
+        self._passing_on = False
+        self.health: VmHealth | None = None
         self.behind_hooks: list[Callable[[], None]] = []
         self.listing_hooks: list[Callable[[Listing], None]] = []
 
@@ -63,12 +72,17 @@
         for vm in pinged:
             gevent.spawn(self.ping, vm)
 
-    def ping(self, vm: str) -> None:
-        """Ping one VM, merge its list of VMs and compare versions."""
+    def ping(self, vm: str, late_by: timedelta | None = None) -> None:
+        """Ping one VM, merge its list of VMs and compare versions.
+
+        `late_by` tells the VM by how much its answer to the ping before this one was late.
+        """
         state = self._state
         try:
-            answer = self._net.call(
-                vm,
+            # A dial is no part of the round trip.
+            link = self._net.link(vm)
+            sent_at = state.now()
+            answer = link.call(
                 lambda call: frames.Ping(
                     call=call,
                     catalog_version=state.catalog.version,
@@ -77,6 +91,9 @@
                     members_revision=state.members.revision.number,
                     store_era=state.members.revision.era,
                     store_era_age_ms=era_age_ms(state),
+                    news=self.news_to_tell() or None,
+                    late_by_us=None if late_by is None else late_by // _MICROSECOND,
+                    loop_delay_us=self.health.loop_delay_us if self.health else None,
                 ),
                 PING_TIMEOUT,
             )
@@ -85,16 +102,27 @@
             return
         now = state.now()
         state.vms.record_answer(vm, now)
+        self._record_round_trip(link.peer, now - sent_at, answer, late_by is not None)
         try:
             entries = [decode_vm(known) for known in (answer.vm, *(answer.vms or ()))]
             members_revision = hear_revision(state, answer)
         except ValueError as error:
             log_event("frame_rejected", vm=vm, frame="Pong", reason=error)
             return
-        for entry in state.vms.update_all(entries, now):
-            log_event("vm_known", vm=entry.id, domain=entry.domain, leaving=entry.leaving, via=vm)
+        self.merge(entries, vm)
         self.handle_peer_versions(vm, answer.catalog_version or 0, members_revision)
 
+    def _record_round_trip(
+        self, peer: VmEntry, round_trip: timedelta, answer: Any, is_report: bool
+    ) -> None:
+        """Tell a VM at once if its answer was late, with another ping; a report gets none."""
+        if self.health is None:
+            return
+        self.health.hear(peer.id, answer.loop_delay_us)
+        late_by = self.health.record_round_trip(peer, round_trip)
+        if late_by and not is_report:
+            gevent.spawn(self.ping, peer.id, late_by)
+
     def dial_seeds(self) -> None:
         """Dial the seed addresses if no other VM is known."""
         if len(self._state.vms.vms):
@@ -103,6 +131,60 @@
             if address != self._state.settings.peer_listen:
                 gevent.spawn(self._dial_seed, address)
 
+    def merge(self, entries: list[VmEntry], via: str) -> None:
+        """Store the entries that a peer told, and pass on that VMs became slow or fine."""
+        vms, now = self._state.vms, self._state.now()
+        for entry in entries:
+            row = vms.vms.get(entry.id)
+            earlier = row.entry if row is not None else None
+            if not vms.update(entry, now):
+                continue
+            log_event(
+                "vm_known",
+                vm=entry.id,
+                domain=entry.domain,
+                leaving=entry.leaving,
+                capacity=entry.capacity or "unknown",
+                slow_ms=entry.slow_ms,
+                via=via,
+            )
+            if is_news(earlier, entry):
+                self.news.record(entry.id, now)
+                self._pass_on_soon()
+
+    def announce(self) -> None:
+        """Tell a few VMs of each failure domain at once that this VM's entry changed."""
+        rows_by_domain: dict[str, list[VmRow]] = {}
+        for row in self._state.vms.vms:
+            if row.usable:
+                rows_by_domain.setdefault(row.entry.domain, []).append(row)
+        for domain, rows in rows_by_domain.items():
+            count = OWN_DOMAIN_PINGS if domain == self._state.settings.domain else 1
+            for row in random.sample(rows, min(count, len(rows))):
+                gevent.spawn(self.ping, row.entry.id)
+
+    def _pass_on_soon(self) -> None:
+        """Ping a few VMs with what is new; changes that come together are passed on together."""
+        if not self._passing_on:
+            self._passing_on = True
+            gevent.spawn_later(NEWS_DELAY.total_seconds(), self._pass_on)
+
+    def _pass_on(self) -> None:
+        self._passing_on = False
+        domain = self._state.settings.domain
+        rows = [row for row in self._state.vms.vms if row.entry.domain == domain and row.usable]
+        for row in random.sample(rows, min(OWN_DOMAIN_PINGS, len(rows))):
+            gevent.spawn(self.ping, row.entry.id)
+
+    def news_to_tell(self) -> list[Any]:
+        """Return the structs of the VMs that became slow or fine a moment ago."""
+        return [encode_vm(entry) for entry in self.news.current(self._state.vms, self._state.now())]
+
+    def hear_delays(self, vm: str, ping: Any) -> None:
+        """Take the delays that a peer's ping tells."""
+        if self.health is not None:
+            self.health.hear(vm, ping.loop_delay_us, ping.late_by_us)
+
     def handle_peer_versions(self, vm: str, version: int, members_revision: StoreRevision) -> None:
         """Schedule a pull if a peer has a newer configuration or newer member entries.
 
@@ -209,14 +291,18 @@
     """Answer a ping; one without a VM's entry only checks that the link is alive."""
     if frame.vm is not None:
         now = net.state.now()
-        net.state.vms.update(decode_vm(frame.vm), now)
+        entries = [decode_vm(known) for known in (frame.vm, *(frame.news or ()))]
+        net.services[Gossip].merge(entries, link.peer.id)
         net.state.vms.record_answer(link.peer.id, now)
+        net.services[Gossip].hear_delays(link.peer.id, frame)
         net.services[Gossip].handle_peer_versions(
             link.peer.id, frame.catalog_version or 0, hear_revision(net.state, frame)
         )
-    link.send(
-        make_pong(net, frame.call, frame.vms_known if frame.vm else len(net.state.vms.entries()))
-    )
+    if frame.vm is None:
+        link.send(make_pong(net, frame.call, len(net.state.vms.entries())))
+        return
+    news = net.services[Gossip].news_to_tell()
+    link.send(make_pong(net, frame.call, frame.vms_known, news))
 
 
 @handlers.register("CatalogPull")
--- a/packages/entry/bramleyrill_entry/_peer_link.py
+++ b/packages/entry/bramleyrill_entry/_peer_link.py
@@ -10,7 +10,7 @@
 import gevent
 import gevent.socket
 from bramleyrill_base import Clock, log_event
-from bramleyrill_core.placement import VmEntry
+from bramleyrill_core.placement import MAX_SEQUENCE, MAX_SLOW_MS, VmEntry, accepted_capacity
 from bramleyrill_wire.entries import PROTOCOL, FrameBuffer, FrameError, encode, frames
 from gevent.event import AsyncResult, Event
 from gevent.queue import Queue
@@ -45,17 +45,35 @@
         port=port,
         started_ms=entry.started_ms,
         leaving=entry.leaving,
+        capacity=entry.capacity,
+        slow_ms=entry.slow_ms,
+        sequence=entry.sequence,
     )
 
 
 def decode_vm(vm: Any) -> VmEntry:
-    """Return the VM's entry of a thrift struct; raise ValueError if it is malformed."""
+    """Return the VM's entry of a thrift struct; raise ValueError if it is malformed.
+
+    A VM of an older build tells neither its capacity nor whether it is slow.
+    """
     fields = (vm.id, vm.domain, vm.host, vm.port, vm.started_ms) if vm is not None else ()
     if not fields or None in fields:
         raise ValueError("incomplete entry of a VM")
     if not is_port(vm.port):
         raise ValueError(f"{vm.port} is not a port")
-    return VmEntry(vm.id, vm.domain, (vm.host, vm.port), vm.started_ms, bool(vm.leaving))
+    slow_ms, sequence = vm.slow_ms or 0, vm.sequence or 0
+    if slow_ms < 0 or not 0 <= sequence <= MAX_SEQUENCE:
+        raise ValueError(f"a VM slow by {slow_ms} ms with the sequence number {sequence}")
+    return VmEntry(
+        vm.id,
+        vm.domain,
+        (vm.host, vm.port),
+        vm.started_ms,
+        bool(vm.leaving),
+        accepted_capacity(vm.capacity),
+        min(slow_ms, MAX_SLOW_MS),
+        sequence,
+    )
 
 
 class PeerLink:
--- a/packages/entry/bramleyrill_entry/_peers.py
+++ b/packages/entry/bramleyrill_entry/_peers.py
@@ -1,7 +1,7 @@
 """Links to other entry VMs by VM id, dialed on demand or accepted."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -14,6 +14,7 @@
 from gevent.event import AsyncResult
 from gevent.server import StreamServer
 
+from bramleyrill_entry._health import VmHealth
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError, encode_vm
 from bramleyrill_entry._state import EntryState, to_cooperative_socket
 
@@ -160,11 +161,15 @@
             hook(vm)
 
 
-def make_pong(net: PeerNet, call: int, vms_known: int) -> Any:
-    """Return the answer to a ping; it lists all VMs if the sender knows a different number."""
+def make_pong(net: PeerNet, call: int, vms_known: int, news: Sequence[Any] = ()) -> Any:
+    """Return the answer to a ping.
+
+    It lists all VMs if the sender knows a different number, else those of `news`.
+    """
     state = net.state
+    health = net.services.get(VmHealth)
     entries = state.vms.entries()
-    listed = [] if vms_known == len(entries) else [encode_vm(entry) for entry in entries]
+    listed = list(news) if vms_known == len(entries) else [encode_vm(entry) for entry in entries]
     return frames.Pong(
         call=call,
         catalog_version=state.catalog.version,
@@ -173,6 +178,7 @@
         members_revision=state.members.revision.number,
         store_era=state.members.revision.era,
         store_era_age_ms=era_age_ms(state),
+        loop_delay_us=health.loop_delay_us if health else None,
     )
 
 
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -9,7 +9,7 @@
 import gevent
 from attrs import evolve
 from bramleyrill_base import SystemClock, log_event
-from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable
+from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable, capacity_of
 from bramleyrill_platform import DutyClient, StoreClient
 from gevent.event import Event
 
@@ -17,6 +17,7 @@
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._front import Front
 from bramleyrill_entry._gossip import PING_INTERVAL, Gossip
+from bramleyrill_entry._health import VmHealth
 from bramleyrill_entry._http import HttpListeners
 from bramleyrill_entry._listen import Listeners
 from bramleyrill_entry._metrics import EntryMetrics
@@ -56,7 +57,19 @@
 
     def __init__(self, settings: EntrySettings, listeners: Listeners) -> None:
         clock = SystemClock()
-        own = VmEntry(settings.id, settings.domain, settings.peer_listen, unix_time_ms())
+        own_capacity = capacity_of(settings.cpu_share, settings.cores, settings.link_mbps)
+        log_event(
+            "capacity",
+            thousandths=own_capacity.capacity or "unknown",
+            reason=own_capacity.reason or "-",
+        )
+        own = VmEntry(
+            settings.id,
+            settings.domain,
+            settings.peer_listen,
+            unix_time_ms(),
+            capacity=own_capacity.capacity,
+        )
         self.state = EntryState(
             settings,
             clock,
@@ -69,6 +82,9 @@
         self.permits = PermitKeeper(self.state, self.store)
         self.schedulers = services[MemberSchedulers] = MemberSchedulers(self.state, self.permits)
         self.gossip = services[Gossip] = Gossip(self.net)
+        self.health = services[VmHealth] = VmHealth(self.state, QUEUE_TICK_INTERVAL)
+        self.gossip.health = self.health
+        self.health.change_hooks.append(self.gossip.announce)
         self.metrics = EntryMetrics()
         self.executor = Executor(self.net, self.schedulers)
         router = Router(self.state, self.executor, self.metrics)
@@ -99,6 +115,7 @@
             not self.state.stopping
             and self.state.catalog.version > 0
             and len(self.state.members.members) > 0
+            and not self.health.is_out_of_rotation()
         )
 
     def start(self) -> None:
@@ -111,7 +128,7 @@
         gevent.spawn(self.registration.register)
         run_periodically(VM_LIST_INTERVAL, self.registration.list_vms)
         run_periodically(PING_INTERVAL, self._gossip_tick)
-        run_periodically(QUEUE_TICK_INTERVAL, self.schedulers.tick)
+        run_periodically(QUEUE_TICK_INTERVAL, self._queue_tick)
         run_periodically(MAINTENANCE_INTERVAL, self._maintain)
         run_periodically(PROOF_CHECK_INTERVAL, self.proofs.tick)
         run_periodically(SUPERVISION_INTERVAL, self.supervisor.tick)
@@ -138,6 +155,13 @@
         )
         log_event("settings_reloaded", seeds=len(settings.seed_peers), grace_s=settings.grace_s)
 
+    def _queue_tick(self) -> None:
+        self.health.timer_fired()
+        try:
+            self.schedulers.tick()
+        finally:
+            self.health.timer_set()
+
     def _gossip_tick(self) -> None:
         self.gossip.dial_seeds()
         self.gossip.ping_peers()
@@ -147,6 +171,7 @@
         self.schedulers.maintain()
         self.state.vms.remove_silent(self.state.now())
         self.metrics.set_gauge("sessions_open", len(self.front.sessions))
+        self.health.update_metrics(self.metrics)
         self.metrics.set_gauge("store_calls", self.store.calls.total)
         self.metrics.set_gauge("store_era", self.state.history.era)
         self.metrics.set_gauge("configuration_version", self.state.catalog.version)
--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -9,6 +9,9 @@
 
 SETTINGS_VARIABLE = "BRAMLEYRILL_CONFIG"
 
+# Larger shares, cores and links than any machine has; also excludes infinity.
+MAX_MEASURE = 1e7
+
 Address = tuple[str, int]
 
 
@@ -23,6 +26,8 @@
     `region_by_domain` covers all failure domains. `grace_s` is how long the process may still run
     after a stop is requested. `fenced_orders` is whether the platform checks the fencing token of
     an order and the replaced primary stops at once; without that, a primary is used under a permit.
+    The process has `cpu_share` of a core, which is `cores` times as fast as the usual one, and a
+    link of `link_mbps`; None is unknown.
     """
 
     id: str
@@ -38,6 +43,9 @@
     grace_s: float
     max_descriptors: int = field(default=4096)
     fenced_orders: bool = True
+    cpu_share: float | None = None
+    cores: float | None = 1.0
+    link_mbps: float | None = None
 
 
 def parse_address(text: Any) -> Address:
@@ -105,6 +113,9 @@
             grace_s=self._number("grace_s"),
             max_descriptors=int(self._number("max_descriptors")),
             fenced_orders=self._flag("fenced_orders"),
+            cpu_share=self._measure("cpu_share"),
+            cores=self._measure("cores", 1.0),
+            link_mbps=self._measure("link_mbps"),
         )
         if self._errors:
             raise SettingsError("\n".join(f"{self._path}: {error}" for error in self._errors))
@@ -124,6 +135,18 @@
             return 0.0
         return float(value)
 
+    def _measure(self, name: str, default: float | None = None) -> float | None:
+        """Return a number above 0 that the process can do without, or None if it is not one.
+
+        A missing one is `default`. Only the placement of work depends on it, so that a wrong one
+        must not keep the process from its start.
+        """
+        value = self._values.get(name)
+        if value is None:
+            return default
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        return float(value) if is_number and 0 < value <= MAX_MEASURE else None
+
     def _flag(self, name: str) -> bool:
         """Return a boolean; a missing one is False, the safe value of all flags."""
         value = self._values.get(name)
--- a/packages/entry/bramleyrill_entry/_stop.py
+++ b/packages/entry/bramleyrill_entry/_stop.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import gevent
+from attrs import evolve
 from bramleyrill_base import log_event
 from bramleyrill_core.placement import VmTable
 
@@ -67,8 +68,7 @@
 
     def _announce_leaving(self, vms: VmTable) -> None:
         """Announce to the other VMs that this one leaves, so that they send no new work."""
-        own = vms.own
-        vms.own = type(own)(own.id, own.domain, own.address, own.started_ms, leaving=True)
+        vms.own = evolve(vms.own, leaving=True)
         gossip = self._net.services[Gossip]
         for row in vms.vms.rows():
             gevent.spawn(gossip.ping, row.entry.id)
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -15,7 +15,7 @@
     choose_successor,
     pending_member,
 )
-from bramleyrill_core.placement import holder_candidates
+from bramleyrill_core.placement import holder_candidates, slow_vms
 from bramleyrill_core.statements import AnswerCode
 from bramleyrill_platform import (
     AppointResult,
@@ -153,7 +153,11 @@
         """Return this VM's position among the supervisors of a service, or None."""
         now = self._state.now()
         if now >= supervised.index_valid_until:
-            vms = [vm.id for vm in self._state.vms.usable()]
+            # A slow VM would act late; it goes on only with a duty that it holds.
+            passed_by = slow_vms(self._state.vms)
+            if self._state.vm in passed_by and self.leases.holds(supervised):
+                passed_by -= {self._state.vm}
+            vms = [vm.id for vm in self._state.vms.usable() if vm.id not in passed_by]
             order = rendezvous_order(supervised.service, vms)[:MAX_SUPERVISORS]
             own = self._state.vm
             supervised.index = order.index(own) if own in order else None
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -9,7 +9,7 @@
 import gevent
 from bramleyrill_base import log_event
 from bramleyrill_core.history import StoreRevision
-from bramleyrill_core.placement import VmEntry, watches_platform
+from bramleyrill_core.placement import VmEntry, accepted_capacity, watches_platform
 from bramleyrill_platform import (
     KIND_CONFIGURATION,
     KIND_MEMBERS,
@@ -340,7 +340,13 @@
             return
         entries = [entry for entry in map(_decode_vm, listing.objects) if entry is not None]
         for entry in self._state.vms.update_all(entries, self._state.now()):
-            log_event("vm_known", vm=entry.id, domain=entry.domain, via="store")
+            log_event(
+                "vm_known",
+                vm=entry.id,
+                domain=entry.domain,
+                capacity=entry.capacity or "unknown",
+                via="store",
+            )
 
     def remove(self) -> None:
         """Remove this VM's entry from the store; a failure is only logged."""
@@ -356,6 +362,7 @@
             "host": own.address[0],
             "port": own.address[1],
             "started_ms": own.started_ms,
+            "capacity": own.capacity,
         }
         try:
             self._store.create(KIND_VMS, own.id, value)
@@ -387,7 +394,8 @@
     has_text_fields = isinstance(domain, str) and isinstance(host, str)
     if not has_text_fields or not is_port(port) or not isinstance(started_ms, int):
         return None
-    return VmEntry(stored.name, domain, (host, port), started_ms)
+    capacity = accepted_capacity(value.get("capacity"))
+    return VmEntry(stored.name, domain, (host, port), started_ms, capacity=capacity)
 
 
 def unix_time_ms() -> int:
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -42,6 +42,9 @@
         4: (TType.I32, "port", False),
         5: (TType.I64, "started_ms", False),
         6: (TType.BOOL, "leaving", False),
+        7: (TType.I32, "capacity", False),
+        8: (TType.I32, "slow_ms", False),
+        9: (TType.I32, "sequence", False),
     }
     default_spec = [
         ("id", None),
@@ -50,6 +53,9 @@
         ("port", None),
         ("started_ms", None),
         ("leaving", None),
+        ("capacity", None),
+        ("slow_ms", None),
+        ("sequence", None),
     ]
 
 
@@ -71,6 +77,9 @@
         5: (TType.I64, "members_revision", False),
         6: (TType.I64, "store_era", False),
         7: (TType.I64, "store_era_age_ms", False),
+        10: (TType.I64, "late_by_us", False),
+        11: (TType.I64, "loop_delay_us", False),
+        12: (TType.LIST, "news", (TType.STRUCT, Vm), False),
     }
     default_spec = [
         ("call", None),
@@ -80,6 +89,9 @@
         ("members_revision", None),
         ("store_era", None),
         ("store_era_age_ms", None),
+        ("late_by_us", None),
+        ("loop_delay_us", None),
+        ("news", None),
     ]
 
 
@@ -94,6 +106,7 @@
         5: (TType.I64, "members_revision", False),
         6: (TType.I64, "store_era", False),
         7: (TType.I64, "store_era_age_ms", False),
+        10: (TType.I64, "loop_delay_us", False),
     }
     default_spec = [
         ("call", None),
@@ -103,6 +116,7 @@
         ("members_revision", None),
         ("store_era", None),
         ("store_era_age_ms", None),
+        ("loop_delay_us", None),
     ]
 
 
