--- a/packages/core/bramleyrill_core/placement/_slow_vms.py
+++ b/packages/core/bramleyrill_core/placement/_slow_vms.py
@@ -27,7 +27,9 @@
     """
     cached = vms.cache.get(_CACHE_KEY)
     if cached is None:
-        cached = vms.cache[_CACHE_KEY] = _choose(vms.usable())
+        is_any_slow = vms.own.slow_ms > 0 or any(row.entry.slow_ms for row in vms.vms)
+        cached = _choose(vms.usable()) if is_any_slow else frozenset()
+        vms.cache[_CACHE_KEY] = cached
     return cached
 
 
@@ -53,8 +55,6 @@
 
 def _choose(usable: list[VmEntry]) -> frozenset[str]:
     slow = [vm for vm in usable if vm.slow_ms > 0]
-    if not slow:
-        return frozenset()
     vms_by_domain: dict[str, int] = defaultdict(int)
     for vm in usable:
         vms_by_domain[vm.domain] += 1
--- a/packages/core/bramleyrill_core/vm_health/_evidence.py
+++ b/packages/core/bramleyrill_core/vm_health/_evidence.py
@@ -19,9 +19,11 @@
 # A timer that is later than this delays a statement noticeably at each VM that it passes.
 LATE_TIMER = timedelta(milliseconds=50)
 # A VM is late beside its peers if its delay is this many spreads beyond their median. The smallest
-# spread keeps equal peers from making each difference significant.
+# spread, in time and in relation to the median, keeps equal peers from making each difference
+# significant.
 LATE_SPREADS = 4
 MIN_SPREAD = timedelta(milliseconds=5)
+MIN_RELATIVE_SPREAD = 0.125
 # Timers of which the median counts, so that a single pause, as of a freeze, does not.
 COUNTED_TIMERS = 3
 # Work of constant size that takes this many times its usual time shows a slow processor.
@@ -174,7 +176,8 @@
         """Return the delay from which this VM is late beside its peers."""
         if len(peer_delays) < MIN_PEERS:
             return LATE_TIMER
-        usual_spread = max(spread(peer_delays, peer_delay), MIN_SPREAD)
+        smallest = max(MIN_SPREAD, peer_delay * MIN_RELATIVE_SPREAD)
+        usual_spread = max(spread(peer_delays, peer_delay), smallest)
         return max(LATE_TIMER, peer_delay + LATE_SPREADS * usual_spread)
 
 
--- a/packages/entry/bramleyrill_entry/_health.py
+++ b/packages/entry/bramleyrill_entry/_health.py
@@ -41,6 +41,7 @@
 _PROBE_INPUT = bytes(32_768)
 PROBE_REPEATS = 3
 MAX_LOGGED_PEERS = 256
+_PEERS_KEY = "peers_in_domain"
 _MILLISECOND = timedelta(milliseconds=1)
 _MICROSECOND = timedelta(microseconds=1)
 
@@ -85,7 +86,8 @@
         if is_regular or observation.suspicious:
             self._measure(now, is_regular)
         evidence = observation.judge(now, self._peers_in_domain())
-        change = self.slowness.update(evidence, now, may_be_marked(self._state.vms))
+        may_mark = evidence.verdict is Verdict.FINE or may_be_marked(self._state.vms)
+        change = self.slowness.update(evidence, now, may_mark)
         if change is not None:
             self._tell(change, evidence)
         elif not self.slowness.slow:
@@ -97,7 +99,7 @@
         slowness = self.slowness
         wanted = (
             slowness.slow
-            and slowness.verdict is Verdict.SLOW
+            and slowness.is_clear
             and now - slowness.evidence_at < OUT_AFTER_EVIDENCE
             and may_leave_rotation(self._state.vms)
         )
@@ -148,8 +150,13 @@
         self._measured_at, self._processor_time = now, used
 
     def _peers_in_domain(self) -> int:
-        here = self._state.settings.domain
-        return sum(row.entry.domain == here and row.usable for row in self._state.vms.vms)
+        vms = self._state.vms
+        count = vms.cache.get(_PEERS_KEY)
+        if count is None:
+            here = self._state.settings.domain
+            count = sum(row.entry.domain == here and row.usable for row in vms.vms)
+            vms.cache[_PEERS_KEY] = count
+        return count
 
     def _tell(self, change: Change, evidence: Evidence) -> None:
         """Change this VM's entry, which each ping and each answer to one carries."""
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -58,6 +58,21 @@
         with self.assertRaises(SettingsError):
             self.load(VALID_VALUES | {"fenced_orders": "yes"})
 
+    def test_measures_of_the_machine(self):
+        measures = {"cpu_share": 0.5, "cores": 2, "link_mbps": 100}
+        settings = self.load(VALID_VALUES | measures)
+        self.assertEqual((settings.cpu_share, settings.cores, settings.link_mbps), (0.5, 2, 100))
+        settings = self.load(VALID_VALUES)
+        self.assertEqual((settings.cpu_share, settings.cores, settings.link_mbps), (None, 1, None))
+
+    def test_wrong_measure_of_the_machine_does_not_prevent_the_start(self):
+        """Only the placement of work depends on it."""
+        for wrong in (0, -1, "much", True, 1e300, float("inf")):
+            values = VALID_VALUES | dict.fromkeys(("cpu_share", "cores", "link_mbps"), wrong)
+            with self.subTest(wrong=wrong):
+                settings = self.load(values)
+                self.assertIsNone(settings.cpu_share or settings.cores or settings.link_mbps)
+
     def test_file_that_is_not_a_mapping(self):
         for text in ("- a\n", "{", ""):
             with self.assertRaises(SettingsError):
