--- a/packages/core/bramleyrill_core/placement/_capacity.py
+++ b/packages/core/bramleyrill_core/placement/_capacity.py
@@ -34,7 +34,7 @@
     Example: a share of 0.5 of two cores is 1,000 thousandths, and 500 behind a link of 5 Mbit/s.
     """
     if cpu_share is None or cores is None:
-        return OwnCapacity(UNKNOWN_CAPACITY, "no processor share in the settings")
+        return OwnCapacity(UNKNOWN_CAPACITY, "no valid cpu_share or cores in the settings")
     processor = min(cpu_share * cores * 1000, MAX_CAPACITY)
     link = MAX_CAPACITY if link_mbps is None else link_mbps * CAPACITY_PER_LINK_MBPS
     reason = "bounded by the link" if link < processor else ""
