--- a/packages/core/bramleyrill_core/vm_health/_evidence.py
+++ b/packages/core/bramleyrill_core/vm_health/_evidence.py
@@ -43,6 +43,8 @@
 MIN_PEERS = 2
 # A VM keeps what this many peers told, the newest ones.
 MAX_PEERS = 256
+# Observers that a log line names.
+MAX_NAMED = 4
 
 
 class Verdict(Enum):
@@ -59,7 +61,8 @@
 
     `slowdown` is the time of work of constant size in relation to the usual, `processor_use` the
     part of the processor share that was used. `peer_delay` is the median of the peers' timers, and
-    `observed` the median of what `observers` of them measured of this VM's answers.
+    `observed` the median of what `observers` of them measured of this VM's answers; `observer_vms`
+    names some.
     """
 
     verdict: Verdict
@@ -70,6 +73,7 @@
     peer_delay: timedelta = timedelta()
     observers: int = 0
     observed: timedelta = timedelta()
+    observer_vms: tuple[str, ...] = ()
 
     @property
     def late_by(self) -> timedelta:
@@ -161,6 +165,7 @@
             peer_delay,
             len(reports),
             observed,
+            tuple(list(self._report_by_peer)[-len(reports) :][:MAX_NAMED]) if reports else (),
         )
 
     def _verdict(self, slowdown: float, is_late: bool, is_reported: bool) -> tuple[Verdict, str]:
--- a/packages/core/bramleyrill_core/vm_health/_hysteresis.py
+++ b/packages/core/bramleyrill_core/vm_health/_hysteresis.py
@@ -16,11 +16,11 @@
 )
 
 # How long the evidence must last before the VM calls itself slow. Much own work passes by itself
-# more often, and moving it costs new connections.
+# more often, moving it costs new connections, and the next holder may be as busy with it.
 # Timers alone may also be late because of a burst of work.
 SLOW_AFTER = timedelta(milliseconds=400)
 LATE_AFTER = timedelta(milliseconds=800)
-BUSY_AFTER = timedelta(seconds=4)
+BUSY_AFTER = timedelta(seconds=8)
 # How long a VM must be fine before it takes work again; doubles with each time that follows soon.
 FINE_FOR = timedelta(seconds=3)
 MAX_FINE_FOR = timedelta(seconds=12)
--- a/packages/entry/bramleyrill_entry/_health.py
+++ b/packages/entry/bramleyrill_entry/_health.py
@@ -198,6 +198,7 @@
         "peer_delay": evidence.peer_delay,
         "observed": evidence.observed,
         "observers": evidence.observers,
+        "told_by": ",".join(evidence.observer_vms) or "-",
     }
 
 
