List all VMs only to a VM that knows fewer

Cause: each ping between VMs that knew different numbers of VMs was answered with the whole list, also to the one that knew more.

Change: the list goes only to a VM that knows fewer; the other learns from the answers to its own pings. Zeros of a VM's entry are left out of frames.

Measured: tests of gossip, VM health, peers, links and holders pass (69).

--- a/packages/entry/bramleyrill_entry/_peer_link.py
+++ b/packages/entry/bramleyrill_entry/_peer_link.py
@@ -36,7 +36,7 @@
 
 
 def encode_vm(entry: VmEntry) -> Any:
-    """Return the thrift struct of a VM's entry."""
+    """Return the thrift struct of a VM's entry; zeros are left out, as it is sent often."""
     host, port = entry.address
     return frames.Vm(
         id=entry.id,
@@ -44,10 +44,10 @@
         host=host,
         port=port,
         started_ms=entry.started_ms,
-        leaving=entry.leaving,
-        capacity=entry.capacity,
-        slow_ms=entry.slow_ms,
-        sequence=entry.sequence,
+        leaving=entry.leaving or None,
+        capacity=entry.capacity or None,
+        slow_ms=entry.slow_ms or None,
+        sequence=entry.sequence or None,
     )
 
 
--- a/packages/entry/bramleyrill_entry/_peers.py
+++ b/packages/entry/bramleyrill_entry/_peers.py
@@ -164,12 +164,13 @@
 def make_pong(net: PeerNet, call: int, vms_known: int, news: Sequence[Any] = ()) -> Any:
     """Return the answer to a ping.
 
-    It lists all VMs if the sender knows a different number, else those of `news`.
+    It lists all VMs if the sender knows fewer, else those of `news`. A sender that knows more gets
+    no list: this VM learns the others from the answers to its own pings.
     """
     state = net.state
     health = net.services.get(VmHealth)
     entries = state.vms.entries()
-    listed = list(news) if vms_known == len(entries) else [encode_vm(entry) for entry in entries]
+    listed = list(news) if vms_known >= len(entries) else [encode_vm(entry) for entry in entries]
     return frames.Pong(
         call=call,
         catalog_version=state.catalog.version,
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -29,8 +29,8 @@
   6: i64 store_era, 7: i64 store_era_age_ms, 10: optional i64 late_by_us,
   11: optional i64 loop_delay_us, 12: optional list<Vm> news
 }
-// `vms` lists the VMs that became slow or fine a moment ago if the requesting VM knows the same
-// number of VMs, else all.
+// `vms` lists the VMs that became slow or fine a moment ago if the requesting VM knows as many VMs,
+// else all.
 struct Pong {
   1: i64 call, 2: i64 catalog_version, 3: list<Vm> vms, 4: Vm vm, 5: i64 members_revision,
   6: i64 store_era, 7: i64 store_era_age_ms, 10: optional i64 loop_delay_us
--- a/tests/entry/test_gossip.py
+++ b/tests/entry/test_gossip.py
@@ -19,6 +19,7 @@
     hear_revision,
     told_revision,
 )
+from bramleyrill_entry._peers import make_pong
 from bramleyrill_platform import StoredObject
 from bramleyrill_standins.prepared import LineGroup
 from bramleyrill_wire.entries import frames
@@ -92,6 +93,16 @@
         self.assertEqual(self.pulled, [])
 
 
+class PongTest(GossipTest):
+    def test_list_of_vms_is_sent_only_to_a_vm_that_knows_fewer(self):
+        """While VMs restarted, each ping of a VM that knew more brought a list of all VMs."""
+        other = evolve(self.state.vms.own, id="vm2")
+        self.state.vms.update(other, self.state.now())
+        net = mock.Mock(state=self.state, services={})
+        listed = {known: len(make_pong(net, 1, known).vms) for known in (1, 2, 3)}
+        self.assertEqual(listed, {1: 2, 2: 0, 3: 0})
+
+
 class EraTest(GossipTest):
     """Revisions of two eras must not be compared by their numbers."""
 
