Share a member's slots fairly between teams

Cause: admission ordered a class by arrival, so that one team's flood filled it for all others.

Change: requests of a class wait by team in a fair queue with start-time fair queueing; statements of one item use at most half of the slots while others wait; the predicted wait and the room in the queue are those of the team. Without teams requests wait in order of arrival as before.

--- a/packages/core/bramleyrill_core/admission/_queue.py
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -2,16 +2,22 @@
 
 import heapq
 import math
-from collections import deque
 from collections.abc import Hashable
 from datetime import timedelta
 
 from bramleyrill_base import Clock, ErrorKind, Problem
 
 from bramleyrill_core._values import Rank
+from bramleyrill_core.admission._choice import (
+    classes_below_floor,
+    keep_furthest_below_floor,
+)
 from bramleyrill_core.admission._classes import MICROSECOND, ClassState
+from bramleyrill_core.admission._fair_queue import FairQueue
 from bramleyrill_core.admission._floors import FloorAccount, floor_margin
+from bramleyrill_core.admission._hot_items import HotItems
 from bramleyrill_core.admission._limit import InFlightLimit
+from bramleyrill_core.admission._team_order import team_orders
 from bramleyrill_core.admission._values import (
     AdmissionPolicy,
     ClassPolicy,
@@ -70,7 +76,9 @@
         self._below_floor_until = timedelta()
         self._queued: dict[Hashable, tuple[ClassState, timedelta]] = {}
         self._deadlines: list[tuple[timedelta, int, Hashable]] = []
-        self._running: dict[Hashable, tuple[ClassState, timedelta, float]] = {}
+        self._hot_items = HotItems()
+        # The request is kept only if its class is shared by teams.
+        self._running: dict[Hashable, tuple[ClassState, timedelta, float, Request | None]] = {}
         self._paused: dict[Hashable, ClassState] = {}
         self._recent_use_by_rank = [0.0] * _RANKS
         self._use_updated_s = 0.0
@@ -119,28 +127,37 @@
         """Return how many requests may hold a slot now; never more than the slots."""
         return int(self._limit.value)
 
+    def waiting_by_team(self) -> dict[str, int]:
+        """Return how many requests of each team wait; only those in classes shared by teams."""
+        waiting: dict[str, int] = {}
+        for state in self._waiting.values():
+            if state.fair is not None:
+                for team, count in state.fair.waiting_by_team().items():
+                    waiting[team] = waiting.get(team, 0) + count
+        return waiting
+
     def submit(self, request: Request) -> Started | Queued | Refused:
         """Start, queue or refuse a new request; raise ValueError if its id is running or queued."""
         if request.id in self._running or request.id in self._queued:
             raise ValueError(f"request {request.id!r} is already running or queued")
         now = self._clock.monotonic()
-        state = self._classes.get(request.work_class) or self._add_class(request.work_class)
+        state = self._class_for(request)
         if not self._queued and len(self._running) < int(self._limit.value):
             if request.deadline <= now:
-                return self._refuse(request.id, state, ErrorKind.NOT_RUN_DEADLINE, now)
+                return self._refuse(request, state, ErrorKind.NOT_RUN_DEADLINE, now)
             return self._start(request, state, now)
-        if len(state.queue) >= state.policy.queue_limit:
-            return self._refuse(request.id, state, ErrorKind.NOT_RUN_OVERLOADED, now)
+        if not state.has_room(request.team):
+            return self._refuse(request, state, ErrorKind.NOT_RUN_OVERLOADED, now)
         if self.policy.predict:
             wait_s, remaining_s = (
-                self._predict_wait_s(state, now),
+                self._predict_wait_s(state, request.team, now),
                 (request.deadline - now) / MICROSECOND * 1e-6,
             )
             # A short queue is never cut to the target.
             is_too_long = len(state) >= 2 * self.limit and wait_s > state.max_wait_s(now)
             if wait_s > remaining_s or is_too_long:
-                return self._refuse(request.id, state, ErrorKind.NOT_RUN_OVERLOADED, now, wait_s)
-        self._enqueue(state.queue, request, state, now)
+                return self._refuse(request, state, ErrorKind.NOT_RUN_OVERLOADED, now, wait_s)
+        self._enqueue(request, state, now)
         return self._start_if_free(request, now)
 
     def finish(self, request_id: Hashable) -> list[Started | Refused]:
@@ -154,9 +171,11 @@
         running = self._running.pop(request_id, None)
         if running is None:
             return []
-        state, started_at, expected_s = running
+        state, started_at, expected_s, request = running
         duration_s = (now - started_at) / MICROSECOND * 1e-6
         state.mean_s += _MEAN_WEIGHT * (duration_s - state.mean_s)
+        if request is not None:
+            self._end_share(request, state, expected_s, duration_s)
         self._limit.record_service_time(id(state), duration_s)
         self._charge(state, duration_s - expected_s, now)
         return self._dispatch(now)
@@ -182,10 +201,10 @@
         if self._paused.pop(request.id, None) is None:
             raise ValueError(f"request {request.id!r} is not paused")
         now = self._clock.monotonic()
-        state = self._classes.get(request.work_class) or self._add_class(request.work_class)
+        state = self._class_for(request)
         if not self._queued and len(self._running) < int(self._limit.value):
             return self._start(request, state, now)
-        self._enqueue(state.resumed, request, state, now)
+        self._enqueue(request, state, now, resumed=True)
         return self._start_if_free(request, now)
 
     def withdraw(self, request_id: Hashable) -> list[Started | Refused]:
@@ -196,12 +215,10 @@
         state, _ = self._queued.pop(request_id, (None, None))
         if state is None:
             return self.finish(request_id)
-        for queue in (state.queue, state.resumed):
-            for request in queue:
-                if request.id == request_id:
-                    queue.remove(request)
-                    self._update_waiting(state, -1, self._clock.monotonic())
-                    return []
+        request = state.find(request_id)
+        if request is not None:
+            state.remove(request)
+            self._update_waiting(state, -1, self._clock.monotonic())
         return []
 
     def tick(self) -> list[Refused]:
@@ -211,13 +228,22 @@
         while self._deadlines and self._deadlines[0][0] <= now:
             _, _, request_id = heapq.heappop(self._deadlines)
             state, _ = self._queued.get(request_id, (None, None))
-            if state is not None and self._remove_expired(state, request_id, now):
-                refused.append(self._refuse(request_id, state, ErrorKind.NOT_RUN_DEADLINE, now))
+            request = state.find(request_id) if state is not None else None
+            if request is not None and request.deadline <= now:
+                self._remove_expired(request, state, now)
+                refused.append(self._refuse(request, state, ErrorKind.NOT_RUN_DEADLINE, now))
         if len(self._deadlines) > 64 + 4 * len(self._queued):
             self._deadlines = [item for item in self._deadlines if item[2] in self._queued]
             heapq.heapify(self._deadlines)
         return refused
 
+    def _class_for(self, request: Request) -> ClassState:
+        state = self._classes.get(request.work_class) or self._add_class(request.work_class)
+        if request.team and state.fair is None:
+            order = team_orders.get(self.policy.team_order)()
+            state.share_by_team(FairQueue(order, self.policy.weight_of, self._hot_items))
+        return state
+
     def _add_class(self, key: WorkClass) -> ClassState:
         policy = self.policy.classes.get(key, self.policy.default)
         mean_s = self.policy.expected_service_time / MICROSECOND * 1e-6
@@ -235,8 +261,10 @@
         accounts.append(FloorAccount(policy.floor, self._margin))
         return tuple(accounts)
 
-    def _enqueue(self, queue: deque, request: Request, state: ClassState, now: timedelta) -> None:
-        queue.append(request)
+    def _enqueue(
+        self, request: Request, state: ClassState, now: timedelta, resumed: bool = False
+    ) -> None:
+        state.append(request, resumed)
         self._queued[request.id] = (state, now)
         self._sequence += 1
         heapq.heappush(self._deadlines, (request.deadline, self._sequence, request.id))
@@ -256,33 +284,39 @@
         else:
             self._waiting.pop(state.key, None)
 
-    def _remove_expired(self, state: ClassState, request_id: Hashable, now: timedelta) -> bool:
-        for queue in (state.resumed, state.queue):
-            for request in queue:
-                if request.id == request_id:
-                    if request.deadline > now:
-                        return False
-                    queue.remove(request)
-                    del self._queued[request_id]
-                    self._update_waiting(state, -1, now)
-                    return True
-        return False
+    def _remove_expired(self, request: Request, state: ClassState, now: timedelta) -> None:
+        state.remove(request)
+        del self._queued[request.id]
+        self._update_waiting(state, -1, now)
 
     def _start_if_free(self, request: Request, now: timedelta) -> Started | Queued:
         """Start the request if a slot is free and no other request waits."""
         if len(self._running) < int(self._limit.value) and len(self._queued) == 1:
             state, _ = self._queued[request.id]
-            (state.resumed or state.queue).pop()
+            state.pop()
             del self._queued[request.id]
             self._update_waiting(state, -1, now)
             return self._start(request, state, now)
         return Queued(request.id)
 
     def _start(self, request: Request, state: ClassState, now: timedelta) -> Started:
-        self._running[request.id] = (state, now, state.mean_s)
+        fair = state.fair
+        self._running[request.id] = (state, now, state.mean_s, None if fair is None else request)
+        if fair is not None:
+            self._hot_items.set_slots(int(self._limit.value))
+            fair.start(request, state.mean_s)
         self._charge(state, state.mean_s, now)
         return Started(request.id)
 
+    def _end_share(
+        self, request: Request, state: ClassState, expected_s: float, used_s: float
+    ) -> None:
+        state.fair.end(request, expected_s, used_s)
+        if request.item:
+            for other in self._waiting.values():
+                if other.fair is not None:
+                    other.fair.release_item(request.item)
+
     def _charge(self, state: ClassState, slot_time_s: float, now: timedelta) -> None:
         """Charge slot time in seconds to the accounts of a class and to the recent use of its rank.
 
@@ -311,12 +345,12 @@
         outcomes: list[Started | Refused] = []
         while self._waiting and len(self._running) < int(self._limit.value):
             state = self._choose_class(now)
-            request = (state.resumed or state.queue).popleft()
+            request = state.pop()
             _, arrived_at = self._queued.pop(request.id)
             self._update_waiting(state, -1, now)
             state.record_wait(now - arrived_at, now)
             if request.deadline <= now:
-                outcomes.append(self._refuse(request.id, state, ErrorKind.NOT_RUN_DEADLINE, now))
+                outcomes.append(self._refuse(request, state, ErrorKind.NOT_RUN_DEADLINE, now))
             else:
                 outcomes.append(self._start(request, state, now))
         return outcomes
@@ -337,7 +371,7 @@
             for state in states:
                 for account in state.accounts:
                     account.accrue(now_s, self._limit.value)
-            states = self._keep_furthest_below_floor(states)
+            states = keep_furthest_below_floor(states, self._limit.value)
         if self.policy.urgent_first:
             best = min(state.rank for state in states)
             states = [state for state in states if state.rank == best]
@@ -348,7 +382,9 @@
     def _choose_from_list(self, now: timedelta) -> ClassState:
         """Choose among many classes, with a list of those below their floors that is reused."""
         if self.policy.floors and now >= self._below_floor_until:
-            self._below_floor = self._list_below_floor(now)
+            self._below_floor = classes_below_floor(
+                self._waiting.values(), now / MICROSECOND * 1e-6, self._limit.value
+            )
             self._below_floor_until = now + len(self._waiting) * _LIST_VALIDITY_PER_CLASS
         while self._below_floor:
             state = self._below_floor.pop()
@@ -357,40 +393,8 @@
         states = next(states for states in self._waiting_by_rank if states)
         return next(iter(states.values()))
 
-    def _list_below_floor(self, now: timedelta) -> list[ClassState]:
-        """Return the classes that are below a floor, the furthest below last.
-
-        The floor may be that of their fleet, their service or their own.
-        """
-        now_s = now / MICROSECOND * 1e-6
-        below_floor = []
-        for state in self._waiting.values():
-            deficits_s = []
-            for account in state.accounts:
-                account.accrue(now_s, self._limit.value)
-                deficits_s.append(max(0.0, account.deficit_s(self._limit.value)))
-            if any(deficits_s):
-                below_floor.append((deficits_s, -state.rank, state.key, state))
-        return [item[-1] for item in sorted(below_floor)]
-
-    def _keep_furthest_below_floor(self, states: list[ClassState]) -> list[ClassState]:
-        """Keep the classes of the fleet, then service, then rank furthest below its floor."""
-        for level in range(max(len(state.accounts) for state in states)):
-            max_deficit_s, below_floor = 0.0, []
-            for state in states:
-                if level < len(state.accounts):
-                    deficit_s = state.accounts[level].deficit_s(self._limit.value)
-                    if deficit_s > max_deficit_s:
-                        max_deficit_s, below_floor = deficit_s, [state]
-                    elif below_floor and deficit_s == max_deficit_s:
-                        below_floor.append(state)
-            states = below_floor or states
-            if len(states) == 1:
-                break
-        return states
-
-    def _predict_wait_s(self, state: ClassState, now: timedelta) -> float:
-        """Return the expected wait in seconds of one more request of the class.
+    def _predict_wait_s(self, state: ClassState, team: str, now: timedelta) -> float:
+        """Return the expected wait in seconds of one more request of a team in the class.
 
         The class is assumed to get the share of the slots that recent use by higher ranks and by
         the floors of lower ranks leaves, and at least its own floor.
@@ -405,11 +409,11 @@
             elif rank > state.rank:
                 share -= min(used, self._floor_by_rank[rank])
         share = max(share, state.policy.floor, 0.001)
-        return (len(state) + 1) * state.mean_s / (limit * share)
+        return state.work_ahead_s(team) / (limit * share)
 
     def _refuse(
         self,
-        request_id: Hashable,
+        request: Request,
         state: ClassState,
         kind: ErrorKind,
         now: timedelta,
@@ -417,9 +421,9 @@
     ) -> Refused:
         state.last_refused_at = now
         if wait_s < 0:
-            wait_s = self._predict_wait_s(state, now)
+            wait_s = self._predict_wait_s(state, request.team, now)
         hint = timedelta(seconds=min(max(wait_s, _MIN_RETRY_HINT_S), _MAX_RETRY_HINT_S))
-        return Refused(request_id, Problem(kind, f"rank {state.key.rank.name.lower()}", hint))
+        return Refused(request.id, Problem(kind, f"rank {state.key.rank.name.lower()}", hint))
 
     def _oldest_arrival(self, state: ClassState) -> timedelta:
-        return self._queued[(state.resumed or state.queue)[0].id][1]
+        return self._queued[state.oldest_id()][1]
--- a/packages/core/bramleyrill_core/admission/_stages.py
+++ b/packages/core/bramleyrill_core/admission/_stages.py
@@ -5,7 +5,7 @@
 the others wait behind them until their wait deadline.
 """
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from datetime import timedelta
 
 from attrs import define
@@ -21,6 +21,7 @@
     Request,
     Started,
     WorkClass,
+    equal_weight,
 )
 
 LATE_RANK = Rank.LEAST_URGENT
@@ -50,12 +51,15 @@
 
     wait_deadline: timedelta
     late: bool
+    team: str = ""
+    item: str = ""
 
 
 class MemberAdmission:
     """Admission queue of a member with an on-time and a late stage.
 
-    Methods and results are those of `AdmissionQueue`; times are on its monotonic clock.
+    Methods and results are those of `AdmissionQueue`; times are on its monotonic clock. Teams get
+    fair shares by weight within a rank and stage; without teams the order is that of arrival.
 
     Example:
 
@@ -64,7 +68,13 @@
     """
 
     def __init__(
-        self, service: str, slots: int, expected_service_time: timedelta, clock: Clock
+        self,
+        service: str,
+        slots: int,
+        expected_service_time: timedelta,
+        clock: Clock,
+        weight_of: Callable[[str], int] = equal_weight,
+        team_order: str = "start_time",
     ) -> None:
         self._service = service
         self._clock = clock
@@ -77,7 +87,12 @@
             self._class_of(rank): ClassPolicy(floor, _QUEUE_LIMIT) for rank, floor in floors.items()
         }
         self._policy = AdmissionPolicy(
-            slots, classes, adaptive=False, expected_service_time=expected_service_time
+            slots,
+            classes,
+            adaptive=False,
+            expected_service_time=expected_service_time,
+            weight_of=weight_of,
+            team_order=team_order,
         )
         self._queue = AdmissionQueue(self._policy, clock)
         self._staged: dict[Hashable, _StagedRequest] = {}
@@ -92,6 +107,10 @@
         """Return how many requests hold a slot."""
         return self._queue.in_flight
 
+    def waiting_by_team(self) -> dict[str, int]:
+        """Return how many requests of each team wait for a slot."""
+        return self._queue.waiting_by_team()
+
     def submit(
         self,
         request_id: Hashable,
@@ -99,22 +118,23 @@
         on_time_until: timedelta,
         wait_deadline: timedelta,
         team: str = "",
+        item: str = "",
     ) -> Started | Queued | Refused:
-        """Start, queue or refuse a new request.
+        """Start, queue or refuse a new request of a team.
 
         It is on time if it starts by `on_time_until`. If it cannot, it waits in the late stage
-        until `wait_deadline`.
+        until `wait_deadline`. `item` is the item of the primary's data that it uses, if known.
         """
         now = self._clock.monotonic()
         # Ranks below urgent share one queue, so that the longest waiting request goes first.
         rank = min(rank, Rank.EVERYDAY)
         if on_time_until > now:
-            request = Request(request_id, self._class_of(rank), on_time_until)
+            request = Request(request_id, self._class_of(rank), on_time_until, team, item)
             outcome = self._queue.submit(request)
             if type(outcome) is not Refused:
-                self._staged[request_id] = _StagedRequest(wait_deadline, False)
+                self._staged[request_id] = _StagedRequest(wait_deadline, False, team, item)
                 return outcome
-        return self._submit_late(request_id, wait_deadline)
+        return self._submit_late(request_id, wait_deadline, team, item)
 
     def finish(self, request_id: Hashable) -> list[Started | Refused]:
         """Release the slot of a request that ended; return requests that now start or fail."""
@@ -133,8 +153,8 @@
         It waits until `wait_deadline` and is not moved to the late stage.
         """
         rank = min(rank, Rank.EVERYDAY)
-        self._staged[request_id] = _StagedRequest(wait_deadline, True)
-        return self._queue.resume(Request(request_id, self._class_of(rank), wait_deadline))
+        self._staged[request_id] = _StagedRequest(wait_deadline, True, team)
+        return self._queue.resume(Request(request_id, self._class_of(rank), wait_deadline, team))
 
     def withdraw(self, request_id: Hashable) -> list[Started | Refused]:
         """Remove a request in any state; return requests that now start or fail."""
@@ -155,20 +175,22 @@
             if type(outcome) is not Refused or staged is None or staged.late:
                 results.append(outcome)
                 continue
-            late_outcome = self._submit_late(outcome.id, staged.wait_deadline)
+            late_outcome = self._submit_late(
+                outcome.id, staged.wait_deadline, staged.team, staged.item
+            )
             if type(late_outcome) is not Queued:
                 results.append(late_outcome)
         return results
 
     def _submit_late(
-        self, request_id: Hashable, wait_deadline: timedelta
+        self, request_id: Hashable, wait_deadline: timedelta, team: str, item: str
     ) -> Started | Queued | Refused:
-        request = Request(request_id, self._class_of(LATE_RANK), wait_deadline)
+        request = Request(request_id, self._class_of(LATE_RANK), wait_deadline, team, item)
         outcome = self._queue.submit(request)
         if type(outcome) is Refused:
             self._staged.pop(request_id, None)
         else:
-            self._staged[request_id] = _StagedRequest(wait_deadline, True)
+            self._staged[request_id] = _StagedRequest(wait_deadline, True, team, item)
         return outcome
 
     def _class_of(self, rank: Rank) -> WorkClass:
--- a/packages/core/bramleyrill_core/admission/_values.py
+++ b/packages/core/bramleyrill_core/admission/_values.py
@@ -1,6 +1,6 @@
 """Requests, work classes, policies and outcomes of admission."""
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -19,11 +19,17 @@
 
 
 class Request(NamedTuple):
-    """A request for a slot; `deadline` is on the queue's monotonic clock."""
+    """A request for a slot; `deadline` is on the queue's monotonic clock.
+
+    `team` is on whose behalf it runs, and `item` the item of the primary's data that it uses; both
+    are empty if unknown.
+    """
 
     id: Hashable
     work_class: WorkClass
     deadline: timedelta
+    team: str = ""
+    item: str = ""
 
 
 class Started(NamedTuple):
@@ -59,6 +65,11 @@
     target: timedelta | None = None
 
 
+def equal_weight(_team: str) -> int:
+    """Return the weight of a team where the configuration states none."""
+    return 1
+
+
 @frozen
 class AdmissionPolicy:
     """Slots and classes of a queue.
@@ -67,7 +78,8 @@
     service (key `(fleet, service)`). Classes that are not listed get `default`. With `adaptive`
     the limit of requests in progress follows the measured service time; it never exceeds
     `slots`. `expected_service_time` is assumed until one is measured. `floors`, `urgent_first`
-    and `predict` enable floors, priority by rank, and refusal by predicted wait.
+    and `predict` enable floors, priority by rank, and refusal by predicted wait. Teams share the
+    slots of a class by their `weight_of`, in the registered order `team_order`.
     """
 
     slots: int
@@ -79,3 +91,5 @@
     floors: bool = True
     urgent_first: bool = True
     predict: bool = True
+    weight_of: Callable[[str], int] = equal_weight
+    team_order: str = "start_time"
