--- a/packages/core/bramleyrill_core/admission/__init__.py
+++ b/packages/core/bramleyrill_core/admission/__init__.py
@@ -3,7 +3,9 @@
 from bramleyrill_base import lazy_attributes
 
 from bramleyrill_core.admission._queue import AdmissionQueue
+from bramleyrill_core.admission._resting import RestingTransaction, resting_to_end
 from bramleyrill_core.admission._stages import MemberAdmission, max_start_delay
+from bramleyrill_core.admission._team_weights import TeamWeights
 from bramleyrill_core.admission._values import (
     AdmissionPolicy,
     ClassPolicy,
@@ -25,10 +27,13 @@
     "Queued",
     "Refused",
     "Request",
+    "RestingTransaction",
     "Started",
+    "TeamWeights",
     "WorkClass",
     "policy_for_member",
     "policy_for_vm",
+    "resting_to_end",
     "simulate_flood",
     "max_start_delay",
     "format_flood_results",
--- a/packages/core/bramleyrill_core/admission/_queue.py
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -11,12 +11,14 @@
 from bramleyrill_core.admission._choice import (
     classes_below_floor,
     keep_furthest_below_floor,
+    within_share,
 )
 from bramleyrill_core.admission._classes import MICROSECOND, ClassState
 from bramleyrill_core.admission._fair_queue import FairQueue
 from bramleyrill_core.admission._floors import FloorAccount, floor_margin
 from bramleyrill_core.admission._hot_items import HotItems
 from bramleyrill_core.admission._limit import InFlightLimit
+from bramleyrill_core.admission._team_ledger import TeamLedger
 from bramleyrill_core.admission._team_order import team_orders
 from bramleyrill_core.admission._values import (
     AdmissionPolicy,
@@ -77,6 +79,8 @@
         self._queued: dict[Hashable, tuple[ClassState, timedelta]] = {}
         self._deadlines: list[tuple[timedelta, int, Hashable]] = []
         self._hot_items = HotItems()
+        # None until a request of a team arrives.
+        self._ledger: TeamLedger | None = None
         # The request is kept only if its class is shared by teams.
         self._running: dict[Hashable, tuple[ClassState, timedelta, float, Request | None]] = {}
         self._paused: dict[Hashable, ClassState] = {}
@@ -175,7 +179,7 @@
         duration_s = (now - started_at) / MICROSECOND * 1e-6
         state.mean_s += _MEAN_WEIGHT * (duration_s - state.mean_s)
         if request is not None:
-            self._end_share(request, state, expected_s, duration_s)
+            self._end_share(request, expected_s, duration_s)
         self._limit.record_service_time(id(state), duration_s)
         self._charge(state, duration_s - expected_s, now)
         return self._dispatch(now)
@@ -240,10 +244,15 @@
     def _class_for(self, request: Request) -> ClassState:
         state = self._classes.get(request.work_class) or self._add_class(request.work_class)
         if request.team and state.fair is None:
-            order = team_orders.get(self.policy.team_order)()
-            state.share_by_team(FairQueue(order, self.policy.weight_of, self._hot_items))
+            self._share_by_team(state)
         return state
 
+    def _share_by_team(self, state: ClassState) -> None:
+        if self._ledger is None:
+            self._ledger = TeamLedger(self.policy.weight_of)
+        order = team_orders.get(self.policy.team_order)(self._ledger)
+        state.share_by_team(FairQueue(order, self._ledger, self._hot_items))
+
     def _add_class(self, key: WorkClass) -> ClassState:
         policy = self.policy.classes.get(key, self.policy.default)
         mean_s = self.policy.expected_service_time / MICROSECOND * 1e-6
@@ -308,13 +317,14 @@
         self._charge(state, state.mean_s, now)
         return Started(request.id)
 
-    def _end_share(
-        self, request: Request, state: ClassState, expected_s: float, used_s: float
-    ) -> None:
-        state.fair.end(request, expected_s, used_s)
+    def _end_share(self, request: Request, expected_s: float, used_s: float) -> None:
+        self._ledger.end(request.team, expected_s, used_s)
         if request.item:
-            for other in self._waiting.values():
-                if other.fair is not None:
+            self._hot_items.end(request.item)
+        for other in self._waiting.values():
+            if other.fair is not None:
+                other.fair.charged_team_ended(request, expected_s, used_s)
+                if request.item:
                     other.fair.release_item(request.item)
 
     def _charge(self, state: ClassState, slot_time_s: float, now: timedelta) -> None:
@@ -364,6 +374,8 @@
         if len(self._waiting) > _MAX_EXACT_CLASSES and self.policy.urgent_first:
             return self._choose_from_list(now)
         states = list(self._waiting.values())
+        if self._ledger is not None:
+            states = within_share(states, self._ledger)
         if len(states) == 1:
             return states[0]
         if self.policy.floors:
--- a/packages/core/bramleyrill_core/admission/_simulation.py
+++ b/packages/core/bramleyrill_core/admission/_simulation.py
@@ -171,19 +171,22 @@
         "by_rank": lambda clock: AdmissionQueue(policy, clock),
         "first_come": lambda clock: FirstComeQueue(plan.slots, clock),
     }
-    return {name: _Run(plan, builders[name]).run() for name in queues}
+    return {name: FloodRun(plan, builders[name]).run() for name in queues}
 
 
 @define
-class _Statement:
+class Statement:
+    """A statement of the simulated load; times are in seconds."""
+
     rank: Rank
     arrived_s: float
     service_s: float
+    team: str = ""
     started_s: float = 0.0
 
 
-def _arrivals(plan: FloodPlan, rank: Rank) -> Iterator[tuple[float, Rank, float]]:
-    """Yield (arrival time, rank, service time) of one rank in seconds, as a Poisson process."""
+def _arrivals(plan: FloodPlan, rank: Rank) -> Iterator[tuple[float, Rank, float, str]]:
+    """Yield (arrival, rank, service time, team) of one rank in seconds, as a Poisson process."""
     random = Random(plan.seed * 16 + rank)
     capacity = plan.slots / plan.mean_service_s
     base_rate = LOADS[rank].base_load * capacity * plan.load_scale
@@ -198,17 +201,17 @@
         now_s += step
         if now_s >= plan.end_s:
             return
-        yield now_s, rank, random.expovariate(1.0 / plan.mean_service_s)
+        yield now_s, rank, random.expovariate(1.0 / plan.mean_service_s), ""
 
 
 @define(eq=False)
-class _Run:
+class FloodRun:
     """Run of one queue under one plan."""
 
     plan: FloodPlan
     build_queue: Callable[[ManualClock], AdmissionQueue | FirstComeQueue]
     clock: ManualClock = field(factory=ManualClock)
-    statements: dict[int, _Statement] = field(factory=dict)
+    statements: dict[int, Statement] = field(factory=dict)
     ends: list[tuple[float, int]] = field(factory=list)
     running: int = 0
     max_in_flight: int = 0
@@ -227,35 +230,44 @@
         self.demand_s = {rank: [0.0] * steps for rank in Rank}
         self.results = {rank: RankResult() for rank in Rank}
         self.queue = self.build_queue(self.clock)
-        streams = heapq.merge(*(_arrivals(plan, rank) for rank in Rank))
         next_tick = 0.0
-        for request_id, (at_s, rank, service_s) in enumerate(streams):
+        for request_id, (at_s, rank, service_s, team) in enumerate(heapq.merge(*self._streams())):
             while (self.ends and self.ends[0][0] <= at_s) or next_tick <= at_s:
                 if self.ends and self.ends[0][0] <= next_tick:
                     self._end(*heapq.heappop(self.ends))
                 else:
-                    self._advance_clock(next_tick)
-                    self._handle_outcomes(self.queue.tick(), next_tick)
+                    self._tick(next_tick)
                     next_tick += _TICK_S
-            self._arrive(request_id, at_s, rank, service_s)
+            self._arrive(request_id, Statement(rank, at_s, service_s, team))
         return self._report()
 
+    def _streams(self) -> list[Iterator[tuple[float, Rank, float, str]]]:
+        return [_arrivals(self.plan, rank) for rank in Rank]
+
+    def _tick(self, now_s: float) -> None:
+        self._advance_clock(now_s)
+        self._handle_outcomes(self.queue.tick(), now_s)
+
     def _advance_clock(self, now_s: float) -> None:
         self.clock.advance_to(max(timedelta(seconds=now_s), self.clock.monotonic()))
 
-    def _arrive(self, request_id: int, at_s: float, rank: Rank, service_s: float) -> None:
+    def _arrive(self, request_id: int, statement: Statement) -> None:
+        at_s = statement.arrived_s
         self._advance_clock(at_s)
-        load = LOADS[rank]
-        self.statements[request_id] = _Statement(rank, at_s, service_s)
+        self.statements[request_id] = statement
         if self._in_flood(at_s):
-            self.results[rank].offered += 1
+            self.results[statement.rank].offered += 1
         elif at_s >= self.plan.flood_to_s:
-            self.after_flood[rank][0] += 1
-        deadline = self.clock.monotonic() + timedelta(seconds=load.deadline_s)
-        outcome = self.queue.submit(Request(request_id, WorkClass(FLEET, SERVICE, rank), deadline))
+            self.after_flood[statement.rank][0] += 1
+        outcome = self._submit(request_id, statement)
         if not isinstance(outcome, Queued):
             self._handle_outcomes([outcome], at_s)
 
+    def _submit(self, request_id: int, statement: Statement) -> Started | Queued | Refused:
+        rank = statement.rank
+        deadline = self.clock.monotonic() + timedelta(seconds=LOADS[rank].deadline_s)
+        return self.queue.submit(Request(request_id, WorkClass(FLEET, SERVICE, rank), deadline))
+
     def _in_flood(self, at_s: float) -> bool:
         return self.plan.flood_from_s <= at_s < self.plan.flood_to_s
 
@@ -305,7 +317,7 @@
             self.after_flood[statement.rank][1] += in_time
         self._handle_outcomes(self.queue.finish(request_id), at_s)
 
-    def _record_slot_time(self, statement: _Statement, end: float) -> None:
+    def _record_slot_time(self, statement: Statement, end: float) -> None:
         slot_time_by_step = self.slot_time_s[statement.rank]
         start = statement.started_s
         while start < end:
--- a/packages/core/bramleyrill_core/admission/_stages.py
+++ b/packages/core/bramleyrill_core/admission/_stages.py
@@ -73,7 +73,7 @@
         slots: int,
         expected_service_time: timedelta,
         clock: Clock,
-        weight_of: Callable[[str], int] = equal_weight,
+        weight_of: Callable[[str], float] = equal_weight,
         team_order: str = "start_time",
     ) -> None:
         self._service = service
--- a/packages/core/bramleyrill_core/admission/_team_order.py
+++ b/packages/core/bramleyrill_core/admission/_team_order.py
@@ -1,51 +1,44 @@
-"""The order in which teams get free slots, by start-time fair queueing.
-
-Answers the load of a team that sends many times its usual while others keep to theirs.
-"""
+"""The order in which the waiting teams of one class of work get free slots."""
 
 import heapq
 import itertools
-from typing import Protocol
+from typing import ClassVar, Protocol
 
 from bramleyrill_base import Registry
 
+from bramleyrill_core.admission._team_ledger import TeamLedger, TeamUse
 from bramleyrill_core.admission._team_share import TeamShare
 
-# Slot time beyond its share, per unit of weight, that a team pays back at most once its requests
-# have ended. It covers long statements, and a team that returns to its usual load is served again
-# soon.
-MAX_DEBT_S = 2.0
 # Outdated entries are removed when there are this many times as many as teams.
 _MAX_ENTRIES_PER_TEAM = 4
 _MIN_ENTRIES_TO_CLEAN = 64
 
 
 class TeamOrder(Protocol):
-    """Chooses among the teams with waiting requests; one instance for each class of work."""
+    """Chooses among the teams with waiting requests; one instance for each class of work.
+
+    `by_ledger` is whether it orders by the ledger, so that the teams of two classes compare.
+    """
 
-    def flow_of(self, team: str) -> str:
-        """Return the name under which the team's requests are queued, by default its own."""
+    by_ledger: ClassVar[bool]
 
-    def arrived(self, share: TeamShare, is_first: bool) -> None:
-        """Record a request that now waits; `is_first` if the team had none waiting."""
+    def begin_waiting(self, share: TeamShare) -> None:
+        """Record that the team now has waiting requests."""
+
+    def end_waiting(self, share: TeamShare) -> None:
+        """Record that none of the team's requests wait any more."""
 
     def next(self, mean_s: float) -> TeamShare:
         """Return the team that goes next; it is called only if one waits."""
 
-    def emptied(self, share: TeamShare) -> None:
-        """Record that none of the team's requests wait any more."""
+    def wait_s(self, use: TeamUse) -> float:
+        """Return the slot time per weight that other teams may use before the team's next start."""
 
     def started(self, share: TeamShare, seconds: float) -> None:
         """Charge the expected slot time of a request that starts."""
 
     def ended(self, share: TeamShare, charged_s: float, used_s: float) -> None:
-        """Correct the charge of a request that ended by the slot time that it used."""
-
-    def wait_share_s(self, share: TeamShare) -> float:
-        """Return the slot time per weight that others may use before the team's next start."""
-
-    def is_settled(self, share: TeamShare) -> bool:
-        """Return whether an idle team may be forgotten without a gain or loss for it."""
+        """Correct the charge of a request that ended."""
 
 
 team_orders: Registry[type[TeamOrder]] = Registry("team order")
@@ -53,77 +46,58 @@
 
 @team_orders.register("start_time")
 class StartTimeOrder:
-    """The team with the least slot time per weight goes first, at O(log n) for n waiting teams.
+    """The team with the least used slot time for its weight goes first, at O(log n) a decision.
 
-    The virtual clock is the tag of the last team that started. A team that begins to wait starts
-    from it: unused share is not saved up, and slots that nobody else wanted are not held against
-    a team. The slots that a team holds now count on top, since their use is known only at the end:
-    a team with many long transactions waits although its earlier ones were paid.
+    The ledger keeps the times; this is a heap of the teams that wait. Places only move back while
+    a team waits, but for the end of one of its requests, which enters it anew.
     """
 
-    def __init__(self) -> None:
-        self.virtual_time = 0.0
+    by_ledger: ClassVar[bool] = True
+
+    def __init__(self, ledger: TeamLedger) -> None:
+        self._ledger = ledger
         self._entries: list[tuple[float, int, TeamShare]] = []
         self._valid_entry: dict[str, int] = {}
         self._numbers = itertools.count()
 
-    def flow_of(self, team: str) -> str:
-        """Return the team's own name."""
-        return team
+    def begin_waiting(self, share: TeamShare) -> None:
+        """Enter the team."""
+        number = next(self._numbers)
+        self._valid_entry[share.use.name] = number
+        heapq.heappush(self._entries, (self._ledger.key_of(share.use), number, share))
+        limit = max(_MAX_ENTRIES_PER_TEAM * len(self._valid_entry), _MIN_ENTRIES_TO_CLEAN)
+        if len(self._entries) > limit:
+            self._remove_outdated_entries()
 
-    def arrived(self, share: TeamShare, is_first: bool) -> None:
-        """Enter a team that begins to wait."""
-        if is_first:
-            share.tag = max(share.tag, self.virtual_time)
-            self._enter(share)
+    def end_waiting(self, share: TeamShare) -> None:
+        """Invalidate the entry of the team."""
+        self._valid_entry.pop(share.use.name, None)
 
     def next(self, mean_s: float) -> TeamShare:
-        """Return the waiting team with the lowest key; keys only grow between two entries."""
+        """Return the waiting team with the first place."""
         while True:
             key, number, share = self._entries[0]
-            if self._valid_entry.get(share.name) != number:
+            if self._valid_entry.get(share.use.name) != number:
                 heapq.heappop(self._entries)
-            elif self._key(share) > key:
+            elif self._ledger.key_of(share.use) > key:
                 heapq.heappop(self._entries)
-                self._enter(share)
+                self.begin_waiting(share)
             else:
                 return share
 
-    def emptied(self, share: TeamShare) -> None:
-        """Invalidate the entry of the team."""
-        self._valid_entry.pop(share.name, None)
+    def wait_s(self, use: TeamUse) -> float:
+        """Return how far the virtual clock has to advance to the team's place."""
+        return self._ledger.key_of(use) - self._ledger.virtual_time
 
     def started(self, share: TeamShare, seconds: float) -> None:
-        """Advance the virtual clock to the team's tag, then charge the team."""
-        if not share.waiting:
-            share.tag = max(share.tag, self.virtual_time)
-        self.virtual_time = max(self.virtual_time, share.tag)
-        share.tag += seconds / share.weight
+        """Do nothing: the ledger charges the team, and its entry is corrected when it is met."""
 
     def ended(self, share: TeamShare, charged_s: float, used_s: float) -> None:
-        """Correct the team's tag; enter it anew, since its key may have become lower."""
-        latest = self.virtual_time + MAX_DEBT_S + share.running_s / share.weight
-        share.tag = min(share.tag + (used_s - charged_s) / share.weight, latest)
+        """Enter the team anew, since its place may have moved to the front."""
         if share.waiting:
-            self._enter(share)
-
-    def wait_share_s(self, share: TeamShare) -> float:
-        """Return how far the virtual clock has to advance until the team's next start."""
-        return max(self._key(share) - self.virtual_time, 0.0)
+            self.begin_waiting(share)
 
-    def is_settled(self, share: TeamShare) -> bool:
-        """Return whether the virtual clock has reached the team's tag."""
-        return share.tag <= self.virtual_time
-
-    def _key(self, share: TeamShare) -> float:
-        return max(share.tag, self.virtual_time + share.running_s / share.weight)
-
-    def _enter(self, share: TeamShare) -> None:
-        number = next(self._numbers)
-        self._valid_entry[share.name] = number
-        heapq.heappush(self._entries, (self._key(share), number, share))
-        limit = max(_MAX_ENTRIES_PER_TEAM * len(self._valid_entry), _MIN_ENTRIES_TO_CLEAN)
-        if len(self._entries) > limit:
-            valid = self._valid_entry
-            self._entries = [item for item in self._entries if valid.get(item[2].name) == item[1]]
-            heapq.heapify(self._entries)
+    def _remove_outdated_entries(self) -> None:
+        valid = self._valid_entry
+        self._entries = [item for item in self._entries if valid.get(item[2].use.name) == item[1]]
+        heapq.heapify(self._entries)
--- a/packages/core/bramleyrill_core/admission/_values.py
+++ b/packages/core/bramleyrill_core/admission/_values.py
@@ -65,9 +65,9 @@
     target: timedelta | None = None
 
 
-def equal_weight(_team: str) -> int:
+def equal_weight(_team: str) -> float:
     """Return the weight of a team where the configuration states none."""
-    return 1
+    return 1.0
 
 
 @frozen
@@ -91,5 +91,5 @@
     floors: bool = True
     urgent_first: bool = True
     predict: bool = True
-    weight_of: Callable[[str], int] = equal_weight
+    weight_of: Callable[[str], float] = equal_weight
     team_order: str = "start_time"
--- a/packages/entry/bramleyrill_entry/_metrics.py
+++ b/packages/entry/bramleyrill_entry/_metrics.py
@@ -10,6 +10,7 @@
 from bramleyrill_core.statements import Answer
 
 from bramleyrill_entry._run_request import RunRequest, RunResult
+from bramleyrill_entry._team_metrics import TeamMetrics
 
 LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 2.0, 3.0, 6.0)
 
@@ -21,7 +22,8 @@
     are read, since a process spends more time on its import than on serving its first callers.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, teams: TeamMetrics | None = None) -> None:
+        self._teams = teams or TeamMetrics()
         self._statements: Counter[tuple[str, str, str]] = Counter()
         self._on_time: Counter[tuple[str, str]] = Counter()
         self._runs: Counter[tuple[str, str]] = Counter()
@@ -91,6 +93,7 @@
             ["kind", "outcome"],
             self._runs,
         )
+        yield from self._teams.collect()
         for name, value in self._gauges_by_name.items():
             yield GaugeMetricFamily(f"bramleyrill_{name}", name.replace("_", " "), value=value)
 
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -85,7 +85,7 @@
         self.health = services[VmHealth] = VmHealth(self.state, QUEUE_TICK_INTERVAL)
         self.gossip.health = self.health
         self.health.change_hooks.append(self.gossip.announce)
-        self.metrics = EntryMetrics()
+        self.metrics = EntryMetrics(self.state.team_metrics)
         self.executor = Executor(self.net, self.schedulers)
         router = Router(self.state, self.executor, self.metrics)
         self.front = Front(self.state, router, self.metrics, listeners.callers)
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -4,12 +4,20 @@
 """
 
 import itertools
+from collections import Counter
 from datetime import timedelta
 
 from attrs import define
 from bramleyrill_base import log_event
 from bramleyrill_core import Mark
-from bramleyrill_core.admission import MemberAdmission, Queued, Refused, Started
+from bramleyrill_core.admission import (
+    MemberAdmission,
+    Queued,
+    Refused,
+    RestingTransaction,
+    Started,
+    resting_to_end,
+)
 from bramleyrill_core.catalog import MemberEntry
 from bramleyrill_core.statements import Answer, AnswerCode, StatementKind, TransactionState
 from bramleyrill_platform import lines
@@ -30,7 +38,8 @@
 MAX_CONNECTION_ATTEMPTS = 3
 # Suggested to callers that were refused because the primary may have been replaced.
 NO_PERMIT_RETRY_AFTER = timedelta(seconds=1)
-# A transaction without a statement for this long is rolled back: its entry VM failed or lost it.
+# A transaction of no team without a statement for this long is rolled back: its entry VM failed or
+# lost it. Those of teams are ended as soon as others wait for what they hold.
 TRANSACTION_IDLE_LIMIT = timedelta(seconds=30)
 
 # Id of the entry VM, and the id of the transaction, which is unique at that VM.
@@ -41,9 +50,10 @@
 class OpenTransaction:
     """A transaction that is open at the member, with its dedicated connection.
 
-    `admission_id` is its request id in both admission queues. `running` is True while a statement
-    is in progress. `wrote` is True after a successful write: only then does its COMMIT prove that
-    the member is still the primary, since a replica can commit a read-only transaction.
+    `admission_id` is its request id in both admission queues, and `team` on whose behalf it runs.
+    `running` is True while a statement is in progress. `wrote` is True after a successful write:
+    only then does its COMMIT prove that the member is still the primary, since a replica can
+    commit a read-only transaction.
     """
 
     admission_id: int
@@ -51,6 +61,7 @@
     last_used_at: timedelta
     running: bool = False
     wrote: bool = False
+    team: str = ""
 
 
 class MemberScheduler:
@@ -69,12 +80,16 @@
         self._state = state
         slots = member.slots + EXTRA_IN_FLIGHT
         self._statement_admission = MemberAdmission(
-            member.service, slots, EXPECTED_STATEMENT_TIME, state.clock
+            member.service, slots, EXPECTED_STATEMENT_TIME, state.clock, state.weight_of
         )
         # Idle transactions must leave enough connections to use all slots of the member.
         transaction_slots = max(1, connections - member.slots)
         self._transaction_admission = MemberAdmission(
-            member.service, transaction_slots, EXPECTED_TRANSACTION_TIME, state.clock
+            member.service,
+            transaction_slots,
+            EXPECTED_TRANSACTION_TIME,
+            state.clock,
+            state.weight_of,
         )
         self._transactions: dict[TransactionKey, OpenTransaction] = {}
         self._admission_ids = itertools.count(1)
@@ -128,9 +143,40 @@
             self._deliver_outcomes(admission, admission.tick())
         now = self._state.now()
         for key, transaction in list(self._transactions.items()):
-            if not transaction.running and now - transaction.last_used_at > TRANSACTION_IDLE_LIMIT:
-                log_event("exchange_forgotten", member=self.member.id, vm=key[0], exchange=key[1])
-                self._close_transaction(key, transaction)
+            idle_for = now - transaction.last_used_at
+            if transaction.running or transaction.team or idle_for <= TRANSACTION_IDLE_LIMIT:
+                continue
+            log_event("exchange_forgotten", member=self.member.id, vm=key[0], exchange=key[1])
+            self._close_transaction(key, transaction)
+        self._end_resting_transactions(now)
+
+    def _end_resting_transactions(self, now: timedelta) -> None:
+        """Roll back resting transactions of teams for callers that wait for what they hold."""
+        waiting_by_team = self._transaction_admission.waiting_by_team()
+        if not waiting_by_team:
+            return
+        resting = [
+            RestingTransaction(key, item.team, now - item.last_used_at)
+            for key, item in self._transactions.items()
+            if item.team and not item.running
+        ]
+        held_by_team = Counter(item.team for item in self._transactions.values())
+        idle_limit = self._state.catalog.transaction_idle_timeout
+        for key in resting_to_end(
+            resting, waiting_by_team, held_by_team, idle_limit, self._state.weight_of
+        ):
+            transaction = self._transactions[key]
+            log_event(
+                "resting_transaction_ended",
+                member=self.member.id,
+                team=transaction.team,
+                vm=key[0],
+                exchange=key[1],
+                idle=now - transaction.last_used_at,
+                held=held_by_team[transaction.team],
+                waiting=sum(waiting_by_team.values()),
+            )
+            self._close_transaction(key, transaction)
 
     def close(self) -> None:
         """Roll back all transactions and close all connections."""
@@ -184,6 +230,7 @@
             now + request.on_time_left,
             now + request.max_wait,
             request.team,
+            lines.item_of(request.statement) if request.team and request.fence else "",
         )
         return self._wait_for_admission(admission, admission_id, outcome)
 
@@ -195,6 +242,20 @@
             if waiter is not None:
                 waiter.set(outcome)
 
+    def _record_wait(
+        self, request: RunRequest, submitted_at: timedelta, refusal: Refused | None
+    ) -> timedelta:
+        """Count the wait since a request was submitted in its team's metrics, and return it."""
+        waited = self._state.now() - submitted_at
+        if request.team:
+            self._state.team_metrics.record_wait(request.team, waited, refusal is not None)
+        return waited
+
+    def _record_slot_time(self, request: RunRequest, started_at: timedelta) -> None:
+        if request.team:
+            used = self._state.now() - started_at
+            self._state.team_metrics.record_slot_time(request.team, used)
+
     def _wait_while_paused(self, max_wait: timedelta) -> None:
         """Wait until a planned change of primary ends its pause, at most for `max_wait`."""
         deadline = self._state.now() + max_wait
@@ -210,12 +271,13 @@
         admission_id = next(self._admission_ids)
         submitted_at = self._state.now()
         refusal = self._submit(self._statement_admission, admission_id, request)
-        waited = self._state.now() - submitted_at
+        waited = self._record_wait(request, submitted_at, refusal)
         if refusal is not None:
             return _overloaded_result(refusal, waited)
         try:
             result = self._run_with_retries(request)
         finally:
+            self._record_slot_time(request, submitted_at + waited)
             self._deliver_outcomes(
                 self._statement_admission, self._statement_admission.finish(admission_id)
             )
@@ -311,7 +373,7 @@
                 self._deliver_outcomes(
                     self._transaction_admission, self._transaction_admission.finish(admission_id)
                 )
-        waited = self._state.now() - submitted_at
+        waited = self._record_wait(request, submitted_at, refusal)
         if refusal is not None:
             return _overloaded_result(refusal, waited)
         try:
@@ -344,7 +406,9 @@
                 self.pool.release(connection)
                 return _refused_begin_result(begin_answer)
             key = peer, request.transaction_id
-            transaction = OpenTransaction(admission_id, connection, self._state.now())
+            transaction = OpenTransaction(
+                admission_id, connection, self._state.now(), team=request.team
+            )
             self._transactions[key] = transaction
             return self._run_in_transaction(key, transaction, request)
         return RunResult(problem=RunProblem.UNREACHABLE)
@@ -363,7 +427,7 @@
         refusal = self._wait_for_admission(
             self._statement_admission, transaction.admission_id, outcome
         )
-        waited = self._state.now() - submitted_at
+        waited = self._record_wait(request, submitted_at, refusal)
         if refusal is not None:
             transaction.running = False
             self._close_transaction(key, transaction)
@@ -391,6 +455,7 @@
         finally:
             transaction.running = False
             transaction.last_used_at = self._state.now()
+            self._record_slot_time(request, sent_at)
         if request.statement.kind is StatementKind.COMMIT and transaction.wrote:
             result = self._confirm_write(request, result)
         answer = result.answer
--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -371,8 +371,11 @@
     # Input.
 
     def _read_statement_line(self) -> str:
-        """Wait for the next message; roll back a transaction that is idle for too long."""
-        if self._session.transaction is TransactionState.OPEN:
+        """Wait for the next message; roll back a transaction that is idle for too long.
+
+        A team's transaction may rest: its holder rolls it back if others wait for what it holds.
+        """
+        if self._session.transaction is TransactionState.OPEN and not self._session.team:
             self._sock.settimeout(self._state.catalog.transaction_idle_timeout.total_seconds())
             try:
                 return self._read_line()
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -9,6 +9,7 @@
 from attrs import Factory, define, field
 from bramleyrill_base import Clock, log_event
 from bramleyrill_core import Mark, VmId
+from bramleyrill_core.admission import TeamWeights
 from bramleyrill_core.catalog import EMPTY_CATALOG, Catalog, MemberTable
 from bramleyrill_core.freshness import ProofTable
 from bramleyrill_core.history import StoreHistory
@@ -17,6 +18,7 @@
 from gevent.event import Event
 
 from bramleyrill_entry._settings import EntrySettings
+from bramleyrill_entry._team_metrics import TeamMetrics
 
 
 class Signal:
@@ -49,6 +51,7 @@
     it starts to close each session after its current answer. `requests_running` counts the
     statements of callers in progress. `watches_store` is whether this VM follows the store itself;
     otherwise it learns of changes from its peers. `history` is the era of the store that it knows.
+    `team_metrics` counts the work of teams at the members that this VM is the holder of.
     """
 
     settings: EntrySettings
@@ -66,6 +69,11 @@
     closing_sessions: bool = False
     requests_running: int = 0
     watches_store: bool = True
+    team_metrics: TeamMetrics = field(factory=TeamMetrics)
+    _weights: TeamWeights = field(
+        init=False,
+        default=Factory(lambda state: TeamWeights(lambda: state.catalog.teams), takes_self=True),
+    )
     history: StoreHistory = field(
         default=Factory(lambda state: StoreHistory(state.clock), takes_self=True)
     )
@@ -79,6 +87,10 @@
         """Return the monotonic time, which includes time in suspend."""
         return self.clock.monotonic()
 
+    def weight_of(self, team: str) -> float:
+        """Return the weight of a team at contended members, by the configuration in force."""
+        return self._weights.of(team)
+
     def apply_catalog(self, catalog: Catalog, body: Any, source: str) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
         if catalog.version <= self.catalog.version:
