--- a/packages/cli/bramleyrill_cli/_burn_metrics.py
+++ b/packages/cli/bramleyrill_cli/_burn_metrics.py
@@ -12,6 +12,8 @@
 from prometheus_client.parser import text_string_to_metric_families
 from prometheus_client.samples import Sample
 
+from bramleyrill_cli._histogram import quantile_of
+
 HTTP_TIMEOUT_S = 5.0
 _NO_FLEET = "-"
 _QUANTILES = (0.5, 0.99)
@@ -31,13 +33,6 @@
     target_s: float = 0.0
     by_bound: Counter = field(factory=Counter)
 
-    def quantile(self, quantile_rank: float) -> timedelta:
-        """Return the upper bound of the bucket in which the quantile lies."""
-        min_count = quantile_rank * max(self.by_bound.values(), default=0.0)
-        bounds = [bound for bound, count in self.by_bound.items() if count >= min_count]
-        finite = [bound for bound in self.by_bound if bound != float("inf")]
-        return timedelta(seconds=min(min(bounds, default=0.0), max(finite, default=0.0)))
-
 
 def read_metrics(source: str) -> str:
     """Return the contents of a file or an http:// URL; raise MetricsError if it is unreadable."""
@@ -90,7 +85,7 @@
 def _burn_row(key: tuple[str, str], counts: _ClassCounts, objective: float) -> BurnRow:
     service, rank = key
     window = WindowCounts(int(counts.offered), int(counts.served), int(counts.on_time))
-    p50, p99 = (counts.quantile(quantile_rank) for quantile_rank in _QUANTILES)
+    p50, p99 = (quantile_of(counts.by_bound, quantile_rank) for quantile_rank in _QUANTILES)
     return BurnRow(
         WorkClass(_NO_FLEET, service, Rank[rank.upper()]),
         timedelta(seconds=counts.target_s),
--- a/packages/cli/bramleyrill_cli/_report.py
+++ b/packages/cli/bramleyrill_cli/_report.py
@@ -1,10 +1,18 @@
 """The command `report burn`."""
 
+from collections.abc import Sequence
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Annotated
 
-from bramleyrill_core.burn import BurnRow, merge_snapshots, to_html, to_text
+from bramleyrill_core.burn import (
+    BurnRow,
+    TeamRow,
+    merge_snapshots,
+    teams_to_text,
+    to_html,
+    to_text,
+)
 from bramleyrill_daemon.platform import PlatformError
 from cyclopts import Parameter
 
@@ -29,7 +37,7 @@
     """Report how fast each fleet, service and rank uses up its error budget.
 
     Merges the counts of the last hour from every VM, or reads the metrics of entry VMs on the
-    prepared platform, which cover the time since those started.
+    prepared platform, which cover the time since those started and show the teams too.
 
     Parameters
     ----------
@@ -67,19 +75,23 @@
 
 def _report_metrics(sources: list[str], objective: float, html: Path | None) -> int:
     from bramleyrill_cli._burn_metrics import MetricsError, burn_rows_from_metrics, read_metrics
+    from bramleyrill_cli._team_figures import team_rows_from_metrics
 
     try:
         texts = [read_metrics(source) for source in sources]
     except MetricsError as error:
         print(f"the metrics cannot be read: {error}")
         return 2
-    _output_rows(burn_rows_from_metrics(texts, objective), len(texts), html)
+    rows, teams = burn_rows_from_metrics(texts, objective), team_rows_from_metrics(texts)
+    _output_rows(rows, len(texts), html, teams)
     return 0
 
 
-def _output_rows(rows: list[BurnRow], vms: int, html: Path | None) -> None:
+def _output_rows(
+    rows: list[BurnRow], vms: int, html: Path | None, teams: Sequence[TeamRow] = ()
+) -> None:
     if html is None:
-        print(to_text(rows))
+        print("\n".join(part for part in (to_text(rows), teams_to_text(list(teams))) if part))
         return
-    html.write_text(to_html(rows, datetime.now(UTC), vms), "utf-8")
+    html.write_text(to_html(rows, datetime.now(UTC), vms, teams), "utf-8")
     print(f"wrote {html}")
--- a/packages/core/bramleyrill_core/admission/__main__.py
+++ b/packages/core/bramleyrill_core/admission/__main__.py
@@ -1,9 +1,13 @@
-"""Simulate floods and print the results: `python -m bramleyrill_core.admission [SEED]`."""
+"""Simulate floods and print the results: `python -m bramleyrill_core.admission [SEED]`.
+
+With `teams` as the first argument, the floods are those of teams: `... admission teams [SEED]`.
+"""
 
 import sys
 
 from bramleyrill_core._values import Rank
 from bramleyrill_core.admission import FloodPlan, format_flood_results, simulate_flood
+from bramleyrill_core.admission._team_plays import format_team_plays
 
 SLOW = {"slow_from_s": 10.0, "slow_to_s": 25.0}
 THRASHING = {"slots": 5, "contended_above": 2, "load_scale": 0.15, "multiple": 10.0}
@@ -32,4 +36,10 @@
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]) if len(sys.argv) > 1 else 1)
+    by_teams = sys.argv[1:2] == ["teams"]
+    seeds = [int(word) for word in sys.argv[2 if by_teams else 1 :]]
+    seed = seeds[0] if seeds else 1
+    if by_teams:
+        print("\n".join(format_team_plays(seed)))
+    else:
+        main(seed)
--- a/packages/core/bramleyrill_core/burn/_render.py
+++ b/packages/core/bramleyrill_core/burn/_render.py
@@ -1,9 +1,11 @@
 """Burn reports as text and as a self-contained HTML page."""
 
+from collections.abc import Sequence
 from datetime import datetime, timedelta
 from html import escape
 
 from bramleyrill_core.burn._report import BurnRow
+from bramleyrill_core.burn._teams import TeamRow, teams_to_html
 
 _MILLISECOND = timedelta(milliseconds=1)
 # Burn rates that spend the budget of an hour in 5 minutes, and in exactly one hour.
@@ -46,7 +48,7 @@
     return "\n".join(lines) + "\n"
 
 
-def to_html(rows: list[BurnRow], at: datetime, vms: int = 1) -> str:
+def to_html(rows: list[BurnRow], at: datetime, vms: int = 1, teams: Sequence[TeamRow] = ()) -> str:
     """Return a page without external resources; `vms` is the number of VMs in the report."""
     body = "\n".join(_to_row(row) for row in rows)
     timestamp = escape(at.isoformat(timespec="seconds"))
@@ -61,7 +63,8 @@
         f"<h1>Service by rank</h1><table><caption>At {timestamp}, from {vms} VM(s). "
         "A burn rate of 1 spends the budget of the hour exactly; the line in each bar is the goal."
         "</caption>"
-        f"<thead><tr>{header_cells}</tr></thead><tbody>\n{body}\n</tbody></table></body></html>\n"
+        f"<thead><tr>{header_cells}</tr></thead><tbody>\n{body}\n</tbody></table>{teams_to_html(list(teams))}"
+        "</body></html>\n"
     )
 
 
