Leave a quarter of a member's connections to its next holder where teams fill them

Cause: after a power loss of all VMs callers got their first answers after three seconds: members keep the connections of a vanished VM for 3 s, the holder had filled 55 of 57 with those of teams, and the next one met MAXCONN (76 refused dials in the 1.5 s after the start, answers from 37.5 s on where the VMs were up at 36.0 s). Without teams a pool holds few connections.

Change: with teams the holder's limit is three quarters of the member's.

--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -15,6 +15,9 @@
 # Part of the member's connection limit that is left to VMs that connect to it directly because
 # they cannot reach its holder.
 SPARE_CONNECTIONS = 2
+# With teams a holder fills its limit, since each connection serves one team only. A member keeps the
+# connections of a VM that lost power for seconds; its next holder needs this share meanwhile.
+SUCCESSOR_SHARE = 0.25
 # A VM of another failure domain is not normally the holder, so it uses only spare connections.
 REMOTE_DOMAIN_CONNECTIONS = 2
 MIN_CONNECTIONS = 2
@@ -138,6 +141,8 @@
         limit = service.max_connections if service else 0
         if row.entry.domain != self._state.settings.domain:
             return REMOTE_DOMAIN_CONNECTIONS
+        if self._state.catalog.teams.enabled:
+            limit -= round(SUCCESSOR_SHARE * limit)
         return max(limit - SPARE_CONNECTIONS, MIN_CONNECTIONS)
 
     def _update_draining(self, now: timedelta) -> None:
--- a/tests/entry/test_team_keys.py
+++ b/tests/entry/test_team_keys.py
@@ -60,6 +60,15 @@
         self.assertTrue(self.open("k2").query("READ a")[0].startswith("COMPLETE"))
         self.assertLessEqual(pool.size, 2)
 
+    def test_holder_leaves_connections_for_its_successor(self):
+        """After a power loss members refused the next holder until they had dropped the old one."""
+        pool = self.schedulers.scheduler_for("m1").pool
+        self.assertEqual(pool.limit, 10)
+        for number in range(3 * pool.limit):
+            self.open("k1").query("BEGIN")
+            self.assertLessEqual(pool.size, pool.limit)
+        self.assertLess(pool.limit, self.group.max_connections - 4)
+
     def test_unknown_or_missing_key_is_refused_at_once(self):
         for key in ("k3", "", "k1 k1", "\udcff"):
             self.open(key.encode("utf-8", "surrogateescape").decode("latin-1"))
