Hold members by the square of a VM's capacity, and learn a capacity left out

Cause: by capacity alone the many small VMs of a domain hold most of its members (by arithmetic 57% where two VMs have six times the capacity of sixteen others), although each of them serves as many callers as the large ones. A VM first heard of through an older build kept an unknown capacity for good. Change: the weight is the square of the capacity; a capacity that was left out is learned later; fields of an entry that are 0 are left out of pings; news of slow VMs are passed on four times a second at most.

--- a/packages/core/bramleyrill_core/placement/_capacity.py
+++ b/packages/core/bramleyrill_core/placement/_capacity.py
@@ -49,5 +49,10 @@
 
 
 def holding_weight(capacity: int) -> int:
-    """Return the weight of a VM among the holders of its domain."""
-    return max(capacity, MIN_CAPACITY)
+    """Return the weight of a VM among the holders of its domain: the square of its capacity.
+
+    Each VM serves as many callers as the others, as the balancer does not know capacities, so what
+    is left to hold members with grows faster than the capacity. The weight does not depend on the
+    other VMs: otherwise each VM that comes or goes would move members between two others.
+    """
+    return max(capacity, MIN_CAPACITY) ** 2
--- a/packages/core/bramleyrill_core/placement/_vms.py
+++ b/packages/core/bramleyrill_core/placement/_vms.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 from bramleyrill_base import Table
 
 from bramleyrill_core.catalog._model import Address
@@ -94,7 +94,7 @@
             return False
         row = self.vms.get(entry.id)
         if row is not None and entry.age_key <= row.entry.age_key:
-            return False
+            return self._learn_capacity(row, entry)
         if row is not None and entry.started_ms == row.entry.started_ms:
             # The process is the same; what a third VM tells of it doesn't make it reachable.
             row.entry = entry
@@ -156,6 +156,15 @@
         """Return all known VMs, including this one."""
         return [self.own, *(row.entry for row in self.vms)]
 
+    def _learn_capacity(self, row: VmRow, entry: VmEntry) -> bool:
+        """Take a capacity that a VM of an older build left out when it told of the same process."""
+        is_same_process = entry.started_ms == row.entry.started_ms
+        if row.entry.capacity or not entry.capacity or not is_same_process:
+            return False
+        row.entry = evolve(row.entry, capacity=entry.capacity)
+        self._record_change()
+        return True
+
     def _record_change(self) -> None:
         self.version += 1
         self.cache.clear()
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -11,6 +11,7 @@
 from bramleyrill_base import log_event
 from bramleyrill_core.history import StoreRevision
 from bramleyrill_core.placement import VmEntry, VmNews, VmRow, is_news
+from bramleyrill_core.vm_health import MAX_DELAY
 from bramleyrill_platform import DecodeError, Listing, StoredObject, decode_catalog
 from bramleyrill_wire.entries import frames
 
@@ -34,6 +35,8 @@
 OWN_DOMAIN_PINGS = 2
 # News of a VM wait this long before they are passed on, for others that come at the same time.
 NEWS_DELAY = timedelta(milliseconds=20)
+# A VM passes news on no more often, when many VMs become slow in the same second.
+MIN_NEWS_INTERVAL = timedelta(milliseconds=250)
 # Probability of pinging a VM of another failure domain; low because that traffic costs more.
 OTHER_DOMAIN_PING_CHANCE = 0.3
 # Maximum number of failed VMs that are pinged each time to see whether they are back.
@@ -54,6 +57,7 @@
         self._catching_up = False
         self.news = VmNews()
         self._passing_on = False
+        self._next_pass_on_at = timedelta()
         self.health: VmHealth | None = None
         self.behind_hooks: list[Callable[[], None]] = []
         self.listing_hooks: list[Callable[[Listing], None]] = []
@@ -92,7 +96,7 @@
                     store_era=state.members.revision.era,
                     store_era_age_ms=era_age_ms(state),
                     news=self.news_to_tell() or None,
-                    late_by_us=None if late_by is None else late_by // _MICROSECOND,
+                    late_by_us=None if late_by is None else min(late_by, MAX_DELAY) // _MICROSECOND,
                     loop_delay_us=self.health.loop_delay_us if self.health else None,
                 ),
                 PING_TIMEOUT,
@@ -167,10 +171,12 @@
         """Ping a few VMs with what is new; changes that come together are passed on together."""
         if not self._passing_on:
             self._passing_on = True
-            gevent.spawn_later(NEWS_DELAY.total_seconds(), self._pass_on)
+            pause = max(self._next_pass_on_at - self._state.now(), NEWS_DELAY)
+            gevent.spawn_later(pause.total_seconds(), self._pass_on)
 
     def _pass_on(self) -> None:
         self._passing_on = False
+        self._next_pass_on_at = self._state.now() + MIN_NEWS_INTERVAL
         domain = self._state.settings.domain
         rows = [row for row in self._state.vms.vms if row.entry.domain == domain and row.usable]
         for row in random.sample(rows, min(OWN_DOMAIN_PINGS, len(rows))):
--- a/packages/entry/bramleyrill_entry/_health.py
+++ b/packages/entry/bramleyrill_entry/_health.py
@@ -16,6 +16,7 @@
     slow_vms,
 )
 from bramleyrill_core.vm_health import (
+    MAX_DELAY,
     Change,
     Evidence,
     RotationBudget,
@@ -112,7 +113,7 @@
     @property
     def loop_delay_us(self) -> int:
         """Return how late timers fire, for peers."""
-        return self.observation.loop_delay // _MICROSECOND
+        return min(self.observation.loop_delay, MAX_DELAY) // _MICROSECOND
 
     def record_round_trip(self, peer: VmEntry, round_trip: timedelta) -> timedelta:
         """Record the round trip of a ping; return by how much the answer was late, or zero."""
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -156,10 +156,10 @@
         log_event("settings_reloaded", seeds=len(settings.seed_peers), grace_s=settings.grace_s)
 
     def _queue_tick(self) -> None:
-        self.health.timer_fired()
         try:
-            self.schedulers.tick()
+            self.health.timer_fired()
         finally:
+            self.schedulers.tick()
             self.health.timer_set()
 
     def _gossip_tick(self) -> None:
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -9,8 +9,8 @@
 }
 
 // `capacity` is in thousandths of a core, 0 if unknown. `slow_ms` is 0, or by how much the VM was
-// late when it judged itself slow; `sequence` grows with each change of it. A build that knows none
-// of the three leaves them out.
+// late when it judged itself slow; `sequence` grows with each change of it. A field that is 0 is left
+// out, and a build that knows none of the three leaves all out.
 struct Vm {
   1: string id, 2: string domain, 3: string host, 4: i32 port, 5: i64 started_ms, 6: bool leaving,
   7: i32 capacity, 8: i32 slow_ms, 9: i32 sequence
@@ -26,14 +26,14 @@
 // slow or fine a moment ago.
 struct Ping {
   1: i64 call, 2: i64 catalog_version, 3: i64 vms_known, 4: Vm vm, 5: i64 members_revision,
-  6: i64 store_era, 7: i64 store_era_age_ms, 10: optional i64 late_by_us,
-  11: optional i64 loop_delay_us, 12: optional list<Vm> news
+  6: i64 store_era, 7: i64 store_era_age_ms, 10: optional i32 late_by_us,
+  11: optional i32 loop_delay_us, 12: optional list<Vm> news
 }
 // `vms` lists the VMs that became slow or fine a moment ago if the requesting VM knows as many VMs,
 // else all.
 struct Pong {
   1: i64 call, 2: i64 catalog_version, 3: list<Vm> vms, 4: Vm vm, 5: i64 members_revision,
-  6: i64 store_era, 7: i64 store_era_age_ms, 10: optional i64 loop_delay_us
+  6: i64 store_era, 7: i64 store_era_age_ms, 10: optional i32 loop_delay_us
 }
 
 // Runs one statement on a member. `exchange` is 0 for a single statement, else the ID of the
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -77,8 +77,8 @@
         5: (TType.I64, "members_revision", False),
         6: (TType.I64, "store_era", False),
         7: (TType.I64, "store_era_age_ms", False),
-        10: (TType.I64, "late_by_us", False),
-        11: (TType.I64, "loop_delay_us", False),
+        10: (TType.I32, "late_by_us", False),
+        11: (TType.I32, "loop_delay_us", False),
         12: (TType.LIST, "news", (TType.STRUCT, Vm), False),
     }
     default_spec = [
@@ -106,7 +106,7 @@
         5: (TType.I64, "members_revision", False),
         6: (TType.I64, "store_era", False),
         7: (TType.I64, "store_era_age_ms", False),
-        10: (TType.I64, "loop_delay_us", False),
+        10: (TType.I32, "loop_delay_us", False),
     }
     default_spec = [
         ("call", None),
