--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -15,8 +15,8 @@
 # Part of the member's connection limit that is left to VMs that connect to it directly because
 # they cannot reach its holder.
 SPARE_CONNECTIONS = 2
-# With teams a holder fills its limit, since each connection serves one team only. A member keeps the
-# connections of a VM that lost power for seconds; its next holder needs this share meanwhile.
+# With teams a holder fills its limit, since each connection serves one team only. A member keeps
+# the connections of a VM that lost power for seconds; its next holder needs this share meanwhile.
 SUCCESSOR_SHARE = 0.25
 # A VM of another failure domain is not normally the holder, so it uses only spare connections.
 REMOTE_DOMAIN_CONNECTIONS = 2
