--- a/packages/core/bramleyrill_core/admission/_fair_queue.py
+++ b/packages/core/bramleyrill_core/admission/_fair_queue.py
@@ -69,6 +69,7 @@
                 del self._requests_by_id[request.id]
                 return request
             self._parked_by_item.setdefault(request.item, OrderedDict())[request.id] = request
+            self._items.count_passed_over(request.item, 1)
         # All that wait are statements of hot items: idle slots would help nobody.
         item = next(iter(self._parked_by_item))
         return self._requests_by_id.pop(self._pop_parked(item).id)
@@ -86,8 +87,7 @@
         del self._requests_by_id[request.id]
         parked = self._parked_by_item.get(request.item)
         if parked is not None and parked.pop(request.id, None) is not None:
-            if not parked:
-                del self._parked_by_item[request.item]
+            self._note_unparked(request.item)
             return
         share = self._shares_by_team[request.team]
         if share.new.pop(request.id, None) is None:
@@ -181,8 +181,11 @@
             self._backlog_weight -= share.use.weight
 
     def _pop_parked(self, item: str) -> Request:
-        parked = self._parked_by_item[item]
-        request = parked.popitem(last=False)[1]
-        if not parked:
-            del self._parked_by_item[item]
+        request = self._parked_by_item[item].popitem(last=False)[1]
+        self._note_unparked(item)
         return request
+
+    def _note_unparked(self, item: str) -> None:
+        self._items.count_passed_over(item, -1)
+        if not self._parked_by_item[item]:
+            del self._parked_by_item[item]
--- a/packages/core/bramleyrill_core/admission/_hot_items.py
+++ b/packages/core/bramleyrill_core/admission/_hot_items.py
@@ -11,10 +11,14 @@
 
 
 class HotItems:
-    """Number of requests in progress by item; holds only items that are in progress."""
+    """Numbers of requests by item, in progress and passed over in any class of work.
+
+    It holds only items that have such requests.
+    """
 
     def __init__(self) -> None:
         self._running_by_item: Counter[str] = Counter()
+        self._passed_over_by_item: Counter[str] = Counter()
         self.limit = 1
 
     def set_slots(self, slots: int) -> None:
@@ -31,6 +35,18 @@
         if self._running_by_item[item] <= 0:
             del self._running_by_item[item]
 
+    def count_passed_over(self, item: str, change: int) -> None:
+        """Count a request that was passed over, or with -1 one that no longer is."""
+        self._passed_over_by_item[item] += change
+        if self._passed_over_by_item[item] <= 0:
+            del self._passed_over_by_item[item]
+
+    def wait_s(self, item: str, mean_s: float) -> float:
+        """Return how long one more request of an item waits for those that were passed over."""
+        if not self.is_full(item):
+            return 0.0
+        return (self._passed_over_by_item.get(item, 0) + 1) * mean_s / self.limit
+
     def is_full(self, item: str) -> bool:
         """Return whether an item uses all slots that it may while others wait."""
         return bool(item) and self._running_by_item.get(item, 0) >= self.limit
--- a/packages/core/bramleyrill_core/admission/_queue.py
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -1,7 +1,6 @@
 """Admission queue for the slots of a member or of an entry VM."""
 
 import heapq
-import math
 from collections.abc import Hashable
 from datetime import timedelta
 
@@ -18,6 +17,7 @@
 from bramleyrill_core.admission._floors import FloorAccount, floor_margin
 from bramleyrill_core.admission._hot_items import HotItems
 from bramleyrill_core.admission._limit import InFlightLimit
+from bramleyrill_core.admission._recent_use import RecentUse
 from bramleyrill_core.admission._team_ledger import TeamLedger
 from bramleyrill_core.admission._team_order import team_orders
 from bramleyrill_core.admission._values import (
@@ -34,9 +34,7 @@
 # Weight of a statement in the moving average of its class's service time; the average covers
 # about the last 50 statements.
 _MEAN_WEIGHT = 0.02
-# Time constant of the average slot use by rank, from which waits are predicted, and the shortest
-# time between two updates of its decay.
-_USE_DECAY_S = 1.0
+# Shortest time between two updates of the decay of recent use.
 _USE_UPDATE_S = 0.005
 # With more classes waiting than this, the list of those below their floors is reused for a while,
 # longer for more classes: checking 96 classes for each request took 88 us.
@@ -84,8 +82,7 @@
         # The request is kept only if its class is shared by teams.
         self._running: dict[Hashable, tuple[ClassState, timedelta, float, Request | None]] = {}
         self._paused: dict[Hashable, ClassState] = {}
-        self._recent_use_by_rank = [0.0] * _RANKS
-        self._use_updated_s = 0.0
+        self._recent_use = RecentUse()
         self._sequence = 0
         self._load_floors()
 
@@ -154,7 +151,7 @@
             return self._refuse(request, state, ErrorKind.NOT_RUN_OVERLOADED, now)
         if self.policy.predict:
             wait_s, remaining_s = (
-                self._predict_wait_s(state, request.team, now),
+                self._predict_wait_s(state, request, now),
                 (request.deadline - now) / MICROSECOND * 1e-6,
             )
             # A short queue is never cut to the target.
@@ -340,16 +337,10 @@
                 account.accrue(now_s, slots)
             if account.floor:
                 account.charge(slot_time_s, slots)
-        if now_s - self._use_updated_s > _USE_UPDATE_S:
-            self._decay_use(now_s)
-        self._recent_use_by_rank[state.rank] += slot_time_s
-
-    def _decay_use(self, now_s: float) -> None:
-        factor = math.exp((self._use_updated_s - now_s) / _USE_DECAY_S)
-        self._use_updated_s = now_s
-        use = self._recent_use_by_rank
-        for rank in range(_RANKS):
-            use[rank] *= factor
+        recent_use = self._recent_use
+        if now_s - recent_use.updated_s > _USE_UPDATE_S:
+            recent_use.decay_to(now_s)
+        recent_use.by_rank[state.rank] += slot_time_s
 
     def _dispatch(self, now: timedelta) -> list[Started | Refused]:
         outcomes: list[Started | Refused] = []
@@ -405,23 +396,18 @@
         states = next(states for states in self._waiting_by_rank if states)
         return next(iter(states.values()))
 
-    def _predict_wait_s(self, state: ClassState, team: str, now: timedelta) -> float:
-        """Return the expected wait in seconds of one more request of a team in the class.
+    def _predict_wait_s(self, state: ClassState, request: Request, now: timedelta) -> float:
+        """Return the expected wait in seconds of one more request like this one in the class.
 
         The class is assumed to get the share of the slots that recent use by higher ranks and by
         the floors of lower ranks leaves, and at least its own floor.
         """
-        self._decay_use(now / MICROSECOND * 1e-6)
+        self._recent_use.decay_to(now / MICROSECOND * 1e-6)
         limit = int(self._limit.value)
-        share = 1.0
-        for rank, use in enumerate(self._recent_use_by_rank):
-            used = use / (_USE_DECAY_S * limit)
-            if rank < state.rank:
-                share -= used
-            elif rank > state.rank:
-                share -= min(used, self._floor_by_rank[rank])
+        share = self._recent_use.share_left_to(state.rank, limit, self._floor_by_rank)
         share = max(share, state.policy.floor, 0.001)
-        return state.work_ahead_s(team) / (limit * share)
+        wait_s = state.work_ahead_s(request.team) / (limit * share)
+        return max(wait_s, self._hot_items.wait_s(request.item, state.mean_s))
 
     def _refuse(
         self,
@@ -433,7 +419,7 @@
     ) -> Refused:
         state.last_refused_at = now
         if wait_s < 0:
-            wait_s = self._predict_wait_s(state, request.team, now)
+            wait_s = self._predict_wait_s(state, request, now)
         hint = timedelta(seconds=min(max(wait_s, _MIN_RETRY_HINT_S), _MAX_RETRY_HINT_S))
         return Refused(request.id, Problem(kind, f"rank {state.key.rank.name.lower()}", hint))
 
--- a/tests/admission/test_teams.py
+++ b/tests/admission/test_teams.py
@@ -141,6 +141,18 @@
         self.assertEqual(len(running), 4)
         self.assertEqual(len(self.serve(running, 10)), 10)
 
+    def test_statement_of_a_hot_item_that_cannot_be_in_time_is_refused_at_once(self):
+        """Guards against statements that are passed over until their deadline."""
+        self.admission = self.build(slots=4)
+        self.fill("a", 200)
+        for number in range(40):
+            self.submit(f"hot{number}", item="k1")
+        self.serve([1, 2, 3, 4], 22)
+        outcome = self.submit("last", on_time=30, wait=60, item="k1")
+        self.assertIsInstance(outcome, Refused)
+        self.assertGreaterEqual(outcome.problem.retry_after, 60 * MS)
+        self.assertIsInstance(self.submit("last", on_time=30, wait=60), Queued)
+
     def test_withdrawn_and_expired_requests_never_start(self):
         """Guards against slots for callers that have gone, also if they were passed over."""
         self.fill("a", 2, item="k")
