--- a/packages/core/bramleyrill_core/placement/__init__.py
+++ b/packages/core/bramleyrill_core/placement/__init__.py
@@ -7,22 +7,46 @@
     capacity_of,
 )
 from bramleyrill_core.placement._holders import holder_candidates, watches_platform
+from bramleyrill_core.placement._lengths import TransactionLengths
+from bramleyrill_core.placement._load import LoadSource, MemberLoad, StampFault
+from bramleyrill_core.placement._meter import LoadMeter
 from bramleyrill_core.placement._news import VmNews, is_news
-from bramleyrill_core.placement._reads import ReadPlacement
+from bramleyrill_core.placement._policies import read_policies
+from bramleyrill_core.placement._reads import (
+    DEFAULT_READ_POLICY,
+    LAST_WAIT_POLICY,
+    Placed,
+    ReadPlacement,
+    Standing,
+)
+from bramleyrill_core.placement._repeats import RepeatBudget
+from bramleyrill_core.placement._shares import order_by_shares
 from bramleyrill_core.placement._slow_vms import (
     MAX_SLOW_MS,
     may_be_marked,
     may_leave_rotation,
     slow_vms,
 )
+from bramleyrill_core.placement._stamp import LoadStamp, unpack_stamp
 from bramleyrill_core.placement._vms import MAX_SEQUENCE, VmEntry, VmRow, VmTable
 
 __all__ = [
+    "DEFAULT_READ_POLICY",
+    "LAST_WAIT_POLICY",
     "MAX_SEQUENCE",
     "MAX_SLOW_MS",
     "UNKNOWN_CAPACITY",
+    "LoadMeter",
+    "LoadSource",
+    "LoadStamp",
+    "MemberLoad",
     "OwnCapacity",
+    "Placed",
     "ReadPlacement",
+    "RepeatBudget",
+    "Standing",
+    "StampFault",
+    "TransactionLengths",
     "VmEntry",
     "VmNews",
     "VmRow",
@@ -33,6 +57,9 @@
     "is_news",
     "may_be_marked",
     "may_leave_rotation",
+    "order_by_shares",
+    "read_policies",
     "slow_vms",
+    "unpack_stamp",
     "watches_platform",
 ]
--- a/packages/entry/bramleyrill_entry/_attempt.py
+++ b/packages/entry/bramleyrill_entry/_attempt.py
@@ -22,6 +22,7 @@
     `not_committed` is True while no attempt can have committed anything. `may_have_run` is True
     once an attempt whose answer was lost, or was FAILED, may have run at a member.
     `no_permit_since` is the time of the first attempt that found no permit for the primary.
+    `ends_early` is True while a read runs with a shorter limit, to be repeated elsewhere.
     """
 
     route: DatabaseRoute
@@ -34,6 +35,7 @@
     may_have_run: bool = False
     last_result: RunResult | None = None
     no_permit_since: timedelta | None = None
+    ends_early: bool = False
 
     def without_permit_for(self, now: timedelta) -> timedelta:
         """Record an attempt without a permit; return how long ago the first one was."""
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -15,6 +15,7 @@
 from bramleyrill_wire.entries import frames
 
 from bramleyrill_entry._health import VmHealth
+from bramleyrill_entry._load_reports import LoadReports
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError, decode_vm, encode_vm
 from bramleyrill_entry._peers import PeerNet, era_age_ms, handlers, make_pong
 from bramleyrill_entry._state import EntryState
@@ -110,6 +111,9 @@
             log_event("frame_rejected", vm=vm, frame="Pong", reason=error)
             return
         self.merge(entries, vm)
+        reports = self._net.services.get(LoadReports)
+        if reports is not None:
+            reports.hear_pong(vm, answer.loads)
         self.handle_peer_versions(vm, answer.catalog_version or 0, members_revision)
 
     def _record_round_trip(
@@ -302,7 +306,9 @@
         link.send(make_pong(net, frame.call, len(net.state.vms.entries())))
         return
     news = net.services[Gossip].news_to_tell()
-    link.send(make_pong(net, frame.call, frame.vms_known, news))
+    reports = net.services.get(LoadReports)
+    loads = reports.stamps_for(link.peer.domain) if reports is not None else None
+    link.send(make_pong(net, frame.call, frame.vms_known, news, loads))
 
 
 @handlers.register("CatalogPull")
--- a/packages/entry/bramleyrill_entry/_metrics.py
+++ b/packages/entry/bramleyrill_entry/_metrics.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bramleyrill_core.catalog import DatabaseRoute
+from bramleyrill_core.placement import Placed
 from bramleyrill_core.statements import Answer
 
 from bramleyrill_entry._run_request import RunRequest, RunResult
@@ -31,6 +32,8 @@
         self._latency_sums_s: Counter[tuple[str, str]] = Counter()
         self._targets_s: dict[tuple[str, str], float] = {}
         self._gauges_by_name: dict[str, float] = {}
+        # Reads by member and what became of them there; counted by the placement of reads.
+        self.reads_placed: Counter[tuple[str, Placed]] = Counter()
 
     def count_run(self, request: RunRequest, result: RunResult) -> None:
         """Count one attempt at a member."""
@@ -94,6 +97,17 @@
             self._runs,
         )
         yield from self._teams.collect()
+        yield _counter_family(
+            "bramleyrill_reads_placed",
+            "Reads by member: chosen first, repeated there, or passed by",
+            ["member", "placed"],
+            Counter(
+                {
+                    (member, placed.name.lower()): count
+                    for (member, placed), count in self.reads_placed.items()
+                }
+            ),
+        )
         for name, value in self._gauges_by_name.items():
             yield GaugeMetricFamily(f"bramleyrill_{name}", name.replace("_", " "), value=value)
 
--- a/packages/entry/bramleyrill_entry/_peers.py
+++ b/packages/entry/bramleyrill_entry/_peers.py
@@ -161,7 +161,13 @@
             hook(vm)
 
 
-def make_pong(net: PeerNet, call: int, vms_known: int, news: Sequence[Any] = ()) -> Any:
+def make_pong(
+    net: PeerNet,
+    call: int,
+    vms_known: int,
+    news: Sequence[Any] = (),
+    loads: bytes | None = None,
+) -> Any:
     """Return the answer to a ping.
 
     It lists all VMs if the sender knows fewer, else those of `news`. A sender that knows more gets
@@ -180,6 +186,7 @@
         store_era=state.members.revision.era,
         store_era_age_ms=era_age_ms(state),
         loop_delay_us=health.loop_delay_us if health else None,
+        loads=loads,
     )
 
 
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -20,6 +20,7 @@
 from bramleyrill_entry._health import VmHealth
 from bramleyrill_entry._http import HttpListeners
 from bramleyrill_entry._listen import Listeners
+from bramleyrill_entry._load_reports import LoadReports
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._output import set_up_output
 from bramleyrill_entry._peers import PeerNet
@@ -74,7 +75,7 @@
             settings,
             clock,
             VmTable(own),
-            ReadPlacement(settings.domain, settings.region_by_domain),
+            ReadPlacement(settings.domain, settings.region_by_domain, settings.read_policy),
         )
         services: dict[type, Any] = {}
         self.net = PeerNet(self.state, services, listeners.peers)
@@ -86,8 +87,10 @@
         self.gossip.health = self.health
         self.health.change_hooks.append(self.gossip.announce)
         self.metrics = EntryMetrics(self.state.team_metrics)
+        self.metrics.reads_placed = self.state.placement.counts
         self.executor = Executor(self.net, self.schedulers)
-        router = Router(self.state, self.executor, self.metrics)
+        self.loads = services[LoadReports] = LoadReports(self.state, self.schedulers)
+        router = Router(self.state, self.executor, self.metrics, self.loads)
         self.front = Front(self.state, router, self.metrics, listeners.callers)
         duties = DutyClient(settings.duties)
         self.supervisor = Supervisor(
@@ -170,6 +173,8 @@
         self.members.update_overdue()
         self.schedulers.maintain()
         self.state.vms.remove_silent(self.state.now())
+        self.state.placement.choosers = len(self.state.vms.entries())
+        self.loads.log_changes()
         self.metrics.set_gauge("sessions_open", len(self.front.sessions))
         self.health.update_metrics(self.metrics)
         self.metrics.set_gauge("store_calls", self.store.calls.total)
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -6,7 +6,12 @@
 from attrs import define
 from bramleyrill_base import log_event
 from bramleyrill_core.catalog import Consistency, DatabaseRoute, MemberEntry, MemberRow
-from bramleyrill_core.placement import holder_candidates
+from bramleyrill_core.placement import (
+    Placed,
+    RepeatBudget,
+    TransactionLengths,
+    holder_candidates,
+)
 from bramleyrill_core.statements import (
     Answer,
     AnswerCode,
@@ -18,6 +23,7 @@
 
 from bramleyrill_entry._attempt import StatementAttempts
 from bramleyrill_entry._executor import Executor
+from bramleyrill_entry._load_reports import LoadReports
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._run_request import NO_TRANSACTION, Opens, RunProblem, RunRequest, RunResult
 from bramleyrill_entry._state import EntryState
@@ -48,21 +54,29 @@
 class TransactionHandle:
     """Identifies a transaction that this VM opened at a member.
 
-    `vm` is the member's holder. `transaction_id` is unique at this VM.
+    `vm` is the member's holder. `transaction_id` is unique at this VM. `statements` counts those
+    that were sent.
     """
 
     vm: str
     member: str
     transaction_id: int
+    service: str
+    statements: int = 1
 
 
 class Router:
     """Run the statements of this VM's sessions at the holders of suitable members."""
 
-    def __init__(self, state: EntryState, executor: Executor, metrics: EntryMetrics) -> None:
+    def __init__(
+        self, state: EntryState, executor: Executor, metrics: EntryMetrics, loads: LoadReports
+    ) -> None:
         self._state = state
         self._executor = executor
         self._metrics = metrics
+        self._loads = loads
+        self._repeats = RepeatBudget()
+        self._lengths = TransactionLengths()
 
     def run_single(
         self, session: StatementSession, route: DatabaseRoute, statement: Statement
@@ -106,7 +120,8 @@
             or location is None
         ):
             return answer, None
-        return answer, TransactionHandle(location[0], location[1], request.transaction_id)
+        vm, member = location
+        return answer, TransactionHandle(vm, member, request.transaction_id, route.service)
 
     def continue_transaction(
         self,
@@ -123,10 +138,14 @@
         request = self._build_request(session, route, statement)
         request.transaction_id, request.member = transaction.transaction_id, transaction.member
         result = self._run(transaction.vm, request, attempts)
+        transaction.statements += 1
+        if not result.transaction_open:
+            self._lengths.record(route.service, transaction.statements)
         return self._final_answer(statement, attempts), result.transaction_open
 
     def end_transaction(self, transaction: TransactionHandle) -> None:
         """Roll back a transaction if it is still open."""
+        self._lengths.record(transaction.service, transaction.statements)
         self._executor.end_transaction(transaction.vm, transaction.transaction_id)
 
     def _new_attempts(self, route: DatabaseRoute, single: bool = False) -> StatementAttempts:
@@ -168,25 +187,57 @@
             for row in state.members.members_of_service(request.service)
             if row.accepts_work or row is primary
         ]
-        for member in state.placement.order(members, primary_id, state.now()):
+        opens = request.opens is not Opens.NOTHING
+        ordered = state.placement.order(
+            members,
+            primary_id,
+            state.now(),
+            key=request.team,
+            statements=self._lengths.expected(request.service) if opens else 1.0,
+        )
+        for member in ordered:
             if state.now() >= attempts.deadline or attempts.count >= MAX_ATTEMPTS:
                 return None
             vm = self._holder(member)
             self._prepare_attempt(request, member, attempts)
+            if not attempts.count and len(ordered) > 1:
+                self._limit_first_attempt(request, attempts)
+            if attempts.count:
+                state.placement.counts[member.id, Placed.REPEATED] += 1
             result = self._run(vm, request, attempts)
-            if self._judge_read_result(request, result, member.id) is AttemptOutcome.FINAL:
+            if (
+                self._judge_read_result(request, result, member.id, attempts)
+                is AttemptOutcome.FINAL
+            ):
                 return vm, member.id
         return None
 
+    def _limit_first_attempt(self, request: RunRequest, attempts: StatementAttempts) -> None:
+        """End the first attempt of a read when it outlives what its kind usually takes."""
+        limit = self._repeats.first_limit(_kind_of_read(request, attempts))
+        if attempts.single and limit is not None and limit < request.timeout:
+            request.timeout = limit
+            attempts.ends_early = True
+
     def _judge_read_result(
-        self, request: RunRequest, result: RunResult, member: str
+        self, request: RunRequest, result: RunResult, member: str, attempts: StatementAttempts
     ) -> AttemptOutcome:
         """Return whether to try the next member; record what the result says about this one."""
         now = self._state.now()
         placement = self._state.placement
-        if result.problem in _MEMBER_PROBLEMS or _is_failed_read(request, result):
+        if result.problem is RunProblem.TIMED_OUT and attempts.ends_early:
+            # The member may only be slow: it gets fewer reads, and is not avoided.
+            attempts.ends_early = False
+            self._repeats.spend()
+            placement.record_failed_read(member, now)
+            return AttemptOutcome.RETRY
+        attempts.ends_early = False
+        if result.problem in _MEMBER_PROBLEMS:
             placement.record_failure(member, now)
             return AttemptOutcome.RETRY
+        if _is_failed_read(request, result):
+            placement.record_failed_read(member, now)
+            return AttemptOutcome.RETRY
         if result.problem is None and result.answer.code not in _RETRYABLE_CODES:
             placement.record_wait(member, result.waited, now)
             return AttemptOutcome.FINAL
@@ -288,8 +339,20 @@
 
     def _run(self, vm: str, request: RunRequest, attempts: StatementAttempts) -> RunResult:
         attempts.count += 1
-        result = self._executor.run(vm, request)
+        placement, row = self._state.placement, self._state.members.members.get(request.member)
+        sent_at = self._state.now()
+        number = placement.record_sent(request.member, sent_at)
+        try:
+            result = self._executor.run(vm, request)
+        finally:
+            placement.record_ended(request.member, number)
+        if row is not None:
+            self._loads.hear_answer(row.entry, vm, result)
         attempts.last_result = result
+        if not request.fence and attempts.single:
+            answered = result.answer is not None and result.answer.succeeded
+            run = self._state.now() - sent_at - result.waited if answered else None
+            self._repeats.record_read(_kind_of_read(request, attempts), run)
         if _is_failed_read(request, result):
             attempts.may_have_run = True
             attempts.failures += 1
@@ -378,6 +441,12 @@
     return answer is not None and answer.code is AnswerCode.FAILED and is_first and is_read
 
 
+def _kind_of_read(request: RunRequest, attempts: StatementAttempts) -> tuple[str, str]:
+    """Return the key of the reads that usually take as long as this one."""
+    prepared = request.statement.prepared
+    return attempts.route.database, prepared.shape if prepared is not None else ""
+
+
 def _may_have_committed(request: RunRequest) -> bool:
     """Return whether a statement whose answer was lost may have been committed.
 
--- a/packages/entry/bramleyrill_entry/_run_codec.py
+++ b/packages/entry/bramleyrill_entry/_run_codec.py
@@ -125,6 +125,7 @@
         waited_us=result.waited // _MICROSECOND,
         retry_after_us=result.retry_after // _MICROSECOND,
         exchange_open=result.transaction_open,
+        load=result.load,
     )
 
 
@@ -154,4 +155,5 @@
         _decode_duration(frame.waited_us),
         _decode_duration(frame.retry_after_us),
         frame.exchange_open,
+        frame.load,
     )
--- a/packages/entry/bramleyrill_entry/_run_request.py
+++ b/packages/entry/bramleyrill_entry/_run_request.py
@@ -81,7 +81,8 @@
 
     `waited` is the time in the holder's queue; if the statement was refused for overload, it is
     at least the expected time. `retry_after` is the delay to suggest to the caller after such a
-    refusal. `transaction_open` is whether the transaction is still open at the holder.
+    refusal. `transaction_open` is whether the transaction is still open at the holder. `load` is
+    the packed stamp of the member's load, None if it is light or the holder tells none.
     """
 
     answer: Answer | None = None
@@ -89,3 +90,4 @@
     waited: timedelta = NO_TIME
     retry_after: timedelta = NO_TIME
     transaction_open: bool = False
+    load: int | None = None
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -19,6 +19,7 @@
     resting_to_end,
 )
 from bramleyrill_core.catalog import MemberEntry
+from bramleyrill_core.placement import LoadMeter, LoadStamp
 from bramleyrill_core.statements import Answer, AnswerCode, StatementKind, TransactionState
 from bramleyrill_platform import lines
 from gevent.event import AsyncResult
@@ -78,6 +79,7 @@
         self.pool = UpstreamPool(member, connections, state.clock)
         self._preparation = Preparation(self.pool)
         self._state = state
+        self._meter = LoadMeter(member.slots)
         slots = member.slots + EXTRA_IN_FLIGHT
         self._statement_admission = MemberAdmission(
             member.service, slots, EXPECTED_STATEMENT_TIME, state.clock, state.weight_of
@@ -112,6 +114,18 @@
 
     def run(self, peer: str, request: RunRequest) -> RunResult:
         """Run one statement for the VM `peer`; blocks until it is answered or refused."""
+        result = self._run(peer, request)
+        stamp = self.load_stamp()
+        result.load = stamp.pack() if stamp is not None else None
+        return result
+
+    def load_stamp(self) -> LoadStamp | None:
+        """Return the member's load; None if it is too light to change a choice."""
+        admission = self._statement_admission
+        stamp = self._meter.stamp(admission.in_flight, admission.waiting, self._state.now())
+        return stamp if self._meter.worth_telling(stamp) else None
+
+    def _run(self, peer: str, request: RunRequest) -> RunResult:
         if request.transaction_id != NO_TRANSACTION and request.opens is Opens.NOTHING:
             return self._continue_transaction(peer, request)
         if request.fence:
@@ -224,6 +238,8 @@
     ) -> Refused | None:
         """Submit a request and wait until it is started or refused; return the refusal, if any."""
         now = self._state.now()
+        if admission is self._statement_admission:
+            self._meter.record_arrival(now)
         outcome = admission.submit(
             admission_id,
             request.rank,
@@ -353,6 +369,8 @@
         except UpstreamError as error:
             log_event("statement_lost", id=statement.id, member=self.member.id, reason=error)
             return RunResult(problem=RunProblem.LOST)
+        finally:
+            self._meter.record_run(self._state.now() - sent_at)
         if answer.code is AnswerCode.NOT_PREPARED and statement.prepared is not None:
             connection.state.prepared.discard(statement.prepared)
         if answer.code is AnswerCode.READ_ONLY and request.transaction_id == NO_TRANSACTION:
@@ -420,6 +438,7 @@
             return RunResult(problem=RunProblem.NO_EXCHANGE)
         transaction.running = True
         submitted_at = self._state.now()
+        self._meter.record_arrival(submitted_at)
         deadline = submitted_at + request.max_wait
         outcome = self._statement_admission.resume(
             transaction.admission_id, request.rank, deadline, request.team
--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -3,9 +3,11 @@
 import json
 import os
 import pathlib
+from collections.abc import Iterable
 from typing import Any
 
 from attrs import field, frozen
+from bramleyrill_core.placement import DEFAULT_READ_POLICY, read_policies
 
 SETTINGS_VARIABLE = "BRAMLEYRILL_CONFIG"
 
@@ -28,6 +30,7 @@
     an order and the replaced primary stops at once; without that, a primary is used under a permit.
     The process has `cpu_share` of a core, which is `cores` times as fast as the usual one, and a
     link of `link_mbps`; None is unknown.
+    `read_policy` names how the member that serves a read is chosen.
     """
 
     id: str
@@ -46,6 +49,7 @@
     cpu_share: float | None = None
     cores: float | None = 1.0
     link_mbps: float | None = None
+    read_policy: str = DEFAULT_READ_POLICY
 
 
 def parse_address(text: Any) -> Address:
@@ -116,6 +120,7 @@
             cpu_share=self._measure("cpu_share"),
             cores=self._measure("cores", 1.0),
             link_mbps=self._measure("link_mbps"),
+            read_policy=self._choice("read_policy", DEFAULT_READ_POLICY, read_policies.by_name),
         )
         if self._errors:
             raise SettingsError("\n".join(f"{self._path}: {error}" for error in self._errors))
@@ -154,6 +159,14 @@
             self._errors.append(f"{name}: expected true or false")
         return value is True
 
+    def _choice(self, name: str, default: str, choices: Iterable[str]) -> str:
+        """Return one of the choices; a missing one is the default."""
+        value = self._values.get(name, default)
+        if value not in choices:
+            self._errors.append(f"{name}: expected one of {', '.join(sorted(choices))}")
+            return default
+        return value
+
     def _mapping(self, name: str) -> dict[str, str]:
         value = self._values.get(name)
         if not isinstance(value, dict):
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -30,10 +30,11 @@
   11: optional i64 loop_delay_us, 12: optional list<Vm> news
 }
 // `vms` lists the VMs that became slow or fine a moment ago if the requesting VM knows as many VMs,
-// else all.
+// else all. `loads` holds the loads of at most two members, ten bytes each: the CRC-32 of the ID, the
+// packed load, and its age in units of 10 ms.
 struct Pong {
   1: i64 call, 2: i64 catalog_version, 3: list<Vm> vms, 4: Vm vm, 5: i64 members_revision,
-  6: i64 store_era, 7: i64 store_era_age_ms, 10: optional i64 loop_delay_us
+  6: i64 store_era, 7: i64 store_era_age_ms, 8: optional binary loads, 10: optional i64 loop_delay_us
 }
 
 // Runs one statement on a member. `exchange` is 0 for a single statement, else the ID of the
@@ -49,11 +50,12 @@
   20: i64 timeout_us, 21: map<string, binary> values, 22: optional string team
 }
 
-// Response to Run. `problem` is 0 if the member answered, else the number of a RunProblem.
+// Response to Run. `problem` is 0 if the member answered, else the number of a RunProblem. `load`
+// is the packed load of the member at its holder, left out if it is light.
 struct Ran {
   1: i64 call, 2: i16 problem, 3: i16 code, 4: list<binary> rows, 5: binary signature,
   6: binary text, 7: string state, 8: optional i64 mark_term, 9: optional i64 mark_position,
-  10: i64 waited_us, 11: i64 retry_after_us, 12: bool exchange_open
+  10: i64 waited_us, 11: i64 retry_after_us, 12: bool exchange_open, 13: optional i32 load
 }
 
 // The owner of a transaction no longer needs it; if it is still open, it is rolled back.
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -106,6 +106,7 @@
         5: (TType.I64, "members_revision", False),
         6: (TType.I64, "store_era", False),
         7: (TType.I64, "store_era_age_ms", False),
+        8: (TType.BINARY, "loads", False),
         10: (TType.I64, "loop_delay_us", False),
     }
     default_spec = [
@@ -116,6 +117,7 @@
         ("members_revision", None),
         ("store_era", None),
         ("store_era_age_ms", None),
+        ("loads", None),
         ("loop_delay_us", None),
     ]
 
@@ -189,6 +191,7 @@
         10: (TType.I64, "waited_us", False),
         11: (TType.I64, "retry_after_us", False),
         12: (TType.BOOL, "exchange_open", False),
+        13: (TType.I32, "load", False),
     }
     default_spec = [
         ("call", None),
@@ -203,6 +206,7 @@
         ("waited_us", None),
         ("retry_after_us", None),
         ("exchange_open", None),
+        ("load", None),
     ]
 
 
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -129,8 +129,10 @@
 
 
 class ReadOrderTest(unittest.TestCase):
+    """The policy `last_wait`."""
+
     def setUp(self):
-        self.placement = ReadPlacement("north-a", REGIONS)
+        self.placement = ReadPlacement("north-a", REGIONS, "last_wait")
         self.members = [member("near"), member("region", "north-b"), member("far", "south-a")]
 
     def order(self, now=0 * MS, primary=None):
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -10,6 +10,7 @@
 from bramleyrill_core.catalog import Catalog, Consistency, DatabaseRoute, ServiceEntry
 from bramleyrill_entry import _router, _session
 from bramleyrill_entry._executor import Executor
+from bramleyrill_entry._load_reports import LoadReports
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._router import Router
 from bramleyrill_entry._schedulers import MemberSchedulers
@@ -41,7 +42,8 @@
         self.addCleanup(self.schedulers.close)
         metrics = EntryMetrics()
         executor = Executor(LocalNet(self.state, self.schedulers), self.schedulers)
-        self.router = Router(self.state, executor, metrics)
+        loads = LoadReports(self.state, self.schedulers)
+        self.router = Router(self.state, executor, metrics, loads)
         self.metrics = metrics
 
     def put_route(self, database="pieces-db", idle=TWO_SECONDS, target=TWO_SECONDS):
