Leave empty fields out of forwarded statements and their results

Cause: bytes between regions cost most after the machines, and most of them are statements for the primary of another region. A prepared statement's data was sent twice, as text and as argument, and each frame carried fields that were empty.

Change: empty fields are left out, and of an EXECUTE only the argument is sent.

--- a/packages/entry/bramleyrill_entry/_run_codec.py
+++ b/packages/entry/bramleyrill_entry/_run_codec.py
@@ -39,7 +39,11 @@
 
 
 def encode_request(call: int, request: RunRequest) -> Any:
-    """Return the Run frame of a request."""
+    """Return the Run frame of a request.
+
+    Empty fields are left out, and so are the text and name of an EXECUTE, which its prepared
+    statement and argument replace: most statements of a primary's callers cross regions.
+    """
     statement, prepared = request.statement, request.statement.prepared
     prepared_kind = _NOT_PREPARED
     if prepared is not None:
@@ -51,21 +55,21 @@
         member=request.member,
         kind=statement.kind.value,
         id=statement.id,
-        text=_encode_text(statement.text),
-        name=statement.name,
-        argument=_encode_text(statement.argument),
-        prepared=prepared_kind,
-        shape=prepared.shape if prepared else "",
+        text=_encode_text(statement.text) if prepared is None else None,
+        name=(statement.name or None) if prepared is None else None,
+        argument=_encode_text(statement.argument) or None,
+        prepared=prepared_kind or None,
+        shape=prepared.shape if prepared else None,
         opens=int(request.opens),
-        fence=request.fence,
+        fence=request.fence or None,
         mark_term=request.mark.term if request.mark else None,
         mark_position=request.mark.position if request.mark else None,
-        max_staleness_us=request.max_staleness // _MICROSECOND,
+        max_staleness_us=request.max_staleness // _MICROSECOND or None,
         rank=int(request.rank),
         on_time_left_us=request.on_time_left // _MICROSECOND,
         patience_left_us=request.max_wait // _MICROSECOND,
         timeout_us=request.timeout // _MICROSECOND,
-        values={name: _encode_text(value) for name, value in request.values.items()},
+        values={name: _encode_text(value) for name, value in request.values.items()} or None,
         team=request.team or None,
     )
 
@@ -87,7 +91,7 @@
         StatementKind(frame.kind),
         frame.id,
         _decode_text(frame.text),
-        frame.name,
+        frame.name or "",
         _decode_text(frame.argument),
         prepared,
     )
@@ -101,7 +105,7 @@
         max_wait=_decode_duration(frame.patience_left_us),
         transaction_id=frame.exchange,
         opens=Opens(frame.opens),
-        fence=frame.fence,
+        fence=bool(frame.fence),
         mark=_decode_mark(frame.mark_term, frame.mark_position),
         max_staleness=_decode_duration(frame.max_staleness_us),
         values={name: _decode_text(value) for name, value in (frame.values or {}).items()},
@@ -110,21 +114,21 @@
 
 
 def encode_result(call: int, result: RunResult) -> Any:
-    """Return the Ran frame of a result."""
+    """Return the Ran frame of a result; empty fields are left out."""
     answer = result.answer or Answer(AnswerCode.OTHER)
     return frames.Ran(
         call=call,
-        problem=int(result.problem or 0),
+        problem=int(result.problem or 0) or None,
         code=answer.code.value,
-        rows=[_encode_text(row) for row in answer.rows],
+        rows=[_encode_text(row) for row in answer.rows] or None,
         signature=_encode_text(answer.signature),
-        text=_encode_text(answer.text),
+        text=_encode_text(answer.text) or None,
         state=answer.state.value,
         mark_term=answer.mark.term if answer.mark else None,
         mark_position=answer.mark.position if answer.mark else None,
         waited_us=result.waited // _MICROSECOND,
-        retry_after_us=result.retry_after // _MICROSECOND,
-        exchange_open=result.transaction_open,
+        retry_after_us=result.retry_after // _MICROSECOND or None,
+        exchange_open=result.transaction_open or None,
         load=result.load,
     )
 
@@ -154,6 +158,6 @@
         problem,
         _decode_duration(frame.waited_us),
         _decode_duration(frame.retry_after_us),
-        frame.exchange_open,
+        bool(frame.exchange_open),
         frame.load,
     )
