--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits that hold over all VMs."""
