--- a/packages/core/bramleyrill_core/limits/_hub.py
+++ b/packages/core/bramleyrill_core/limits/_hub.py
@@ -100,6 +100,20 @@
         """Return the sum of what is lent, as of the last call."""
         return sum(lend.fraction for lend in self._lends.values())
 
+    def fraction_at(self, now: timedelta) -> float:
+        """Return the sum of what is lent now."""
+        self._advance(now)
+        return self.fraction
+
+    def tokens_of(self, team: int, now: timedelta) -> float:
+        """Return the tokens of a team that could be granted now."""
+        self._advance(now)
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            return 0.0
+        self._settle(bucket)
+        return bucket.tokens
+
     def apply(self, limits: dict[int, TeamLimit], now: timedelta) -> None:
         """Use new limits at once; teams without one are dropped."""
         self._advance(now)
--- a/packages/core/bramleyrill_core/limits/_node.py
+++ b/packages/core/bramleyrill_core/limits/_node.py
@@ -96,7 +96,7 @@
             previous = self.limits.get(team)
             use = self.uses.get(team)
             if previous is not None and use is not None:
-                self._lower(use, previous, limit)
+                self._lower(use, previous, limit, version)
         self.limits, self.version = limits, version
         self.uses = {team: use for team, use in self.uses.items() if team in limits}
         self._digests = digests_of(limits)
@@ -109,10 +109,11 @@
             limits_by_group.setdefault(number, {})[digest] = limits[team]
         self._hub.apply(limits_by_group, now)
 
-    def _lower(self, use: TeamUse, previous: TeamLimit, limit: TeamLimit) -> None:
+    def _lower(self, use: TeamUse, previous: TeamLimit, limit: TeamLimit, version: int) -> None:
         before, after = self._terms.stock_of(previous), self._terms.stock_of(limit)
         if after < before:
             use.scale(after / before)
+            use.lowered_in = version
 
     # Operations.
 
@@ -131,6 +132,18 @@
         """Return the number of a limited team's group."""
         return group_of(self._digests[team])
 
+    def hub_fractions(self, now: timedelta) -> dict[int, float]:
+        """Return by group what is lent to this VM as a hub."""
+        return {hub.group: hub.fraction_at(now) for hub in self._hub.groups()}
+
+    def unused_tokens(self, team: str, now: timedelta) -> float:
+        """Return a team's tokens that this VM could use or grant now."""
+        held = 0
+        if team in self.uses:
+            held = sum(self.uses[team].held(hub, now) for hub in self.uses[team].holdings)
+        digest = self._digests[team]
+        return held + sum(hub.tokens_of(digest, now) for hub in self._hub.groups())
+
     def request(self, number: int, now: timedelta) -> list[tuple[str, Any]]:
         """Return the report for operations that wait for a token."""
         return self._report(number, now, is_periodic=False)
@@ -335,6 +348,9 @@
 
     def _bounded_grant(self, team: str, given: int, version: int) -> int:
         stock = math.floor(self._terms.stock_of(self.limits[team]))
+        if version < self._use_of(team).lowered_in:
+            # Granted from a limit that has been lowered since.
+            stock = 0
         if not 0 <= given <= stock:
             self._record(
                 "quota_message_bounded",
--- a/packages/core/bramleyrill_core/limits/_vm_count.py
+++ b/packages/core/bramleyrill_core/limits/_vm_count.py
@@ -10,8 +10,8 @@
 
 from bramleyrill_core.limits._terms import LOCK, REPORT_INTERVAL
 
-# A VM is counted until no listing of the store has named it for this long. A restart after a planned
-# stop is shorter, so the count stays as it is.
+# A VM is counted until no listing of the store has named it for this long. A restart after a
+# planned stop is shorter, so the count stays as it is.
 ABSENCE = timedelta(minutes=10)
 # A newly registered VM stops to wait for a listed one that has not answered for this long.
 SILENCE = timedelta(seconds=30)
@@ -41,13 +41,18 @@
         """Return the number of counted VMs, this one included."""
         return len(self._seen_at.keys() | {self.own})
 
+    @property
+    def needs_listing(self) -> bool:
+        """Return whether no complete listing newer than the registration was recorded yet."""
+        return self._listed_at is None
+
     def hear(self, vms: Iterable[str], now: timedelta) -> None:
         """Count VMs that a peer told of or that are in touch."""
         for vm in vms:
             self._seen_at[vm] = now
 
     def list_stale(self, vms: Iterable[str], now: timedelta) -> None:
-        """Record a listing that may be seconds old; VMs that are absent for long leave the count."""
+        """Record a listing that may be seconds old; VMs absent for long leave the count."""
         self.hear(vms, now)
         previous, self._last_listing_at = self._last_listing_at, now
         if previous is None or now - previous > ABSENCE / 2:
--- a/packages/core/bramleyrill_core/limits/_wallet.py
+++ b/packages/core/bramleyrill_core/limits/_wallet.py
@@ -27,7 +27,8 @@
 class TeamUse:
     """A team's tokens, its demand, and what was counted since the start.
 
-    `waiting` operations wait for a token. Until `dry_until` no token is expected.
+    `waiting` operations wait for a token. Until `dry_until` no token is expected. `lowered_in` is
+    the version of the configuration that lowered the limit last.
     """
 
     holdings: dict[VmKey, Holding] = field(factory=dict)
@@ -36,6 +37,7 @@
     demand_per_s: float = 0.0
     waiting: int = 0
     dry_until: timedelta = timedelta()
+    lowered_in: int = 0
     granted: int = 0
     used: int = 0
     refused: int = 0
@@ -96,9 +98,7 @@
         if returned:
             self.holdings[hub].tokens -= returned
         kept = held - returned
-        return TeamReport(
-            team, kept, returned, max(target - kept, 0) + self.waiting, self.waiting
-        )
+        return TeamReport(team, kept, returned, max(target - kept, 0) + self.waiting, self.waiting)
 
     def _drop_lapsed(self, now: timedelta) -> None:
         for hub, holding in list(self.holdings.items()):
--- a/packages/entry/bramleyrill_entry/_front.py
+++ b/packages/entry/bramleyrill_entry/_front.py
@@ -8,6 +8,7 @@
 from bramleyrill_core.catalog import Address
 from gevent.server import StreamServer
 
+from bramleyrill_entry._limits import TeamLimits
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._router import Router
 from bramleyrill_entry._session import CallerSession
@@ -28,11 +29,13 @@
         router: Router,
         metrics: EntryMetrics,
         listener: socket.socket,
+        limits: TeamLimits | None = None,
     ) -> None:
         self.sessions: set[CallerSession] = set()
         self._state = state
         self._router = router
         self._metrics = metrics
+        self._limits = limits
         self._max_sessions = max(state.settings.max_descriptors - RESERVED_DESCRIPTORS, 64)
         self._server = StreamServer(to_cooperative_socket(listener), self._serve)
 
@@ -68,7 +71,7 @@
             log_event("session_refused", reason="too many sessions", open=len(self.sessions))
             sock.close()
             return
-        session = CallerSession(sock, self._state, self._router, self._metrics)
+        session = CallerSession(sock, self._state, self._router, self._metrics, self._limits)
         self.sessions.add(session)
         try:
             session.serve()
--- a/packages/entry/bramleyrill_entry/_metrics.py
+++ b/packages/entry/bramleyrill_entry/_metrics.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
 from typing import Any
 
@@ -34,6 +34,8 @@
         self._gauges_by_name: dict[str, float] = {}
         # Reads by member and what became of them there; counted by the placement of reads.
         self.reads_placed: Counter[tuple[str, Placed]] = Counter()
+        # Each returns further metric families.
+        self.sources: list[Callable[[], Iterable[Any]]] = []
 
     def count_run(self, request: RunRequest, result: RunResult) -> None:
         """Count one attempt at a member."""
@@ -110,6 +112,8 @@
         )
         for name, value in self._gauges_by_name.items():
             yield GaugeMetricFamily(f"bramleyrill_{name}", name.replace("_", " "), value=value)
+        for source in self.sources:
+            yield from source()
 
     def _latency_family(self) -> Any:
         from prometheus_client.core import HistogramMetricFamily
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -9,6 +9,7 @@
 import gevent
 from attrs import evolve
 from bramleyrill_base import SystemClock, log_event
+from bramleyrill_core.limits import REPORT_INTERVAL
 from bramleyrill_core.placement import ReadPlacement, VmEntry, VmTable, capacity_of
 from bramleyrill_platform import DutyClient, StoreClient
 from gevent.event import Event
@@ -19,6 +20,7 @@
 from bramleyrill_entry._gossip import PING_INTERVAL, Gossip
 from bramleyrill_entry._health import VmHealth
 from bramleyrill_entry._http import HttpListeners
+from bramleyrill_entry._limits import TeamLimits
 from bramleyrill_entry._listen import Listeners
 from bramleyrill_entry._load_reports import LoadReports
 from bramleyrill_entry._metrics import EntryMetrics
@@ -91,7 +93,10 @@
         self.executor = Executor(self.net, self.schedulers)
         self.loads = services[LoadReports] = LoadReports(self.state, self.schedulers)
         router = Router(self.state, self.executor, self.metrics, self.loads)
-        self.front = Front(self.state, router, self.metrics, listeners.callers)
+        self.registration = VmRegistration(self.state, self.store)
+        self.limits = services[TeamLimits] = TeamLimits(self.net, self.registration)
+        self.metrics.sources.append(self.limits.collect)
+        self.front = Front(self.state, router, self.metrics, listeners.callers, self.limits)
         duties = DutyClient(settings.duties)
         self.supervisor = Supervisor(
             self.state, self.net, self.schedulers, self.executor, self.store, duties, self.permits
@@ -100,7 +105,6 @@
         self.proofs = ProofRefresher(self.state, self.executor)
         self.configuration = ConfigurationWatch(self.state, self.store)
         self.members = MemberWatch(self.state, self.store)
-        self.registration = VmRegistration(self.state, self.store)
         self.http = HttpListeners(listeners, self.is_ready, self.metrics)
         self.net.lost_hooks.append(self.schedulers.end_transactions)
         self.gossip.behind_hooks.append(self.members.watch.renew)
@@ -135,12 +139,14 @@
         run_periodically(MAINTENANCE_INTERVAL, self._maintain)
         run_periodically(PROOF_CHECK_INTERVAL, self.proofs.tick)
         run_periodically(SUPERVISION_INTERVAL, self.supervisor.tick)
+        run_periodically(REPORT_INTERVAL, self.limits.tick)
         if self.permits.needed:
             run_periodically(PERMIT_CHECK_INTERVAL, self.permits.tick)
 
     def stop(self) -> None:
         """Carry out a planned stop; returns when the process can exit."""
         remove = gevent.spawn(self.registration.remove)
+        self.limits.leave()
         PlannedStop(self.state, self.front, self.schedulers, self.net).run()
         remove.join(timeout=0.2)
         self.schedulers.close()
--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -20,6 +20,7 @@
 from bramleyrill_core.teams import key_digest
 from bramleyrill_platform import lines
 
+from bramleyrill_entry._limits import TeamLimits
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._router import Router, TransactionHandle
 from bramleyrill_entry._state import EntryState
@@ -37,6 +38,8 @@
 CLOSE_LINGER = timedelta(milliseconds=300)
 # Unacknowledged data ends the connection after this time.
 USER_TIMEOUT_MS = 20_000
+# Share of an operation's target for which it may wait for a token of its team's limit.
+TOKEN_WAIT_SHARE = 0.25
 _READ_BYTES = 16384
 _LOCAL_KINDS = frozenset({StatementKind.SET, StatementKind.PREPARE, StatementKind.DEALLOCATE})
 _END_KINDS = frozenset({StatementKind.COMMIT, StatementKind.ROLLBACK})
@@ -49,7 +52,14 @@
     sessions that it can close.
     """
 
-    def __init__(self, sock: Any, state: EntryState, router: Router, metrics: EntryMetrics) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        state: EntryState,
+        router: Router,
+        metrics: EntryMetrics,
+        limits: TeamLimits | None = None,
+    ) -> None:
         self.busy = False
         self.closing = False
         self._last_active_at = state.now()
@@ -57,6 +67,7 @@
         self._state = state
         self._router = router
         self._metrics = metrics
+        self._limits = limits
         self._buffer = lines.LineBuffer()
         self._pending_lines: list[str] = []
         self._session = StatementSession("")
@@ -331,7 +342,9 @@
             self._log_refused_key()
             return Answer(AnswerCode.NOT_AUTHORIZED, text="the key was withdrawn")
         self._session.team = team.name
-        return None
+        if self._limits is None:
+            return None
+        return self._limits.admit(team.name, TOKEN_WAIT_SHARE * route.target)
 
     def _is_authorized(self) -> bool:
         """Return whether the caller may use the database in the configuration in force."""
--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -31,6 +31,8 @@
     The process has `cpu_share` of a core, which is `cores` times as fast as the usual one, and a
     link of `link_mbps`; None is unknown.
     `read_policy` names how the member that serves a read is chosen.
+    In each window of `quota_window_s` a team may run (rate x window + burst) x (1 + `quota_over`) +
+    `quota_slack` operations.
     """
 
     id: str
@@ -50,6 +52,9 @@
     cores: float | None = 1.0
     link_mbps: float | None = None
     read_policy: str = DEFAULT_READ_POLICY
+    quota_window_s: float = 0.0
+    quota_over: float = 0.0
+    quota_slack: float = 0.0
 
 
 def parse_address(text: Any) -> Address:
@@ -121,6 +126,9 @@
             cores=self._measure("cores", 1.0),
             link_mbps=self._measure("link_mbps"),
             read_policy=self._choice("read_policy", DEFAULT_READ_POLICY, read_policies.by_name),
+            quota_window_s=self._optional_number("quota_window_s"),
+            quota_over=self._optional_number("quota_over"),
+            quota_slack=self._optional_number("quota_slack"),
         )
         if self._errors:
             raise SettingsError("\n".join(f"{self._path}: {error}" for error in self._errors))
@@ -151,6 +159,15 @@
             return default
         is_number = isinstance(value, int | float) and not isinstance(value, bool)
         return float(value) if is_number and 0 < value <= MAX_MEASURE else None
+    def _optional_number(self, name: str) -> float:
+        """Return a number that is 0 if it is missing or null: what is not stated is not allowed."""
+        value = self._values.get(name)
+        if value is None:
+            return 0.0
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < 1e9:
+            self._errors.append(f"{name}: expected a number from 0 to 1000000000")
+            return 0.0
+        return float(value)
 
     def _flag(self, name: str) -> bool:
         """Return a boolean; a missing one is False, the safe value of all flags."""
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -307,6 +307,11 @@
         self._listed_at: timedelta | None = None
         self._registering = False
         self._restored = False
+        # Whether this VM's entry is in the store, and whether one of an earlier process was there.
+        self.registered = False
+        self.was_registered = False
+        # Called with the ids in each listing, which may be seconds old.
+        self.listing_hooks: list[Callable[[list[str]], None]] = []
 
     def register(self) -> None:
         """Write this VM's entry; retry until the store accepts it or the process stops."""
@@ -314,6 +319,7 @@
         while not self._state.stopping:
             self._restored = False
             if self._try_register() and not self._restored:
+                self.registered = True
                 break
             gevent.sleep(MAX_RETRY_PAUSE.total_seconds() * random.uniform(0.5, 1.0))
         self._registering = False
@@ -338,6 +344,8 @@
         except StoreError as error:
             log_event("vm_list_failed", reason=error)
             return
+        for hook in self.listing_hooks:
+            hook([stored.name for stored in listing.objects])
         entries = [entry for entry in map(_decode_vm, listing.objects) if entry is not None]
         for entry in self._state.vms.update_all(entries, self._state.now()):
             log_event(
@@ -348,6 +356,10 @@
                 via="store",
             )
 
+    def list_current(self) -> list[str]:
+        """Return the ids of all VMs that are registered now; raise StoreError."""
+        return [stored.name for stored in self._store.list(KIND_VMS).objects]
+
     def remove(self) -> None:
         """Remove this VM's entry from the store; a failure is only logged."""
         try:
@@ -379,6 +391,7 @@
             if current.value == value:
                 return True
             self._store.replace(KIND_VMS, name, value, current.revision)
+            self.was_registered = True
         except (NotFoundError, ConflictError, StoreError) as error:
             log_event("vm_registration_failed", reason=error)
             return False
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -17,6 +17,8 @@
     CATALOG_PULL = 9
     CATALOG_PUSH = 10
     APPOINTED = 11
+    QUOTA_REPORT = 12
+    QUOTA_GRANT = 13
     _VALUES_TO_NAMES = {
         1: "HELLO",
         2: "PING",
@@ -29,6 +31,8 @@
         9: "CATALOG_PULL",
         10: "CATALOG_PUSH",
         11: "APPOINTED",
+        12: "QUOTA_REPORT",
+        13: "QUOTA_GRANT",
     }
 
 
@@ -296,3 +300,67 @@
 
     thrift_spec = {1: (TType.STRING, "service_name", False), 2: (TType.STRING, "member", False)}
     default_spec = [("service_name", None), ("member", None)]
+
+
+class QuotaReport(TPayload):
+    """Struct `QuotaReport` of entries.thrift."""
+
+    thrift_spec = {
+        1: (TType.I16, "group_number", False),
+        2: (TType.I64, "stamp_us", False),
+        3: (TType.I64, "grant_number", False),
+        4: (TType.I32, "lent_ppb", False),
+        5: (TType.I64, "hub_stamp_us", False),
+        6: (TType.LIST, "teams", TType.I32, False),
+        7: (TType.LIST, "held", TType.I32, False),
+        8: (TType.LIST, "returned", TType.I32, False),
+        9: (TType.LIST, "wanted", TType.I32, False),
+        10: (TType.LIST, "urgent", TType.I32, False),
+        11: (TType.I64, "catalog_version", False),
+        12: (TType.BOOL, "leaving", False),
+    }
+    default_spec = [
+        ("group_number", None),
+        ("stamp_us", None),
+        ("grant_number", None),
+        ("lent_ppb", None),
+        ("hub_stamp_us", None),
+        ("teams", None),
+        ("held", None),
+        ("returned", None),
+        ("wanted", None),
+        ("urgent", None),
+        ("catalog_version", None),
+        ("leaving", None),
+    ]
+
+
+class QuotaGrant(TPayload):
+    """Struct `QuotaGrant` of entries.thrift."""
+
+    thrift_spec = {
+        1: (TType.I16, "group_number", False),
+        2: (TType.I64, "stamp_us", False),
+        3: (TType.I64, "number", False),
+        4: (TType.I64, "report_stamp_us", False),
+        5: (TType.LIST, "teams", TType.I32, False),
+        6: (TType.LIST, "given", TType.I32, False),
+        7: (TType.LIST, "retry_ms", TType.I32, False),
+        8: (TType.LIST, "extended", TType.BOOL, False),
+        9: (TType.I64, "catalog_version", False),
+        10: (TType.I32, "lent_ppb", False),
+        11: (TType.BOOL, "released", False),
+    }
+    default_spec = [
+        ("group_number", None),
+        ("stamp_us", None),
+        ("number", None),
+        ("report_stamp_us", None),
+        ("teams", None),
+        ("given", None),
+        ("retry_ms", None),
+        ("extended", None),
+        ("catalog_version", None),
+        ("lent_ppb", None),
+        ("released", None),
+    ]
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from datetime import timedelta
 
-from bramleyrill_core.limits import (REPORT_INTERVAL, Grant, QuotaNode, QuotaTerms, Report, TeamLimit)
+from bramleyrill_core.limits import REPORT_INTERVAL, Grant, QuotaNode, QuotaTerms, Report, TeamLimit
 
 MS = timedelta(milliseconds=1)
 TICK_STEPS = REPORT_INTERVAL // (10 * MS)
@@ -22,6 +22,8 @@
         self.terms, self.limits, self.version = terms, limits, 1
         self.delay, self.loss, self.repeat, self.lag = delay, 0.0, 0.0, timedelta()
         self.nodes, self.down, self.side_of = {}, set(), {}
+        self.checks, self.broken = False, []
+        self.frozen_until, self.highest = {}, dict(limits)
         self.runs_by_team = defaultdict(list)
         self.refused = self.messages = 0
         self._queue, self._ids = [], itertools.count()
@@ -45,17 +47,33 @@
     def stop(self, vm):
         self.down.add(vm)
 
+    def freeze(self, vm, duration):
+        """Let a VM do nothing for a while, and handle later what has arrived meanwhile."""
+        self.frozen_until[vm] = self.now + duration
+
+    def is_frozen(self, vm):
+        return self.frozen_until.get(vm, timedelta()) > self.now
+
+    def change_limits(self, limits):
+        """Put new limits in force on all VMs that run."""
+        self.limits, self.version = limits, self.version + 1
+        for team, limit in limits.items():
+            highest = self.highest.get(team, limit)
+            self.highest[team] = TeamLimit(
+                max(limit.rate_per_s, highest.rate_per_s), max(limit.burst, highest.burst)
+            )
+        for node in self.nodes.values():
+            node.apply(limits, self.version, self.now)
+
     def in_touch(self, one, other):
         sides = self.side_of.get(one, 0), self.side_of.get(other, 0)
         return one not in self.down and other not in self.down and sides[0] == sides[1]
 
     def tick(self, vm):
-        if vm in self.down:
+        if vm in self.down or self.is_frozen(vm):
             return
         node = self.nodes[vm]
-        usable = {
-            other: peer.key for other, peer in self.nodes.items() if self.in_touch(vm, other)
-        }
+        usable = {other: peer.key for other, peer in self.nodes.items() if self.in_touch(vm, other)}
         node.count.hear(usable, self.now)
         for other in usable:
             node.count.confirm(other, self.now)
@@ -75,9 +93,14 @@
         """Deliver the messages that arrive within `duration`."""
         until = self.now + duration
         while self._queue and self._queue[0][0] <= until:
-            self.now, _, key, vm, other, message = heapq.heappop(self._queue)
+            at, _, key, vm, other, message = heapq.heappop(self._queue)
+            self.now = max(self.now, at)
             if other in self.down or not self.in_touch(vm, other):
                 continue
+            if self.is_frozen(other):
+                item = (self.frozen_until[other], next(self._ids), key, vm, other, message)
+                heapq.heappush(self._queue, item)
+                continue
             self._receive(key, vm, other, message)
         self.now = until
 
@@ -91,7 +114,7 @@
 
     def arrive(self, vm, team):
         """Let an operation arrive; without a token it asks once and tries again on its answer."""
-        if vm in self.down:
+        if vm in self.down or self.is_frozen(vm):
             return False
         node = self.nodes[vm]
         use = node.record_arrival(team, self.now)
@@ -108,15 +131,29 @@
 
     def retry(self, vm, team):
         node = self.nodes[vm]
-        use = node.uses[team]
+        use = node.record_arrival(team, self.now)
         use.waiting = max(use.waiting - 1, 0)
-        if vm not in self.down and node.take(team, self.now):
+        if vm not in self.down and not self.is_frozen(vm) and node.take(team, self.now):
             self.runs_by_team[team].append(self.now)
             return True
         use.refused += 1
         self.refused += 1
         return False
 
+    def broken_rules(self):
+        """Return which of the two rules that the bound follows from do not hold now."""
+        running = [node for vm, node in self.nodes.items() if vm not in self.down]
+        lent = defaultdict(float)
+        for node in running:
+            for group, fraction in node.hub_fractions(self.now).items():
+                lent[group] += fraction
+        broken = [f"group {group}: {lent[group]}" for group in lent if lent[group] > 1 + 1e-6]
+        for team, limit in self.limits.items():
+            unused = sum(node.unused_tokens(team, self.now) for node in running)
+            if unused > self.terms.stock_of(limit) + 1e-6:
+                broken.append(f"{team}: {unused} tokens")
+        return broken
+
     def run(self, duration, rates, step=10 * MS, wait=100 * MS):
         """Play arrivals at `rates` (per second, by team) at random VMs for `duration`."""
         ends, retries = self.now + duration, []
@@ -129,6 +166,8 @@
             for vm in names:
                 if (count + offsets[vm]) % TICK_STEPS == 0:
                     self.tick(vm)
+            if self.checks and count % 7 == 0:
+                self.broken += self.broken_rules()
             for at, vm, team in [item for item in retries if item[0] <= self.now]:
                 retries.remove((at, vm, team))
                 self.retry(vm, team)
