--- a/packages/core/bramleyrill_core/limits/_messages.py
+++ b/packages/core/bramleyrill_core/limits/_messages.py
@@ -27,8 +27,8 @@
 
     `stamp_us` is the sender's time, which the hub returns. `grant_number` is the number of the last
     grant that arrived. `lent` is the fraction of the group's limits that is lent from now on, and
-    `hub_stamp_us` the hub's time that the lend counts from; 0 lends nothing. A report with `leaving`
-    ends the lend.
+    `hub_stamp_us` the hub's time that the lend counts from; 0 lends nothing. A report with
+    `leaving` ends the lend.
     """
 
     group: int
--- a/packages/core/bramleyrill_core/limits/explore.py
+++ b/packages/core/bramleyrill_core/limits/explore.py
@@ -1,10 +1,10 @@
 """Exhaustive exploration of lends and grants between two hubs and three other VMs.
 
-`python -m bramleyrill_core.limits.explore` visits every state that two VMs that lend a fraction of a
-limit, one VM that asks for tokens and two hubs can reach: messages that are late, lost or repeated,
-restarts of each, and pauses, since every party may let time pass before its next step. When a
-lender may lend is decided by `Loan`; which hub it chooses is left open, so that the VMs may have
-any views.
+`python -m bramleyrill_core.limits.explore` visits every state that two VMs that lend a fraction of
+a limit, one VM that asks for tokens and two hubs can reach: messages that are late, lost or
+repeated, restarts of each, and pauses, since every party may let time pass before its next step.
+When a lender may lend is decided by `Loan`; which hub it chooses is left open, so that the VMs may
+have any views.
 
 In each state a fraction must accrue at one hub at most, and all tokens that could still be used
 must not exceed what the lent fractions may hold. Both together bound each window: what runs in it
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -140,6 +140,10 @@
         self.refused += 1
         return False
 
+    def lent_to(self, vm):
+        """Return the fractions that are lent to a VM as a hub, of all groups."""
+        return list(self.nodes[vm].hub_fractions(self.now).values())
+
     def broken_rules(self):
         """Return which of the two rules that the bound follows from do not hold now."""
         running = [node for vm, node in self.nodes.items() if vm not in self.down]
--- a/tests/limits/test_bound.py
+++ b/tests/limits/test_bound.py
@@ -136,6 +136,18 @@
         self.assertEqual(fleet.nodes["vm12"].count.fraction(fleet.now), 0)
         self.assertGreater(fleet.nodes["vm12"].uses["large"].used, 0)
 
+    def test_hub_that_stops_by_plan_releases_what_is_lent(self):
+        """Its lenders would otherwise wait until its last lend and grant have run out."""
+        fleet = started_fleet(6, {"large": TeamLimit(60, 60)})
+        fleet.run(5 * SECOND, {"large": 30})
+        hub = next(vm for vm in fleet.nodes if any(fleet.lent_to(vm)))
+        fleet.send(hub, fleet.nodes[hub].leave(fleet.now))
+        fleet.advance(30 * MS)
+        fleet.stop(hub)
+        fleet.run(3500 * MS, {"large": 30})
+        lent = sum(sum(fleet.lent_to(vm)) for vm in fleet.nodes if vm != hub)
+        self.assertGreaterEqual(lent, 0.8)
+
     def test_lowered_limit_binds_at_once(self):
         fleet = started_fleet(12, {"large": TeamLimit(100, 100)})
         fleet.run(5 * SECOND, {"large": 60})
