--- a/packages/core/bramleyrill_core/limits/_hub.py
+++ b/packages/core/bramleyrill_core/limits/_hub.py
@@ -146,15 +146,13 @@
         self._demand_at = now
         self._grant_number += 1
         told_by_team = {item.team: item for item in report.teams}
-        granted = tuple(
-            self._grant(vm, told, self._grant_number, now) for told in told_by_team.values()
-        )
+        granted = [self._grant(vm, told, self._grant_number, now) for told in told_by_team.values()]
         return Grant(
             self.group,
             now // MICROSECOND,
             self._grant_number,
             report.stamp_us,
-            granted,
+            tuple(row for row in granted if row.given or row.retry_ms or not row.extended),
             version,
             self.fraction,
         )
@@ -233,6 +231,8 @@
         for team, bucket in self._buckets.items():
             row = bucket.by_vm.get(vm)
             told = told_by_team.get(team)
+            if told is None and report.partial:
+                continue
             if row is None:
                 if told is not None and told.held > 0:
                     # A token that this hub did not give, or that has run out.
--- a/packages/core/bramleyrill_core/limits/_messages.py
+++ b/packages/core/bramleyrill_core/limits/_messages.py
@@ -28,7 +28,8 @@
     `stamp_us` is the sender's time, which the hub returns. `grant_number` is the number of the last
     grant that arrived. `lent` is the fraction of the group's limits that is lent from now on, and
     `hub_stamp_us` the hub's time that the lend counts from; 0 lends nothing. A report with
-    `leaving` ends the lend.
+    `leaving` ends the lend. A `partial` one says nothing of the teams that it does not name; in any
+    other the VM holds no tokens of those.
     """
 
     group: int
@@ -39,13 +40,15 @@
     teams: tuple[TeamReport, ...] = ()
     version: int = 0
     leaving: bool = False
+    partial: bool = False
 
 
 @frozen
 class TeamGrant:
     """Tokens of one team for a VM; `retry_ms` is when the next is expected if too few are given.
 
-    With `extended` the tokens that the VM reported as held last as long as the given ones.
+    With `extended` the tokens that the VM reported as held last as long as the given ones; so do
+    those of a reported team that a grant does not name.
     """
 
     team: int
--- a/packages/core/bramleyrill_core/limits/_node.py
+++ b/packages/core/bramleyrill_core/limits/_node.py
@@ -40,6 +40,7 @@
 class _Group:
     """A group of teams as this VM sees it.
 
+    `whole_stamp_us` is the time stamp of the last report that was not partial.
     `hub_stamp_us` is the last time stamp of the chosen hub, `grant_numbers` are those of the last
     grants by hub, so that none is taken twice when a hub is chosen again.
     """
@@ -52,6 +53,7 @@
     reported_at: timedelta | None = None
     sent_at: timedelta | None = None
     last_stamp_us: int = 0
+    whole_stamp_us: int = 0
     fraction: float = 0.0
     logged_share: int = -1
 
@@ -146,7 +148,7 @@
 
     def request(self, number: int, now: timedelta) -> list[tuple[str, Any]]:
         """Return the report for operations that wait for a token."""
-        return self._report(number, now, is_periodic=False)
+        return self._report(number, now, is_periodic=False, is_partial=True)
 
     def request_delay(self, number: int, now: timedelta) -> timedelta:
         """Return how long to wait before the next request of a group."""
@@ -258,7 +260,9 @@
 
     # Reports.
 
-    def _report(self, number: int, now: timedelta, is_periodic: bool) -> list[tuple[str, Any]]:
+    def _report(
+        self, number: int, now: timedelta, is_periodic: bool, is_partial: bool = False
+    ) -> list[tuple[str, Any]]:
         group = self._groups[number]
         hub = group.choice.hub
         if hub is None:
@@ -268,11 +272,13 @@
         rows = [
             self.uses[team].report(digest, hub, now)
             for digest, team in group.teams.items()
-            if team in self.uses
+            if team in self.uses and (not is_partial or self.uses[team].waiting)
         ]
         told = tuple(row for row in rows if row.held or row.returned or row.wanted)
         lent = self._lend(group, hub, now)
         stamp_us = self._next_stamp(group, now)
+        if not is_partial:
+            group.whole_stamp_us = stamp_us
         report = Report(
             number,
             stamp_us,
@@ -282,6 +288,7 @@
             told,
             self.version,
             self._leaving,
+            is_partial,
         )
         return self._deliver([(self._vm_by_key.get(hub, ""), report)], now)
 
@@ -333,6 +340,8 @@
             return
         group.grant_numbers.pop(hub, None)
         group.grant_numbers[hub] = grant.number
+        if grant.report_stamp_us == group.whole_stamp_us:
+            self._extend_unnamed(hub, group, grant, stamp + GRANT_LIFETIME)
         for item in grant.teams:
             team = group.teams.get(item.team)
             if team is None:
@@ -346,6 +355,12 @@
                 wait_ms = min(item.retry_ms, REPORT_INTERVAL / timedelta(milliseconds=1))
                 use.dry_until = now + timedelta(milliseconds=wait_ms)
 
+    def _extend_unnamed(self, hub: VmKey, group: _Group, grant: Grant, expires: timedelta) -> None:
+        named = {item.team for item in grant.teams}
+        for digest, team in group.teams.items():
+            if digest not in named and team in self.uses:
+                self.uses[team].extend(hub, expires)
+
     def _bounded_grant(self, team: str, given: int, version: int) -> int:
         stock = math.floor(self._terms.stock_of(self.limits[team]))
         if version < self._use_of(team).lowered_in:
--- a/packages/core/bramleyrill_core/limits/_wallet.py
+++ b/packages/core/bramleyrill_core/limits/_wallet.py
@@ -9,6 +9,8 @@
 
 # Tokens are asked for ahead to last this long: a report interval, and a message both ways.
 HORIZON_S = 1.2
+# Reports count tokens in 16 bits; a hub must not be told of fewer than there are.
+MAX_HELD = 2**15 - 1
 # A team without use for this long holds no tokens ahead.
 USE_LIFETIME = timedelta(seconds=10)
 # Weight of the last report interval in the estimate of a team's demand.
@@ -60,10 +62,16 @@
             return
         if holding is None or holding.expires <= now:
             holding = self.holdings[hub] = Holding(0, expires)
-        holding.tokens += tokens
+        holding.tokens = min(holding.tokens + tokens, MAX_HELD)
         holding.expires = max(holding.expires, expires)
         self.granted += tokens
 
+    def extend(self, hub: VmKey, expires: timedelta) -> None:
+        """Let the tokens of a hub last until a later moment."""
+        holding = self.holdings.get(hub)
+        if holding is not None:
+            holding.expires = max(holding.expires, expires)
+
     def held(self, hub: VmKey, now: timedelta) -> int:
         """Return the number of unused tokens of a hub."""
         holding = self.holdings.get(hub)
--- a/packages/entry/bramleyrill_entry/_limits_codec.py
+++ b/packages/entry/bramleyrill_entry/_limits_codec.py
@@ -1,12 +1,14 @@
 """Thrift frames of the messages between a VM and the hub of a group of teams."""
 
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from bramleyrill_core.limits import Grant, Report, TeamGrant, TeamReport
 from bramleyrill_wire.entries import frames
 
 _PPB = 1_000_000_000
-_MAX_COUNT = 2**31 - 1
+# Larger counts are sent as this one; a VM holds no more tokens of a team than it can report.
+_MAX_COUNT = 2**15 - 1
 
 
 def encode_quota(message: Report | Grant) -> Any:
@@ -23,12 +25,13 @@
         lent_ppb=int(report.lent * _PPB),
         hub_stamp_us=report.hub_stamp_us,
         teams=[item.team for item in report.teams],
-        held=[_count(item.held) for item in report.teams],
-        returned=[_count(item.returned) for item in report.teams],
-        wanted=[_count(item.wanted) for item in report.teams],
-        urgent=[_count(item.urgent) for item in report.teams],
+        held=_column(item.held for item in report.teams),
+        returned=_column(item.returned for item in report.teams),
+        wanted=_column(item.wanted for item in report.teams),
+        urgent=_column(item.urgent for item in report.teams),
         catalog_version=report.version,
-        leaving=report.leaving,
+        leaving=report.leaving or None,
+        partial=report.partial or None,
     )
 
 
@@ -39,19 +42,18 @@
         number=grant.number,
         report_stamp_us=grant.report_stamp_us,
         teams=[item.team for item in grant.teams],
-        given=[_count(item.given) for item in grant.teams],
-        retry_ms=[_count(item.retry_ms) for item in grant.teams],
-        extended=[item.extended for item in grant.teams],
+        given=_column(item.given for item in grant.teams),
+        retry_ms=_column(item.retry_ms for item in grant.teams),
+        not_extended=_column(not item.extended for item in grant.teams),
         catalog_version=grant.version,
         lent_ppb=int(grant.fraction * _PPB),
-        released=grant.released,
+        released=grant.released or None,
     )
 
 
 def decode_report(frame: Any) -> Report:
     """Return the report of a frame; raise ValueError or TypeError if it is malformed."""
-    columns = (frame.teams, frame.held, frame.returned, frame.wanted, frame.urgent)
-    rows = zip(*(column or () for column in columns), strict=True)
+    rows = _rows(frame.teams, frame.held, frame.returned, frame.wanted, frame.urgent)
     return Report(
         _required(frame.group_number),
         _required(frame.stamp_us),
@@ -61,19 +63,19 @@
         tuple(TeamReport(*row) for row in rows),
         frame.catalog_version or 0,
         bool(frame.leaving),
+        bool(frame.partial),
     )
 
 
 def decode_grant(frame: Any) -> Grant:
     """Return the grant of a frame; raise ValueError or TypeError if it is malformed."""
-    columns = (frame.teams, frame.given, frame.retry_ms, frame.extended)
-    rows = zip(*(column or () for column in columns), strict=True)
+    rows = _rows(frame.teams, frame.given, frame.retry_ms, frame.not_extended)
     return Grant(
         _required(frame.group_number),
         _required(frame.stamp_us),
         frame.number or 0,
         frame.report_stamp_us or 0,
-        tuple(TeamGrant(*row) for row in rows),
+        tuple(TeamGrant(team, given, ms, not lapses) for team, given, ms, lapses in rows),
         frame.catalog_version or 0,
         (frame.lent_ppb or 0) / _PPB,
         bool(frame.released),
@@ -86,5 +88,13 @@
     return value
 
 
-def _count(value: int) -> int:
-    return min(value, _MAX_COUNT)
+def _column(values: Iterable[int]) -> list[int] | None:
+    """Return the counts of a column, or None if all are 0."""
+    counts = [min(value, _MAX_COUNT) for value in values]
+    return counts if any(counts) else None
+
+
+def _rows(teams: list[int] | None, *columns: list[int] | None) -> Iterator[tuple[int, ...]]:
+    """Return the rows of parallel columns; raise ValueError if their lengths differ."""
+    keys = teams or []
+    return zip(keys, *(column or [0] * len(keys) for column in columns), strict=True)
--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -159,6 +159,7 @@
             return default
         is_number = isinstance(value, int | float) and not isinstance(value, bool)
         return float(value) if is_number and 0 < value <= MAX_MEASURE else None
+
     def _optional_number(self, name: str) -> float:
         """Return a number that is 0 if it is missing or null: what is not stated is not allowed."""
         value = self._values.get(name)
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -91,20 +91,22 @@
 // A VM's use of the limits of a group of teams, to the group's hub. `stamp_us` is the time of the
 // sender, which the hub returns, and `grant_number` that of the last grant that arrived.
 // `lent_ppb` is the fraction of the limits that is lent, in parts per billion, counted from
-// `hub_stamp_us` of the hub; 0 lends nothing. The lists are parallel: a team's number, its unused
-// tokens, tokens given back, further ones wanted, and operations that wait for one.
+// `hub_stamp_us` of the hub; 0 lends nothing. The lists are parallel, and empty if all are 0: a
+// team's number, its unused tokens, tokens given back, further ones wanted, and operations that wait
+// for one. A `partial` report says nothing of the teams that it does not name.
 struct QuotaReport {
   1: i16 group_number, 2: i64 stamp_us, 3: i64 grant_number, 4: i32 lent_ppb, 5: i64 hub_stamp_us,
-  6: list<i32> teams, 7: list<i32> held, 8: list<i32> returned, 9: list<i32> wanted,
-  10: list<i32> urgent, 11: i64 catalog_version, 12: bool leaving
+  6: list<i32> teams, 7: list<i16> held, 8: list<i16> returned, 9: list<i16> wanted,
+  10: list<i16> urgent, 11: i64 catalog_version, 12: bool leaving, 13: bool partial
 }
 
 // Answer to QuotaReport, or a request to lend if `number` is 0. The tokens last from
 // `report_stamp_us` of the receiver. `retry_ms` is when a team's next token is expected if too few
-// were given, and `extended` whether the tokens that it holds last as long as the given ones.
+// were given, and `not_extended` whether the tokens that it holds do not last as long as the given
+// ones; those of a reported team that is not named do. Lists are empty if all are 0 or false.
 // `lent_ppb` is the sum lent to the hub. With `released` the hub no longer uses what was lent.
 struct QuotaGrant {
   1: i16 group_number, 2: i64 stamp_us, 3: i64 number, 4: i64 report_stamp_us, 5: list<i32> teams,
-  6: list<i32> given, 7: list<i32> retry_ms, 8: list<bool> extended, 9: i64 catalog_version,
+  6: list<i16> given, 7: list<i16> retry_ms, 8: list<bool> not_extended, 9: i64 catalog_version,
   10: i32 lent_ppb, 11: bool released
 }
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -312,12 +312,13 @@
         4: (TType.I32, "lent_ppb", False),
         5: (TType.I64, "hub_stamp_us", False),
         6: (TType.LIST, "teams", TType.I32, False),
-        7: (TType.LIST, "held", TType.I32, False),
-        8: (TType.LIST, "returned", TType.I32, False),
-        9: (TType.LIST, "wanted", TType.I32, False),
-        10: (TType.LIST, "urgent", TType.I32, False),
+        7: (TType.LIST, "held", TType.I16, False),
+        8: (TType.LIST, "returned", TType.I16, False),
+        9: (TType.LIST, "wanted", TType.I16, False),
+        10: (TType.LIST, "urgent", TType.I16, False),
         11: (TType.I64, "catalog_version", False),
         12: (TType.BOOL, "leaving", False),
+        13: (TType.BOOL, "partial", False),
     }
     default_spec = [
         ("group_number", None),
@@ -332,6 +333,7 @@
         ("urgent", None),
         ("catalog_version", None),
         ("leaving", None),
+        ("partial", None),
     ]
 
 
@@ -344,9 +346,9 @@
         3: (TType.I64, "number", False),
         4: (TType.I64, "report_stamp_us", False),
         5: (TType.LIST, "teams", TType.I32, False),
-        6: (TType.LIST, "given", TType.I32, False),
-        7: (TType.LIST, "retry_ms", TType.I32, False),
-        8: (TType.LIST, "extended", TType.BOOL, False),
+        6: (TType.LIST, "given", TType.I16, False),
+        7: (TType.LIST, "retry_ms", TType.I16, False),
+        8: (TType.LIST, "not_extended", TType.BOOL, False),
         9: (TType.I64, "catalog_version", False),
         10: (TType.I32, "lent_ppb", False),
         11: (TType.BOOL, "released", False),
@@ -359,7 +361,7 @@
         ("teams", None),
         ("given", None),
         ("retry_ms", None),
-        ("extended", None),
+        ("not_extended", None),
         ("catalog_version", None),
         ("lent_ppb", None),
         ("released", None),
--- a/tests/limits/test_hub.py
+++ b/tests/limits/test_hub.py
@@ -87,6 +87,14 @@
         self.report(returned=50, wanted=0)
         self.assertEqual(self.given(urgent=5, wanted=5), 0)
 
+    def test_partial_report_keeps_what_is_known_of_other_teams(self):
+        self.report(lent=1.0)
+        self.now += SECOND
+        self.assertEqual(self.given(urgent=10, wanted=10), 10)
+        self.hub.report("vm1@1", Report(GROUP, 10_000, partial=True), 1, self.now)
+        self.now += SECOND / 2
+        self.assertEqual(self.given(vm="vm2@1", urgent=10, wanted=10), 0)
+
     def test_tokens_of_silent_vms_count_until_they_run_out(self):
         self.report(lent=1.0)
         self.now += SECOND
@@ -154,6 +162,27 @@
                 self.assertLessEqual(self.tokens_after(evolve(self.grant, teams=(row,))), 10)
                 self.assertIn("quota_message_bounded", [event.name for event in self.node.events])
 
+    def test_vm_holds_no_more_tokens_than_it_can_report(self):
+        """The hub would think that the others were used, and grant them again."""
+        self.node.apply({"harbour": TeamLimit(1e9, 1e9)}, 5, START)
+        huge = evolve(self.grant, teams=(TeamGrant(self.digest, 10**8),))
+        self.assertEqual(self.tokens_after(huge), 2**15 - 1)
+
+    def test_partial_report_does_not_give_up_tokens_of_other_teams(self):
+        """A request for one team would free the tokens of the others, which are still used."""
+        limits = {"harbour": LIMIT, "mill": LIMIT, "quay": LIMIT, "weir": LIMIT, "yard": LIMIT}
+        self.node.apply(limits, 5, START)
+        self.tokens_after(self.grant)
+        other = next(
+            team
+            for team in limits
+            if team != "harbour" and self.node.group_of_team(team) == self.group
+        )
+        self.node.record_arrival(other, START).waiting = 1
+        [(_, report)] = self.node.request(self.group, START)
+        self.assertTrue(report.partial)
+        self.assertEqual([row.urgent for row in report.teams], [1])
+
     def test_grant_for_a_report_that_was_not_sent_is_refused(self):
         future = evolve(self.grant, report_stamp_us=self.grant.report_stamp_us + 3_600_000_000)
         self.assertEqual(self.tokens_after(future), 0)
