--- a/packages/core/bramleyrill_core/admission/_queue.py
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -407,7 +407,9 @@
         share = self._recent_use.share_left_to(state.rank, limit, self._floor_by_rank)
         share = max(share, state.policy.floor, 0.001)
         wait_s = state.work_ahead_s(request.team) / (limit * share)
-        return max(wait_s, self._hot_items.wait_s(request.item, state.mean_s))
+        if request.item:
+            wait_s = max(wait_s, self._hot_items.wait_s(request.item, state.mean_s))
+        return wait_s
 
     def _refuse(
         self,
