--- a/packages/core/bramleyrill_core/connections/_allocator.py
+++ b/packages/core/bramleyrill_core/connections/_allocator.py
@@ -33,12 +33,13 @@
 # Assumed duration of a dial until one was measured, and the weight of each in the mean.
 EXPECTED_DIAL_S = 0.01
 _DIAL_WEIGHT = 0.1
-# Cost of a dial in units of its duration: the waiting statement loses it once and the other users
-# of the slot once. If a connection is closed for it, that one's team loses it a third time.
+# While there is room for another connection, a statement whose team has one in use waits for it
+# this many times the duration of a dial: the statement would lose it once, and the other users of
+# the slot once.
 NEW_CONNECTION_COST = 2
+# Once another team's connection would be closed, it waits for this many at least; that team loses a
+# dial too.
 REPLACED_CONNECTION_COST = 3
-# A connection is dialed after all if none came free in this many times the expected wait.
-WAIT_MARGIN = 2.0
 # Idle connections of teams are closed after this long without use.
 TEAM_MAX_IDLE_TIME = timedelta(minutes=5)
 # A transaction that has rested for this long is offered for rollback once a statement of another
@@ -116,11 +117,16 @@
     # Statements.
 
     def request(
-        self, waiter: Hashable, team: str | None, cost_of: ConnectionCost = no_cost
+        self,
+        waiter: Hashable,
+        team: str | None,
+        cost_of: ConnectionCost = no_cost,
+        patience: timedelta = timedelta(),
     ) -> list[Action]:
         """Ask for a connection of a team; with None that of any team, for the proxy's own use.
 
-        Among idle ones the one with the lowest `cost_of` its key is assigned at once.
+        Among idle ones the one with the lowest `cost_of` its key is assigned at once. `patience` is
+        how long the statement can well wait for one in use before another team's is closed for it.
         """
         now = self._clock.monotonic()
         if team is not None:
@@ -130,7 +136,7 @@
         connection = self._take_idle(team, cost_of)
         if connection is not None:
             return [self._assign(waiter, connection, now)]
-        self._waiters[waiter] = Waiter(waiter, team, self._dial_time(team, now))
+        self._waiters[waiter] = Waiter(waiter, team, now + self._dial_delay(team, patience, now))
         return self.plan()
 
     def withdraw(self, waiter: Hashable) -> None:
@@ -157,8 +163,7 @@
         """Return a leased connection, for a waiting statement of its team or to be idle."""
         now = self._clock.monotonic()
         connection = self._by_key[key]
-        statement = connection.use is Use.STATEMENT
-        self.demand.record_hold(connection.team, now - connection.leased_at, statement)
+        self.demand.record_hold(connection.team, now - connection.leased_at)
         return self._offer(connection, now)
 
     def remove(self, key: Hashable) -> list[Action]:
@@ -282,23 +287,18 @@
     def _max_dials(self) -> int:
         return self._team_dials if self._has_teams else MIN_CONCURRENT_DIALS
 
-    def _dial_time(self, team: str | None, now: timedelta) -> timedelta:
-        """Return the time from which a connection may be dialed for a new waiter of the team."""
-        if not self._has_teams:
-            return now
-        in_use = sum(
-            connection.use is Use.STATEMENT and team in (None, connection.team)
-            for connection in self._by_key.values()
-        )
-        if not in_use:
-            return now
+    def _dial_delay(self, team: str | None, patience: timedelta, now: timedelta) -> timedelta:
+        """Return how long a new waiter waits for a connection in use before one is dialed.
+
+        At most one waits for each connection in use, so that a team whose load rises gets more.
+        """
+        usable = self.open_count if team is None else self._held_by_team[team]
         ahead = sum(waiter.team == team for waiter in self._waiters.values())
-        expected_wait_s = self.demand.of(team or "").statement_hold_s * (ahead + 1) / in_use
-        full = self._size() >= self.limit.value(now)
-        cost = REPLACED_CONNECTION_COST if full else NEW_CONNECTION_COST
-        if expected_wait_s > cost * self._dial_s:
-            return now
-        return now + timedelta(seconds=WAIT_MARGIN * max(expected_wait_s, self._dial_s))
+        if not self._has_teams or ahead >= usable - self._dials_by_team[team or ""]:
+            return timedelta()
+        if self._size() < self.limit.value(now):
+            return timedelta(seconds=NEW_CONNECTION_COST * self._dial_s)
+        return max(patience, timedelta(seconds=REPLACED_CONNECTION_COST * self._dial_s))
 
     def _take_idle(self, team: str | None, cost_of: ConnectionCost) -> PooledConnection | None:
         idle = self.idle() if team is None else self._idle_by_team.get(team)
--- a/packages/core/bramleyrill_core/connections/_demand.py
+++ b/packages/core/bramleyrill_core/connections/_demand.py
@@ -7,9 +7,10 @@
 
 # Time constant of the request rates. It spans several requests even of a team with one in ten
 # seconds; a much shorter one would rank such teams by chance.
-RATE_MEMORY_S = 120.0
-# Weight of one lease in the mean times that a team holds a connection.
-_HOLD_WEIGHT = 0.1
+RATE_MEMORY_S = 300.0
+# Weight of one lease in the mean time that a team holds a connection. A few long transactions
+# among many single statements must not change it at once.
+_HOLD_WEIGHT = 0.02
 # Assumed until the first lease of a team ends.
 EXPECTED_HOLD_S = 0.02
 # Teams with fewer remembered requests are forgotten if they have no connection.
@@ -21,13 +22,12 @@
     """Demand of one team.
 
     `requests` is the number of requests, each with a weight that decays with its age, as of
-    `updated_s`. The mean hold times cover all leases and those of single statements.
+    `updated_s`. `hold_s` is the mean time for which it holds a connection.
     """
 
     updated_s: float
     requests: float = 0.0
     hold_s: float = EXPECTED_HOLD_S
-    statement_hold_s: float = EXPECTED_HOLD_S
 
     def rate_per_s(self, now: timedelta) -> float:
         """Return the recent request rate."""
@@ -70,15 +70,11 @@
         demand.requests = demand.requests * decay + 1.0
         demand.updated_s = now_s
 
-    def record_hold(self, team: str, duration: timedelta, statement: bool) -> None:
-        """Record how long a lease lasted, and whether it was that of a single statement."""
+    def record_hold(self, team: str, duration: timedelta) -> None:
+        """Record for how long a connection was leased."""
         demand = self._by_team.get(team)
-        if demand is None:
-            return
-        seconds = duration.total_seconds()
-        demand.hold_s += _HOLD_WEIGHT * (seconds - demand.hold_s)
-        if statement:
-            demand.statement_hold_s += _HOLD_WEIGHT * (seconds - demand.statement_hold_s)
+        if demand is not None:
+            demand.hold_s += _HOLD_WEIGHT * (duration.total_seconds() - demand.hold_s)
 
     def forget_unused(self, kept_teams: set[str], now: timedelta) -> None:
         """Forget teams that have not asked for long, except `kept_teams`."""
