--- a/packages/core/bramleyrill_core/connections/_allocator.py
+++ b/packages/core/bramleyrill_core/connections/_allocator.py
@@ -70,9 +70,7 @@
         actions = allocator.release(socket)
     """
 
-    def __init__(
-        self, limit: int, slots: int, clock: Clock, policy: str = DEFAULT_POLICY
-    ) -> None:
+    def __init__(self, limit: int, slots: int, clock: Clock, policy: str = DEFAULT_POLICY) -> None:
         self.limit = LearnedLimit(limit)
         self.demand = DemandTable()
         self.counts = ConnectionCounts()
@@ -143,6 +141,12 @@
         """Remove a statement that no longer waits."""
         self._waiters.pop(waiter, None)
 
+    def withdraw_all(self) -> list[Hashable]:
+        """Remove and return the keys of all waiting statements."""
+        keys = list(self._waiters)
+        self._waiters.clear()
+        return keys
+
     def dial_at(self, waiter: Hashable) -> timedelta | None:
         """Return when to call `plan` for a statement that waits for a connection in use."""
         entry = self._waiters.get(waiter)
--- a/packages/core/bramleyrill_core/connections/_values.py
+++ b/packages/core/bramleyrill_core/connections/_values.py
@@ -85,3 +85,12 @@
     dialed: int = 0
     replaced: int = 0
     reached_limit: int = 0
+
+    def __add__(self, other: "ConnectionCounts") -> "ConnectionCounts":
+        """Return the sums of the totals."""
+        return ConnectionCounts(
+            self.requested + other.requested,
+            self.dialed + other.dialed,
+            self.replaced + other.replaced,
+            self.reached_limit + other.reached_limit,
+        )
--- a/packages/entry/bramleyrill_entry/_preparation.py
+++ b/packages/entry/bramleyrill_entry/_preparation.py
@@ -1,5 +1,6 @@
 """Set up a pooled connection for a caller's statement."""
 
+from datetime import timedelta
 from typing import Any
 
 from bramleyrill_base import log_event
@@ -25,14 +26,18 @@
         self._pool = pool
 
     def lease(
-        self, values: dict[str, str], prepared: Prepared | None, team: str = ""
+        self,
+        values: dict[str, str],
+        prepared: Prepared | None,
+        team: str = "",
+        patience: timedelta = timedelta(),
     ) -> UpstreamConnection:
         """Return a connection of a team with the session's values and the prepared statement.
 
         Raises UpstreamError if there is no connection in time.
         """
         connection = self._pool.lease(
-            LEASE_TIMEOUT, lambda state: state.preparation_cost(values, prepared), team
+            LEASE_TIMEOUT, lambda state: state.preparation_cost(values, prepared), team, patience
         )
         self.set_up(connection, values, prepared)
         return connection
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -180,6 +180,15 @@
         self.metrics.set_gauge("store_calls", self.store.calls.total)
         self.metrics.set_gauge("store_era", self.state.history.era)
         self.metrics.set_gauge("configuration_version", self.state.catalog.version)
+        self._set_connection_gauges()
+
+    def _set_connection_gauges(self) -> None:
+        counts = self.schedulers.connection_counts()
+        self.metrics.set_gauge("connections_open", self.schedulers.count_connections())
+        self.metrics.set_gauge("connection_requests", counts.requested)
+        self.metrics.set_gauge("connection_dials", counts.dialed)
+        self.metrics.set_gauge("connections_replaced", counts.replaced)
+        self.metrics.set_gauge("connection_limit_refusals", counts.reached_limit)
 
 
 def run(settings: EntrySettings, listeners: Listeners) -> None:
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -19,13 +19,14 @@
     resting_to_end,
 )
 from bramleyrill_core.catalog import MemberEntry
+from bramleyrill_core.connections import Use
 from bramleyrill_core.placement import LoadMeter, LoadStamp
 from bramleyrill_core.statements import Answer, AnswerCode, StatementKind, TransactionState
 from bramleyrill_platform import lines
 from gevent.event import AsyncResult
 
 from bramleyrill_entry._permits import NoPermitError, PermitKeeper
-from bramleyrill_entry._pool import LEASE_TIMEOUT, UpstreamPool
+from bramleyrill_entry._pool import LEASE_TIMEOUT, NoFreeConnectionError, UpstreamPool
 from bramleyrill_entry._preparation import NotSentError, Preparation
 from bramleyrill_entry._run_request import NO_TRANSACTION, Opens, RunProblem, RunRequest, RunResult
 from bramleyrill_entry._state import EntryState
@@ -37,6 +38,12 @@
 EXPECTED_TRANSACTION_TIME = timedelta(milliseconds=300)
 # Attempts to get a connection on which the statement can be sent.
 MAX_CONNECTION_ATTEMPTS = 3
+# Part of the time until a statement would be late that it waits for a connection of its team which
+# is in use, before the connection of another team is closed for it.
+CONNECTION_WAIT_SHARE = 0.25
+MAX_CONNECTION_WAIT = LEASE_TIMEOUT / 2
+# Suggested to callers that were refused because all connections were in use.
+NO_CONNECTION_RETRY_AFTER = timedelta(seconds=1)
 # Suggested to callers that were refused because the primary may have been replaced.
 NO_PERMIT_RETRY_AFTER = timedelta(seconds=1)
 # A transaction of no team without a statement for this long is rolled back: its entry VM failed or
@@ -163,6 +170,7 @@
             log_event("exchange_forgotten", member=self.member.id, vm=key[0], exchange=key[1])
             self._close_transaction(key, transaction)
         self._end_resting_transactions(now)
+        self._reclaim_connections()
 
     def _end_resting_transactions(self, now: timedelta) -> None:
         """Roll back resting transactions of teams for callers that wait for what they hold."""
@@ -192,6 +200,20 @@
             )
             self._close_transaction(key, transaction)
 
+    def _reclaim_connections(self) -> None:
+        """Roll back resting transactions whose connections waiting statements need."""
+        needed = set(self.pool.reclaimable())
+        for key, transaction in list(self._transactions.items()):
+            if transaction.connection in needed and not transaction.running:
+                log_event(
+                    "transaction_reclaimed",
+                    member=self.member.id,
+                    team=transaction.connection.team,
+                    vm=key[0],
+                    exchange=key[1],
+                )
+                self._close_transaction(key, transaction)
+
     def close(self) -> None:
         """Roll back all transactions and close all connections."""
         self.end_transactions()
@@ -305,6 +327,8 @@
         for _ in range(MAX_CONNECTION_ATTEMPTS):
             try:
                 connection = self._lease_connection(request)
+            except NoFreeConnectionError:
+                return _no_connection_result()
             except UpstreamError:
                 return RunResult(problem=RunProblem.UNREACHABLE)
             except NotSentError:
@@ -320,7 +344,10 @@
         return RunResult(problem=RunProblem.UNREACHABLE)
 
     def _lease_connection(self, request: RunRequest) -> UpstreamConnection:
-        return self._preparation.lease(request.values, request.statement.prepared, request.team)
+        patience = min(request.on_time_left * CONNECTION_WAIT_SHARE, MAX_CONNECTION_WAIT)
+        return self._preparation.lease(
+            request.values, request.statement.prepared, request.team, patience
+        )
 
     def _run_on_connection(self, connection: UpstreamConnection, request: RunRequest) -> RunResult:
         """Run a statement outside a transaction.
@@ -413,6 +440,8 @@
             try:
                 connection = self._lease_connection(request)
                 begin_answer = self._begin(connection, min_mark, read_only)
+            except NoFreeConnectionError:
+                return _no_connection_result()
             except UpstreamError:
                 return RunResult(problem=RunProblem.UNREACHABLE)
             except NotSentError:
@@ -437,6 +466,7 @@
         if transaction is None or transaction.running:
             return RunResult(problem=RunProblem.NO_EXCHANGE)
         transaction.running = True
+        self.pool.set_use(transaction.connection, Use.TRANSACTION)
         submitted_at = self._state.now()
         self._meter.record_arrival(submitted_at)
         deadline = submitted_at + request.max_wait
@@ -468,6 +498,7 @@
         self, key: TransactionKey, transaction: OpenTransaction, request: RunRequest
     ) -> RunResult:
         transaction.running = True
+        self.pool.set_use(transaction.connection, Use.TRANSACTION)
         sent_at = self._state.now()
         try:
             result = self._execute(transaction.connection, request)
@@ -485,6 +516,7 @@
             transaction.wrote = transaction.wrote or (answer.succeeded and request.statement.writes)
         if answer is not None and answer.state is TransactionState.OPEN:
             result.transaction_open = True
+            self.pool.set_use(transaction.connection, Use.RESTING)
             self._deliver_outcomes(
                 self._statement_admission, self._statement_admission.pause(transaction.admission_id)
             )
@@ -550,6 +582,14 @@
     return RunResult(problem=RunProblem.NO_PERMIT, retry_after=NO_PERMIT_RETRY_AFTER)
 
 
+def _no_connection_result() -> RunResult:
+    return RunResult(
+        problem=RunProblem.OVERLOADED,
+        waited=LEASE_TIMEOUT,
+        retry_after=NO_CONNECTION_RETRY_AFTER,
+    )
+
+
 def _refused_begin_result(answer: Answer) -> RunResult:
     if answer.code is AnswerCode.READ_ONLY:
         return RunResult(problem=RunProblem.NOT_PRIMARY)
--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -4,6 +4,7 @@
 
 from bramleyrill_base import log_event
 from bramleyrill_core.catalog import MemberRow, MemberState
+from bramleyrill_core.connections import ConnectionCounts
 from bramleyrill_core.placement import holder_candidates
 
 from bramleyrill_entry._permits import PermitKeeper
@@ -36,6 +37,7 @@
         self._permits = permits or PermitKeeper(state, None)
         self._state = state
         self._draining_since: dict[str, timedelta] = {}
+        self._closed_counts = ConnectionCounts()
 
     def run(self, peer: str, request: RunRequest) -> RunResult:
         """Run a statement for the VM `peer`; the result has a problem if it cannot run here."""
@@ -73,6 +75,7 @@
         scheduler = MemberScheduler(
             self._state, row.entry, self._connection_limit(row), self._permits
         )
+        scheduler.pool.limit = self._connection_budget(row)
         self.by_member[member] = scheduler
         log_event("desk_opened", member=member, connections=scheduler.pool.limit)
         return scheduler
@@ -104,7 +107,10 @@
                 self.scheduler_for(row.entry.id).pool.maintain_connections(warm)
         for scheduler in self.by_member.values():
             row = self._state.members.members.get(scheduler.member.id)
-            if row is not None and not self._holds(row):
+            if row is None:
+                continue
+            scheduler.pool.limit = self._connection_budget(row)
+            if not self._holds(row):
                 scheduler.pool.close_idle(MAX_IDLE_TIME_ELSEWHERE)
 
     def _holds(self, row: MemberRow) -> bool:
@@ -122,6 +128,15 @@
         """Return the number of transactions that are open through this VM."""
         return sum(scheduler.open_transactions for scheduler in self.by_member.values())
 
+    def count_connections(self) -> int:
+        """Return the number of connections to members that are open or being dialed."""
+        return sum(scheduler.pool.size for scheduler in self.by_member.values())
+
+    def connection_counts(self) -> ConnectionCounts:
+        """Return the totals of all pools since the start of the process."""
+        pools = (scheduler.pool for scheduler in self.by_member.values())
+        return sum((pool.allocator.counts for pool in pools), self._closed_counts)
+
     def busy(self) -> bool:
         """Return whether any scheduler has statements or transactions in progress or queued."""
         return any(scheduler.busy for scheduler in self.by_member.values())
@@ -134,6 +149,7 @@
     def _close(self, scheduler: MemberScheduler, reason: str) -> None:
         log_event("desk_closed", member=scheduler.member.id, reason=reason)
         self.by_member.pop(scheduler.member.id, None)
+        self._closed_counts += scheduler.pool.allocator.counts
         scheduler.close()
 
     def _connection_limit(self, row: MemberRow) -> int:
@@ -145,6 +161,17 @@
             limit -= round(SUCCESSOR_SHARE * limit)
         return max(limit - SPARE_CONNECTIONS, MIN_CONNECTIONS)
 
+    def _connection_budget(self, row: MemberRow) -> int:
+        """Return how many connections to a member this VM may open now.
+
+        With teams the holder's connections are all in use for them. Another VM of the domain then
+        opens no more than it needs to use the member's slots, until it becomes the holder.
+        """
+        limit = self._connection_limit(row)
+        if not self._state.catalog.teams.enabled or self._holds(row):
+            return limit
+        return min(limit, row.entry.slots + SPARE_CONNECTIONS)
+
     def _update_draining(self, now: timedelta) -> None:
         draining = {
             row.entry.id
--- a/tests/connections/load.py
+++ b/tests/connections/load.py
@@ -2,7 +2,7 @@
 
 import heapq
 import random
-from collections import Counter, deque
+from collections import deque
 from datetime import timedelta
 
 from attrs import define, field
