--- a/packages/core/bramleyrill_core/connections/_allocator.py
+++ b/packages/core/bramleyrill_core/connections/_allocator.py
@@ -74,6 +74,7 @@
         self.limit = LearnedLimit(limit)
         self.demand = DemandTable()
         self.counts = ConnectionCounts()
+        self._slots = slots
         self._clock = clock
         self._policy = connection_policies.get(policy)
         self._team_dials = max(int(slots * MAX_DIAL_SLOT_SHARE), MIN_CONCURRENT_DIALS)
@@ -134,7 +135,8 @@
         connection = self._take_idle(team, cost_of)
         if connection is not None:
             return [self._assign(waiter, connection, now)]
-        self._waiters[waiter] = Waiter(waiter, team, now + self._dial_delay(team, patience, now))
+        shortest, longest = self._dial_delays(team, patience, now)
+        self._waiters[waiter] = Waiter(waiter, team, now + longest, now + shortest)
         return self.plan()
 
     def withdraw(self, waiter: Hashable) -> None:
@@ -225,13 +227,14 @@
         if not self._waiters:
             return actions
         now = self._clock.monotonic()
+        busy = self._is_busy()
         unclaimed_dials = self._dials_by_team.copy()
         for waiter in self._waiters.values():
             team = waiter.team or ""
             if unclaimed_dials[team] > 0:
                 unclaimed_dials[team] -= 1
                 continue
-            if now < waiter.dial_at:
+            if now < (waiter.busy_dial_at if busy else waiter.dial_at):
                 continue
             if self.dial_count >= self._max_dials():
                 break
@@ -291,18 +294,31 @@
     def _max_dials(self) -> int:
         return self._team_dials if self._has_teams else MIN_CONCURRENT_DIALS
 
-    def _dial_delay(self, team: str | None, patience: timedelta, now: timedelta) -> timedelta:
+    def _is_busy(self) -> bool:
+        """Return whether the member's slots would all be used if no statement waited."""
+        running = sum(
+            connection.use in (Use.STATEMENT, Use.TRANSACTION)
+            for connection in self._by_key.values()
+        )
+        return running + len(self._waiters) >= self._slots
+
+    def _dial_delays(
+        self, team: str | None, patience: timedelta, now: timedelta
+    ) -> tuple[timedelta, timedelta]:
         """Return how long a new waiter waits for a connection in use before one is dialed.
 
-        At most one waits for each connection in use, so that a team whose load rises gets more.
+        The first is for a busy member, the second for others. At most one waits for each connection
+        in use, so that a team whose load rises gets more.
         """
         usable = self.open_count if team is None else self._held_by_team[team]
         ahead = sum(waiter.team == team for waiter in self._waiters.values())
         if not self._has_teams or ahead >= usable - self._dials_by_team[team or ""]:
-            return timedelta()
+            return timedelta(), timedelta()
         if self._size() < self.limit.value(now):
-            return timedelta(seconds=NEW_CONNECTION_COST * self._dial_s)
-        return max(patience, timedelta(seconds=REPLACED_CONNECTION_COST * self._dial_s))
+            delay = timedelta(seconds=NEW_CONNECTION_COST * self._dial_s)
+            return delay, delay
+        delay = timedelta(seconds=REPLACED_CONNECTION_COST * self._dial_s)
+        return delay, max(patience, delay)
 
     def _take_idle(self, team: str | None, cost_of: ConnectionCost) -> PooledConnection | None:
         idle = self.idle() if team is None else self._idle_by_team.get(team)
--- a/packages/core/bramleyrill_core/connections/_limit.py
+++ b/packages/core/bramleyrill_core/connections/_limit.py
@@ -10,7 +10,8 @@
 # refusal until the pool's own limit was reached again.
 INITIAL_HOLD = timedelta(seconds=2)
 MAX_HOLD = timedelta(seconds=30)
-# The limit then rises by one in each of these intervals.
+# The limit then rises by one, and by twice as much after each further one of these intervals: the
+# member may have dropped the connections of a VM that was lost all at once.
 RECOVERY_INTERVAL = timedelta(seconds=1)
 # Delay after a failed dial; doubled after each further one, up to the maximum.
 INITIAL_BACKOFF = timedelta(milliseconds=100)
@@ -32,7 +33,7 @@
             return self.configured
         if now < self._held_until:
             return min(self._learned, self.configured)
-        value = self._learned + 1 + (now - self._held_until) // RECOVERY_INTERVAL
+        value = self._learned + 2 ** ((now - self._held_until) // RECOVERY_INTERVAL)
         if value >= self.configured:
             self._learned, self._hold = None, INITIAL_HOLD
             return self.configured
--- a/packages/core/bramleyrill_core/connections/_values.py
+++ b/packages/core/bramleyrill_core/connections/_values.py
@@ -39,13 +39,15 @@
 class Waiter:
     """A statement that waits for a connection of its team; any team's serves if that is None.
 
-    No connection is dialed for it before `dial_at`. `blocked_since` is the time since which one
+    No connection is dialed for it before `dial_at`, or `busy_dial_at` if statements that wait would
+    leave slots of the member unused. `blocked_since` is the time since which one
     would have been dialed if there had been room, or None.
     """
 
     key: Hashable
     team: str | None
     dial_at: timedelta
+    busy_dial_at: timedelta
     blocked_since: timedelta | None = None
 
 
--- a/tests/connections/test_load.py
+++ b/tests/connections/test_load.py
@@ -7,6 +7,8 @@
 from tests.connections.load import Load
 
 RATE_PER_S = 35.0
+# Statements and dials take about four fifths of the slots.
+BUSY_RATE_PER_S = 120.0
 WARM_UP_S, DURATION_S = 300, 300
 MAX_DIALS_PER_OPERATION = 1 / 20
 ON_TIME_TOLERANCE = 0.01
@@ -35,6 +37,12 @@
         """Each dial occupies a slot of the member, and its statement waits for it."""
         self.assertLess(self.outcomes[DEFAULT_POLICY].dials_per_operation, MAX_DIALS_PER_OPERATION)
 
+    def test_nearly_busy_member_serves_all_on_time(self):
+        """Statements that waited for connections of their team left slots unused, and the queue
+        before the member grew without end."""
+        load = Load(DEFAULT_POLICY, BUSY_RATE_PER_S)
+        self.assertGreaterEqual(load.play(30, 30).on_time_share, 1.0 - ON_TIME_TOLERANCE)
+
     def test_no_policy_breaks_the_owner_rule_or_the_limit(self):
         for name, load in self.loads.items():
             self.assertEqual(load.broken, [], name)
