--- a/packages/core/bramleyrill_core/connections/_limit.py
+++ b/packages/core/bramleyrill_core/connections/_limit.py
@@ -13,6 +13,8 @@
 # The limit then rises by one, and by twice as much after each further one of these intervals: the
 # member may have dropped the connections of a VM that was lost all at once.
 RECOVERY_INTERVAL = timedelta(seconds=1)
+# Enough for any limit.
+MAX_RECOVERY_STEPS = 20
 # Delay after a failed dial; doubled after each further one, up to the maximum.
 INITIAL_BACKOFF = timedelta(milliseconds=100)
 MAX_BACKOFF = timedelta(seconds=1)
@@ -33,7 +35,8 @@
             return self.configured
         if now < self._held_until:
             return min(self._learned, self.configured)
-        value = self._learned + 2 ** ((now - self._held_until) // RECOVERY_INTERVAL)
+        steps = min((now - self._held_until) // RECOVERY_INTERVAL, MAX_RECOVERY_STEPS)
+        value = self._learned + 2**steps
         if value >= self.configured:
             self._learned, self._hold = None, INITIAL_HOLD
             return self.configured
