--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -73,6 +73,13 @@
                 settings = self.load(values)
                 self.assertIsNone(settings.cpu_share or settings.cores or settings.link_mbps)
 
+    def test_tolerance_of_limits_that_is_not_stated_is_none(self):
+        """A deployment that states none must not let teams pass their limits."""
+        settings = self.load(VALID_VALUES | {"quota_slack": None, "quota_over": 0.1})
+        self.assertEqual((settings.quota_slack, settings.quota_over), (0, 0.1))
+        with self.assertRaises(SettingsError):
+            self.load(VALID_VALUES | {"quota_slack": -1})
+
     def test_file_that_is_not_a_mapping(self):
         for text in ("- a\n", "{", ""):
             with self.assertRaises(SettingsError):
--- a/tests/entry/test_team_limits.py
+++ b/tests/entry/test_team_limits.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 import gevent
+import gevent.socket
 from attrs import evolve
 from bramleyrill_base import ManualClock
 from bramleyrill_core.limits import LOCK, Grant, Report, TeamGrant, TeamReport
@@ -12,6 +13,7 @@
 from bramleyrill_core.teams import Team, TeamDirectory, key_digest
 from bramleyrill_entry._limits import TeamLimits, handle_grant, handle_report
 from bramleyrill_entry._limits_codec import decode_grant, decode_report, encode_quota
+from bramleyrill_entry._peers import PeerNet
 from bramleyrill_entry._watch import VmRegistration
 from bramleyrill_standins.prepared import LineGroup
 from bramleyrill_wire.entries import FrameBuffer, encode, frames
@@ -152,6 +154,44 @@
             self.assertLessEqual(len(family.samples), 11)
 
 
+class LinkTest(LimitsTest):
+    """Two VMs with real links between them."""
+
+    def start_vm(self, name, clock):
+        listener = gevent.socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(4)
+        state = make_state(self.group, id=name, peer_listen=listener.getsockname())
+        state.clock = clock
+        services = {}
+        net = PeerNet(state, services, listener)
+        limits = services[TeamLimits] = TeamLimits(net, VmRegistration(state, mock.Mock()))
+        limits.node.count.list_fresh(("vm1", "vm2"), True, state.now())
+        self.put_limit(state, 8, 8)
+        net.start()
+        self.addCleanup(net.close)
+        return state, limits
+
+    def test_both_vms_use_the_whole_limit_together(self):
+        """Each owns a half; the VM that is not the hub gets its tokens over the link."""
+        clock = ManualClock()
+        (first, limits), (second, others) = (self.start_vm(name, clock) for name in ("vm1", "vm2"))
+        first.vms.update(second.vms.own, clock.monotonic())
+        second.vms.update(first.vms.own, clock.monotonic())
+        for _ in range(LOCK // SECOND + 4):
+            clock.advance(SECOND)
+            for part in (limits, others):
+                part.tick()
+                gevent.sleep(0.01)
+        with gevent.Timeout(5):
+            for part in (limits, others):
+                self.assertEqual([part.admit("harbour", PATIENCE) for _ in range(4)], [None] * 4)
+        hubs = [
+            sum(part.node.hub_fractions(clock.monotonic()).values()) for part in (limits, others)
+        ]
+        self.assertEqual(sorted(hubs), [0, 1])
+
+
 class SessionLimitsTest(SessionTest):
     """What the session asks the limits, and what its caller is told."""
 
--- a/tests/limits/test_hub.py
+++ b/tests/limits/test_hub.py
@@ -5,6 +5,7 @@
 
 from attrs import evolve
 from bramleyrill_core.limits import (
+    GRANT_LIFETIME,
     LEND_LIFETIME,
     Grant,
     Hub,
@@ -16,6 +17,7 @@
     TeamReport,
     team_limits,
 )
+from bramleyrill_core.limits._lender import Loan
 from bramleyrill_core.limits._terms import digests_of, group_of
 from bramleyrill_core.teams import Team
 
@@ -102,6 +104,23 @@
         self.now += SECOND
         self.assertEqual(self.given(vm="vm2@1", urgent=10, wanted=10), 0)
 
+    def test_tokens_of_what_is_not_lent_any_more_run_out(self):
+        """Extended again and again, they would outlive the lock of what backed them."""
+        self.report(lent=1.0)
+        self.now += SECOND
+        grant = self.report(urgent=10, wanted=10)
+        self.now += LEND_LIFETIME - SECOND
+        later = self.report(held=10, number=grant.number)
+        self.assertFalse(later.teams[0].extended)
+
+    def test_lender_waits_for_the_last_lend_and_grant(self):
+        loan = Loan(self.now)
+        loan.lend("vm2@1", self.now)
+        self.assertTrue(loan.may_lend("vm2@1", self.now))
+        last_use = self.now + LEND_LIFETIME + GRANT_LIFETIME
+        self.assertFalse(loan.may_lend("vm2@2", last_use))
+        self.assertTrue(loan.may_lend("vm2@2", last_use + SECOND))
+
     def test_team_without_a_limit_here_gets_nothing(self):
         """A peer of another version may report teams that this one does not limit."""
         self.report(lent=1.0)
