--- a/packages/core/bramleyrill_core/connections/_allocator.py
+++ b/packages/core/bramleyrill_core/connections/_allocator.py
@@ -121,19 +121,40 @@
         cost_of: ConnectionCost = no_cost,
         patience: timedelta = timedelta(),
     ) -> list[Action]:
-        """Ask for a connection of a team; with None that of any team, for the proxy's own use.
+        """Take an idle connection of a team, or wait for one.
 
-        Among idle ones the one with the lowest `cost_of` its key is assigned at once. `patience` is
-        how long the statement can well wait for one in use before another team's is closed for it.
+        See `take` and `wait`; the result is an `Assign` for an idle one.
+        """
+        key = self.take(team, cost_of)
+        return [Assign(waiter, key)] if key is not None else self.wait(waiter, team, patience)
+
+    def take(self, team: str | None, cost_of: ConnectionCost = no_cost) -> Any:
+        """Lease an idle connection of a team and return its key; None if there is none.
+
+        With the team None, for the proxy's own use, any team's serves. Among several the one with
+        the lowest `cost_of` its key is taken.
         """
         now = self._clock.monotonic()
         if team is not None:
             self._has_teams = self._has_teams or bool(team)
             self.counts.requested += 1
-            self.demand.count_request(team, now)
+            if self._has_teams:
+                self.demand.count_request(team, now)
         connection = self._take_idle(team, cost_of)
-        if connection is not None:
-            return [self._assign(waiter, connection, now)]
+        if connection is None:
+            return None
+        self._lease(connection, now)
+        return connection.key
+
+    def wait(
+        self, waiter: Hashable, team: str | None, patience: timedelta = timedelta()
+    ) -> list[Action]:
+        """Wait for a connection of a team, after `take` found none idle.
+
+        `patience` is how long the statement can well wait for one in use before another team's is
+        closed for it.
+        """
+        now = self._clock.monotonic()
         shortest, longest = self._dial_delays(team, patience, now)
         self._waiters[waiter] = Waiter(waiter, team, now + longest, now + shortest)
         return self.plan()
@@ -328,17 +349,17 @@
         self._idle_by_team[chosen.team].remove(chosen)
         return chosen
 
-    def _assign(self, waiter: Hashable, connection: PooledConnection, now: timedelta) -> Assign:
+    def _lease(self, connection: PooledConnection, now: timedelta) -> None:
         connection.use = Use.STATEMENT
         connection.since = connection.leased_at = now
-        return Assign(waiter, connection.key)
 
     def _offer(self, connection: PooledConnection, now: timedelta) -> list[Action]:
         """Give a free connection to the first statement that may use it, or make it idle."""
         for waiter in self._waiters.values():
             if waiter.team is None or waiter.team == connection.team:
                 del self._waiters[waiter.key]
-                return [self._assign(waiter.key, connection, now), *self.plan()]
+                self._lease(connection, now)
+                return [Assign(waiter.key, connection.key), *self.plan()]
         connection.use, connection.since = Use.IDLE, now
         self._idle_by_team.setdefault(connection.team, []).append(connection)
         return self.plan()
--- a/packages/entry/bramleyrill_entry/_pool.py
+++ b/packages/entry/bramleyrill_entry/_pool.py
@@ -95,7 +95,9 @@
             raise UpstreamError("the pool is closed")
         deadline = self._clock.monotonic() + timeout
         while True:
-            connection = self._wait_for_connection(deadline, cost_of, team, patience)
+            connection = self.allocator.take(team, lambda idle: cost_of(idle.state))
+            if connection is None:
+                connection = self._wait_for_connection(deadline, team, patience)
             try:
                 if self._is_alive(connection):
                     return connection
@@ -150,18 +152,10 @@
             self.discard(connection)
 
     def _wait_for_connection(
-        self,
-        deadline: timedelta,
-        cost_of: StateCost,
-        team: str | None,
-        patience: timedelta,
+        self, deadline: timedelta, team: str | None, patience: timedelta
     ) -> UpstreamConnection:
         waiter: AsyncResult = AsyncResult()
-        self._carry_out(
-            self.allocator.request(
-                waiter, team, lambda connection: cost_of(connection.state), patience
-            )
-        )
+        self._carry_out(self.allocator.wait(waiter, team, patience))
         try:
             self._wait_for_dial(waiter, deadline)
             waiter.wait(timeout=self._seconds_until(deadline))
@@ -207,8 +201,10 @@
     def _log_replaced(self) -> None:
         """Log how many connections were closed for other teams, at most once in an interval."""
         count = self.allocator.counts.replaced - self._replaced_logged
+        if not count:
+            return
         now = self._clock.monotonic()
-        if not count or now < self._next_replaced_log_at:
+        if now < self._next_replaced_log_at:
             return
         self._replaced_logged += count
         self._next_replaced_log_at = now + REPLACED_LOG_INTERVAL
