--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -9,6 +9,7 @@
 from bramleyrill_core import Rank
 from bramleyrill_core.catalog import Catalog, Consistency, DatabaseRoute, ServiceEntry
 from bramleyrill_entry import _router, _session
+from bramleyrill_entry._attempt import FIRST_ATTEMPT_TARGET_SHARE
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._load_reports import LoadReports
 from bramleyrill_entry._metrics import EntryMetrics
@@ -382,6 +383,22 @@
         self.assertTrue(caller.query("READ a")[0].startswith("COMPLETE s"))
         self.assertLess(self.state.now() - asked_at, target)
 
+    def test_read_that_outlives_its_kind_is_repeated_once_elsewhere(self):
+        """A read waited at a slow member for most of its target although others were free."""
+        self.assertIsNone(self.schedulers.scheduler_for("m1").prove())
+        caller = self.connect()
+        caller.read_line()
+        for number in range(MIN_SAMPLES):
+            caller.query("READ a", f"s{number}")
+        self.group.members_by_name["m2"].silent = True
+        asked_at = self.state.now()
+        self.assertTrue(caller.query("READ a")[0].startswith("COMPLETE s"))
+        first_limit = FIRST_ATTEMPT_TARGET_SHARE * TWO_SECONDS
+        self.assertLess(self.state.now() - asked_at, first_limit)
+        self.assertEqual([run.member for run in self.group.runs_of("q1")], ["m1"])
+        self.group.members_by_name["m2"].silent = False
+        self.assertTrue(caller.query("READ a", "q2")[0].startswith("COMPLETE s"))
+
 
 class OwnWritesTest(SessionTest):
     consistency = Consistency.OWN_WRITES
