--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -8,6 +8,7 @@
 import gevent.socket
 from bramleyrill_core import Rank
 from bramleyrill_core.catalog import Catalog, Consistency, DatabaseRoute, ServiceEntry
+from bramleyrill_core.placement._repeats import MIN_SAMPLES
 from bramleyrill_entry import _router, _session
 from bramleyrill_entry._attempt import FIRST_ATTEMPT_TARGET_SHARE
 from bramleyrill_entry._executor import Executor
