Spare the calculation of shares at light load, and tell operators the shares

Operators saw where reads went and not why. Change: while the nearest member has room for all, it is taken without the calculation. The gauge read_share has each member's share with its reason.

--- a/packages/core/bramleyrill_core/placement/_load.py
+++ b/packages/core/bramleyrill_core/placement/_load.py
@@ -87,14 +87,13 @@
         measured_s = self.stamp.service_time.total_seconds()
         return ASSUMED_SERVICE_S + weight * (measured_s - ASSUMED_SERVICE_S)
 
-    def expected_backlog(self, slots: int, now: timedelta) -> float:
+    def expected_backlog(self, slots: int, now: timedelta, service_s: float) -> float:
         """Return how many statements are expected to run or wait at the member now.
 
         The newest of the stamp and the told wait counts. While all slots are in use, the backlog
         changes by what arrives and what the member can serve; it does not fall below what the
         arrivals keep busy.
         """
-        service_s = self.expected_service_s(now)
         stamp = self.stamp if self.age(now) is not None else None
         arrivals = stamp.arrivals_per_s if stamp is not None else 0.0
         backlog = float(stamp.in_flight + stamp.queued) if stamp is not None else 0.0
@@ -113,13 +112,13 @@
             return timedelta()
         return now - max(self.taken_at, self.wait_at)
 
-    def expected_wait_s(self, slots: int, now: timedelta) -> float:
+    def expected_wait_s(self, slots: int, now: timedelta, service_s: float) -> float:
         """Return the wait in seconds that a request sent now is expected to have.
 
         It is at least what this VM's oldest unanswered request has waited beyond a usual run.
         """
-        ahead = self.expected_backlog(slots, now) - slots + 1
-        expected_s = max(ahead, 0.0) * self.expected_service_s(now) / max(slots, 1)
+        ahead = self.expected_backlog(slots, now, service_s) - slots + 1
+        expected_s = max(ahead, 0.0) * service_s / max(slots, 1)
         return max(expected_s, self.overdue_s(now))
 
     def overdue_s(self, now: timedelta) -> float:
--- a/packages/core/bramleyrill_core/placement/_policies.py
+++ b/packages/core/bramleyrill_core/placement/_policies.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from attrs import frozen
+from attrs import define, frozen
 from bramleyrill_base import Registry
 
 from bramleyrill_core.catalog._model import MemberEntry
@@ -21,11 +21,12 @@
 PRIMARY_PENALTY = timedelta(milliseconds=40)
 
 
-@frozen
+@define(eq=False)
 class Candidate:
     """A member that may serve a read.
 
     `distance_s` is the time in seconds that it costs at no load: the round trips and its warm-up.
+    It is made for one choice, so that what it has derived for the time of the choice is kept.
     An `avoided` member failed just now or lacks the data, and is tried last by all policies.
     """
 
@@ -34,19 +35,29 @@
     load: MemberLoad
     is_primary: bool = False
     avoided: bool = False
+    _service_s: float | None = None
+    _wait_s: float | None = None
 
     @property
     def fixed_s(self) -> float:
         """Return the distance plus the price of the primary's slots."""
         return self.distance_s + PRIMARY_PENALTY.total_seconds() * self.is_primary
 
+    def service_s(self, now: timedelta) -> float:
+        """Return the expected run of a statement at the member."""
+        if self._service_s is None:
+            self._service_s = self.load.expected_service_s(now)
+        return self._service_s
+
     def wait_s(self, now: timedelta) -> float:
         """Return the expected wait in the queue of the member's holder."""
-        return self.load.expected_wait_s(self.member.slots, now)
+        if self._wait_s is None:
+            self._wait_s = self.load.expected_wait_s(self.member.slots, now, self.service_s(now))
+        return self._wait_s
 
     def cost_s(self, now: timedelta) -> float:
         """Return the expected time of a read at the member."""
-        return self.fixed_s + self.wait_s(now) + self.load.expected_service_s(now)
+        return self.fixed_s + self.wait_s(now) + self.service_s(now)
 
 
 @frozen
@@ -116,7 +127,7 @@
         queue = 1 + len(load.unanswered) * choice.choosers / item.member.slots
         if stamp is not None:
             queue += (stamp.in_flight + stamp.queued) / item.member.slots
-        return item.fixed_s + queue**3 * load.expected_service_s(choice.now) / item.member.slots
+        return item.fixed_s + queue**3 * item.service_s(choice.now) / item.member.slots
 
     return sorted(candidates, key=sort_key)
 
@@ -129,10 +140,12 @@
     """
 
     def sort_key(item: Candidate) -> tuple[bool, float]:
-        backlog = item.load.expected_backlog(item.member.slots, choice.now)
+        backlog = item.load.expected_backlog(
+            item.member.slots, choice.now, item.service_s(choice.now)
+        )
         if backlog > item.member.slots:
             return True, backlog / item.member.slots
-        return False, item.fixed_s + item.load.expected_service_s(choice.now)
+        return False, item.fixed_s + item.service_s(choice.now)
 
     return sorted(candidates, key=sort_key)
 
--- a/packages/core/bramleyrill_core/placement/_reads.py
+++ b/packages/core/bramleyrill_core/placement/_reads.py
@@ -15,6 +15,7 @@
 from bramleyrill_core.catalog._model import MemberEntry
 from bramleyrill_core.placement._load import (
     ASSUMED_SERVICE_S,
+    MAX_STAMP_AGE,
     LoadSource,
     LoadTable,
     MemberLoad,
@@ -207,7 +208,7 @@
             return Standing.LAGGING if row.stale_refusals else Standing.UNREACHABLE
         if load.rate.trust(now) < FAILING_TRUST:
             return Standing.FAILING
-        if load.age(now) is None:
+        if load.age(now) is None and now - load.wait_at > MAX_STAMP_AGE:
             return Standing.UNKNOWN
         if load.expected_service_s(now) > SLOW_SERVICE_S:
             return Standing.SLOW
--- a/packages/core/bramleyrill_core/placement/_shares.py
+++ b/packages/core/bramleyrill_core/placement/_shares.py
@@ -63,17 +63,43 @@
 def order_by_shares(candidates: list[Candidate], choice: Choice) -> list[Candidate]:
     """Return the member drawn by the shares first, then the others by expected time."""
     usable = [item for item in candidates if not item.avoided] or candidates
+    by_distance = sorted(usable, key=lambda item: item.distance_s)
+    if not usable[0].avoided and _has_room(by_distance, choice.now):
+        return [*by_distance, *(item for item in candidates if item.avoided)]
     tiers = _give_shares(usable, choice.now)
     first = _draw_shorter_queue(usable, tiers, choice) or _draw(tiers, choice)
     return [first, *by_cost([item for item in candidates if item is not first], choice)]
 
 
+def _has_room(by_distance: list[Candidate], now: timedelta) -> bool:
+    """Return whether the nearest member serves all reads anyway.
+
+    This spares the whole calculation at light load: the member is alone within its distance, has
+    no limit, no failures and no queue, and no difference of runs outweighs the way to the next.
+    """
+    nearest = by_distance[0]
+    load, stamp = nearest.load, nearest.load.stamp
+    if load.limit != 1.0 or load.wait or load.rate.failures or load.overdue_s(now):
+        return False
+    service_s = nearest.service_s(now)
+    if len(by_distance) > 1:
+        gap_s = by_distance[1].distance_s - nearest.distance_s
+        if gap_s - PRIMARY_DETOUR_S * nearest.is_primary < service_s:
+            return False
+    if len(load.unanswered) >= nearest.member.slots or load.share < 1 - SMALL_CHANGE:
+        return False
+    if stamp is None:
+        return True
+    use = MAX_PRIMARY_USE if nearest.is_primary else MAX_USE
+    return not stamp.queued and stamp.arrivals_per_s * service_s < use * nearest.member.slots
+
+
 def _give_shares(candidates: list[Candidate], now: timedelta) -> list[_Tier]:
     """Update the limits and shares of all members; return the tiers, the nearest one first."""
-    fastest_s = min(item.load.expected_service_s(now) for item in candidates)
+    fastest_s = min(item.service_s(now) for item in candidates)
 
     def rank(item: Candidate) -> float:
-        slowness_s = max(item.load.expected_service_s(now) - SLOW_FACTOR * fastest_s, 0.0)
+        slowness_s = max(item.service_s(now) - SLOW_FACTOR * fastest_s, 0.0)
         return round(item.distance_s + PRIMARY_DETOUR_S * item.is_primary + slowness_s, 3)
 
     groups = [list(group) for _, group in groupby(sorted(candidates, key=rank), rank)]
@@ -133,7 +159,7 @@
     rate = max(stamp.arrivals_per_s, 1.0)
     queue = max(stamp.in_flight + stamp.queued - slots, 0)
     use = MAX_PRIMARY_USE if item.is_primary else MAX_USE
-    room = use * slots / load.expected_service_s(now) - queue / DRAIN_S - rate
+    room = use * slots / item.service_s(now) - queue / DRAIN_S - rate
     if nearest:
         limit = load.share * min(max(1 + room / rate, MAX_REDUCTION), MAX_GROWTH) + MIN_LIMIT
         # A share below the limit shows nothing against the limit while there is room.
--- a/packages/entry/bramleyrill_entry/_load_reports.py
+++ b/packages/entry/bramleyrill_entry/_load_reports.py
@@ -37,6 +37,8 @@
         self._schedulers = schedulers
         self._fault_logged_at: dict[StampFault, timedelta] = {}
         self._standing_by_member: dict[str, Standing] = {}
+        # Share of this VM's reads by member and the reason for it, for the metrics.
+        self.shares: dict[tuple[str, Standing], float] = {}
         self._to_judge: list[str] = []
 
     def hear_answer(self, member: MemberEntry, vm: str, result: RunResult) -> None:
@@ -94,11 +96,13 @@
         for member in judged:
             if member not in self._state.members.members:
                 placement.forget(member)
-                self._standing_by_member.pop(member, None)
+                self.shares.pop((member, self._standing_by_member.pop(member, None)), None)
                 continue
             standing = placement.standing(member, now)
             earlier = self._standing_by_member.get(member, Standing.UNKNOWN)
             self._standing_by_member[member] = standing
+            self.shares.pop((member, earlier), None)
+            self.shares[member, standing] = placement.loads.load_of(member).share
             if standing is not earlier:
                 self._log_standing(member, standing, earlier, now)
 
--- a/packages/entry/bramleyrill_entry/_metrics.py
+++ b/packages/entry/bramleyrill_entry/_metrics.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from bramleyrill_core.catalog import DatabaseRoute
-from bramleyrill_core.placement import Placed
+from bramleyrill_core.placement import Placed, Standing
 from bramleyrill_core.statements import Answer
 
 from bramleyrill_entry._run_request import RunRequest, RunResult
@@ -34,6 +34,8 @@
         self._gauges_by_name: dict[str, float] = {}
         # Reads by member and what became of them there; counted by the placement of reads.
         self.reads_placed: Counter[tuple[str, Placed]] = Counter()
+        # Share of this VM's reads by member and the reason for it.
+        self.read_shares: dict[tuple[str, Standing], float] = {}
         # Each returns further metric families.
         self.sources: list[Callable[[], Iterable[Any]]] = []
 
@@ -110,6 +112,14 @@
                 }
             ),
         )
+        shares = GaugeMetricFamily(
+            "bramleyrill_read_share",
+            "Share of this VM's reads of its service that a member gets",
+            labels=["member", "standing"],
+        )
+        for (member, standing), share in self.read_shares.items():
+            shares.add_metric([member, standing.name.lower()], share)
+        yield shares
         for name, value in self._gauges_by_name.items():
             yield GaugeMetricFamily(f"bramleyrill_{name}", name.replace("_", " "), value=value)
         for source in self.sources:
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -92,6 +92,7 @@
         self.metrics.reads_placed = self.state.placement.counts
         self.executor = Executor(self.net, self.schedulers)
         self.loads = services[LoadReports] = LoadReports(self.state, self.schedulers)
+        self.metrics.read_shares = self.loads.shares
         router = Router(self.state, self.executor, self.metrics, self.loads)
         self.registration = VmRegistration(self.state, self.store)
         self.limits = services[TeamLimits] = TeamLimits(self.net, self.registration)
--- a/tests/placement/test_knowledge.py
+++ b/tests/placement/test_knowledge.py
@@ -16,6 +16,7 @@
 )
 from bramleyrill_entry import _load_reports
 from bramleyrill_entry._load_reports import MAX_STAMPS_PER_PONG, LoadReports
+from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._run_codec import decode_result, encode_result
 from bramleyrill_entry._run_request import RunResult
 from bramleyrill_entry._schedulers import MemberSchedulers
@@ -126,8 +127,21 @@
             self.state.members.members.remove("m1")
             self.reports.log_changes()
         self.assertEqual([call.args for call in log.call_args_list], [("member_judged",)])
+        self.assertEqual(self.reports.shares, {})
         self.assertNotIn("m1", self.loads.by_member)
 
+    def test_metrics_tell_share_and_reason_of_each_member(self):
+        """Operators saw only where reads went, and not why."""
+        self.know("m1")
+        self.state.placement.order([self.state.members.members.get("m1").entry], None, SECOND)
+        self.reports.log_changes()
+        metrics = EntryMetrics()
+        metrics.reads_placed = self.state.placement.counts
+        metrics.read_shares = self.reports.shares
+        text = metrics.render().decode()
+        self.assertIn('bramleyrill_read_share{member="m1",standing="', text)
+        self.assertIn('bramleyrill_reads_placed_total{member="m1",placed="chosen"} 1.0', text)
+
 
 class RepeatTest(unittest.TestCase):
     def test_limit_follows_what_the_kind_usually_takes(self):
