Let restarted VMs lend their limits as soon as nobody holds what they had lent

Cause: a restarted VM waited 5.2 s before it lent its fraction of the limits, since a hub could still use what its earlier process had lent.

Change: a restarted VM asks each VM that it counts to drop old lends; the answer tells how long tokens from them may last there. When all have answered, it lends after the longest of these times. A hub whose VM runs a later process has ended, and its lenders wait for its grants only.

--- a/packages/core/bramleyrill_core/limits/_hub.py
+++ b/packages/core/bramleyrill_core/limits/_hub.py
@@ -10,11 +10,20 @@
 
 from attrs import define, field
 
-from bramleyrill_core.limits._messages import Grant, Report, TeamGrant, TeamReport, VmKey
+from bramleyrill_core.limits._messages import (
+    Grant,
+    Report,
+    TeamGrant,
+    TeamReport,
+    VmKey,
+    is_later,
+    vm_of,
+)
 from bramleyrill_core.limits._terms import (
     DRIFT_MARGIN,
     GRANT_LIFETIME,
     LEND_LIFETIME,
+    LOCK,
     QuotaTerms,
     TeamLimit,
 )
@@ -171,6 +180,22 @@
         soon = now + LEND_LIFETIME / 2
         return [vm for vm in vms if vm not in self._lends or self._lends[vm].until < soon]
 
+    def forget_earlier(self, current: VmKey, now: timedelta) -> timedelta:
+        """Drop the lends of the processes that ran on a VM before the current one.
+
+        Return until when a grant may last that was made from one of them.
+        """
+        self._advance(now)
+        lasts_until = now
+        for key, peer in self._peers.items():
+            if key == current or vm_of(key) != vm_of(current):
+                continue
+            lock_end = min(peer.heard_at + LOCK, now + GRANT_LIFETIME + DRIFT_MARGIN)
+            lasts_until = max(lasts_until, lock_end)
+            self._lends.pop(key, None)
+        self._lends_changed()
+        return lasts_until
+
     def release(self, now: timedelta) -> list[VmKey]:
         """Stop to use what is lent; return the lenders. Grants that were made still last."""
         self._advance(now)
@@ -327,6 +352,8 @@
         self._terms = terms
         self._groups: dict[int, GroupHub] = {}
         self._limits_by_group: dict[int, dict[int, TeamLimit]] = {}
+        # Processes that recalled what earlier ones had lent, by the VM that they run on.
+        self._recalled_by_vm: dict[str, VmKey] = {}
 
     def apply(self, limits_by_group: dict[int, dict[int, TeamLimit]], now: timedelta) -> None:
         """Use new limits at once."""
@@ -336,10 +363,21 @@
 
     def report(self, vm: VmKey, report: Report, version: int, now: timedelta) -> Grant | None:
         """Return the answer to a report, if it needs one."""
-        if report.group not in self._limits_by_group:
+        recalled_by = self._recalled_by_vm.get(vm_of(vm), vm)
+        if report.group not in self._limits_by_group or is_later(recalled_by, vm):
             return None
         return self.serve(report.group, now).report(vm, report, version, now)
 
+    def forget_earlier(self, current: VmKey, now: timedelta) -> timedelta:
+        """Drop the lends of earlier processes of a VM; reports of theirs come too late from now on.
+
+        Return until when a grant may last that was made from one of them.
+        """
+        if not is_later(self._recalled_by_vm.get(vm_of(current), current), current):
+            self._recalled_by_vm[vm_of(current)] = current
+        ends = [hub.forget_earlier(current, now) for hub in self._groups.values()]
+        return max(ends, default=now)
+
     def serve(self, group: int, now: timedelta) -> GroupHub:
         """Return the hub of a group of limited teams; the first call makes this VM one."""
         hub = self._groups.get(group)
--- a/packages/core/bramleyrill_core/limits/_messages.py
+++ b/packages/core/bramleyrill_core/limits/_messages.py
@@ -6,6 +6,16 @@
 VmKey = str
 
 
+def vm_of(key: VmKey) -> str:
+    """Return the id of the VM that a process runs on."""
+    return key.rpartition("@")[0]
+
+
+def is_later(key: VmKey, other: VmKey) -> bool:
+    """Return whether a process of a VM started after another one of the same VM."""
+    return int(key.rpartition("@")[2]) > int(other.rpartition("@")[2])
+
+
 @frozen
 class TeamReport:
     """A VM's tokens and needs of one team.
--- a/packages/core/bramleyrill_core/limits/_node.py
+++ b/packages/core/bramleyrill_core/limits/_node.py
@@ -11,8 +11,10 @@
 
 from bramleyrill_core.limits._hub import MICROSECOND, GroupHub, Hub
 from bramleyrill_core.limits._lender import HubChoice, Loan
-from bramleyrill_core.limits._messages import Grant, Report, VmKey
+from bramleyrill_core.limits._messages import Grant, Report, VmKey, is_later, vm_of
+from bramleyrill_core.limits._recall import Recall
 from bramleyrill_core.limits._terms import (
+    DRIFT_MARGIN,
     GRANT_LIFETIME,
     GROUPS,
     LEND_LIFETIME,
@@ -40,7 +42,8 @@
 class _Group:
     """A group of teams as this VM sees it.
 
-    `whole_stamp_us` is the time stamp of the last report that was not partial.
+    Grants that answer reports up to `recalled_stamp_us` are not taken: a process that has ended may
+    have made them. `whole_stamp_us` is the time stamp of the last report that was not partial.
     `hub_stamp_us` is the last time stamp of the chosen hub, `grant_numbers` are those of the last
     grants by hub, so that none is taken twice when a hub is chosen again.
     """
@@ -54,6 +57,7 @@
     sent_at: timedelta | None = None
     last_stamp_us: int = 0
     whole_stamp_us: int = 0
+    recalled_stamp_us: int = 0
     fraction: float = 0.0
     logged_share: int = -1
 
@@ -84,6 +88,7 @@
         self._terms = terms
         self._hub = Hub(terms)
         self._leaving = False
+        self._recall = Recall()
         self._digests: dict[str, int] = {}
         self._vm_by_key: dict[VmKey, str] = {key: vm}
         self._groups = {
@@ -166,6 +171,7 @@
         for number, group in self._groups.items():
             if not group.teams:
                 continue
+            self._end_loan_to_ended_process(group, key_by_id, now)
             self._choose_hub(number, group, key_by_id, now)
             if self._is_report_due(group, now):
                 messages += self._report(number, now, is_periodic=True)
@@ -202,6 +208,46 @@
             return self._report(grant.group, now, is_periodic=False)
         return []
 
+    # Restarts.
+
+    def vms_to_recall(self, now: timedelta) -> list[str]:
+        """Return the VMs to ask to drop what an earlier process of this VM has lent."""
+        is_locked = any(
+            group.loan.lent_at is None and now < group.loan.locked_until
+            for group in self._groups.values()
+        )
+        if not is_locked or not self.count.was_restarted:
+            return []
+        return self._recall.missing(self.count.others)
+
+    def record_recall(self, vm: str, left: timedelta, now: timedelta) -> None:
+        """Record that a VM dropped the old lends, and for how long their tokens may last there.
+
+        When all VMs have answered, the fractions can be lent once the last such token is gone.
+        """
+        self._recall.record(vm, now + left)
+        unlocked_at = self._recall.unlocked_at(self.count.others)
+        if unlocked_at is None:
+            return
+        for group in self._groups.values():
+            if group.loan.lent_at is None:
+                group.loan.locked_until = min(group.loan.locked_until, unlocked_at)
+
+    def on_recall(self, sender: VmKey, now: timedelta) -> timedelta:
+        """Drop what earlier processes of a VM have lent to this one.
+
+        Return for how long tokens may last that were granted from their lends, here or by this VM.
+        Any token here may be one, also of a hub that has ended since, or one that is on its way.
+        """
+        lasts_until = self._hub.forget_earlier(sender, now)
+        for use in self.uses.values():
+            for holding in use.holdings.values():
+                if holding.tokens:
+                    lasts_until = max(lasts_until, holding.expires + DRIFT_MARGIN)
+        for group in self._groups.values():
+            group.recalled_stamp_us = group.last_stamp_us
+        return max(lasts_until - now, timedelta())
+
     def leave(self, now: timedelta) -> list[tuple[str, Any]]:
         """End all loans before a planned stop, those to this VM and those that it made.
 
@@ -222,6 +268,14 @@
 
     # Parts of a tick.
 
+    def _end_loan_to_ended_process(
+        self, group: _Group, key_by_id: dict[str, VmKey], now: timedelta
+    ) -> None:
+        """End the loan to a hub whose VM runs a later process; only its grants may still last."""
+        hub = group.loan.hub
+        if hub is not None and is_later(key_by_id.get(vm_of(hub), hub), hub):
+            group.loan.end(hub, now)
+
     def _choose_hub(
         self, number: int, group: _Group, key_by_id: dict[str, VmKey], now: timedelta
     ) -> None:
@@ -338,6 +392,8 @@
         if grant.report_stamp_us > group.last_stamp_us or stamp + GRANT_LIFETIME <= now:
             # Its tokens have run out, or it answers a report that this process did not send.
             return
+        if grant.report_stamp_us <= group.recalled_stamp_us:
+            return
         group.grant_numbers.pop(hub, None)
         group.grant_numbers[hub] = grant.number
         if grant.report_stamp_us == group.whole_stamp_us:
--- a/packages/core/bramleyrill_core/limits/_vm_count.py
+++ b/packages/core/bramleyrill_core/limits/_vm_count.py
@@ -41,6 +41,16 @@
         """Return the number of counted VMs, this one included."""
         return len(self._seen_at.keys() | {self.own})
 
+    @property
+    def others(self) -> list[str]:
+        """Return the counted VMs without this one."""
+        return sorted(self._seen_at.keys() - {self.own})
+
+    @property
+    def was_restarted(self) -> bool:
+        """Return whether an earlier process of this VM was registered, as the listing showed."""
+        return self._listed_at is not None and not self._had_to_wait
+
     @property
     def needs_listing(self) -> bool:
         """Return whether no complete listing newer than the registration was recorded yet."""
--- a/packages/entry/bramleyrill_entry/_limits.py
+++ b/packages/entry/bramleyrill_entry/_limits.py
@@ -8,6 +8,7 @@
 import gevent
 from bramleyrill_base import log_event
 from bramleyrill_core.limits import (
+    LOCK,
     REPORT_INTERVAL,
     Grant,
     QuotaNode,
@@ -32,6 +33,11 @@
 # Upper limit of the time for which an operation waits for a token.
 MAX_TOKEN_WAIT = timedelta(milliseconds=300)
 CONFIRM_TIMEOUT = timedelta(milliseconds=900)
+RECALL_TIMEOUT = timedelta(milliseconds=900)
+# Pause before a VM that did not answer a recall is asked again; it may be starting, too.
+RECALL_PAUSE = timedelta(milliseconds=250)
+# A longer time than any token lasts is not believed.
+MAX_RECALL_LEFT = LOCK
 # Number of VMs that a newly registered one asks to confirm that they count it, per tick.
 CONFIRMATIONS_PER_TICK = 16
 # Number of teams with metrics of their own; the others are added up.
@@ -63,6 +69,7 @@
         self._granted = Signal()
         self._scheduled: set[int] = set()
         self._listing = False
+        self._recalling: set[str] = set()
         registration.listing_hooks.append(self._hear_listing)
 
     def admit(self, team: str, patience: timedelta) -> Answer | None:
@@ -134,6 +141,9 @@
             log_event("quota_limit_bounded", version=catalog.version, limit=problem)
         if limits or self.node.limits:
             log_event("quota_limits_in_force", version=catalog.version, teams=len(limits))
+        if limits and not self.node.limits:
+            # The next tick may be a report interval away, and nothing is lent before one.
+            gevent.spawn(self.tick)
         self.node.apply(limits, catalog.version, self._state.now())
         # Wakes operations of teams that have no limit any more.
         self._granted.fire()
@@ -195,6 +205,10 @@
         unconfirmed = sorted(self.node.count.unconfirmed(now))
         for vm in unconfirmed[:CONFIRMATIONS_PER_TICK]:
             gevent.spawn(self._confirm, vm)
+        for vm in self.node.vms_to_recall(now):
+            if vm not in self._recalling:
+                self._recalling.add(vm)
+                gevent.spawn(self._recall, vm)
 
     def _list_current(self) -> None:
         try:
@@ -202,6 +216,7 @@
             was_registered = self._registration.was_registered
             self.node.count.list_fresh(vms, was_registered, self._state.now())
             log_event("quota_vms_listed", vms=len(vms), was_registered=was_registered)
+            self._look_after_count(self._state.now())
         except StoreError as error:
             log_event("vm_list_failed", reason=error)
         finally:
@@ -219,6 +234,27 @@
             return
         self.node.count.confirm(vm, self._state.now())
 
+    def on_recall(self, link: PeerLink, call: int) -> None:
+        """Answer a VM that restarted and asks for what its earlier process had lent."""
+        self._apply_catalog()
+        left = self.node.on_recall(vm_key(link.peer), self._state.now())
+        link.send(frames.QuotaRecalled(call=call, left_us=left // timedelta(microseconds=1)))
+
+    def _recall(self, vm: str) -> None:
+        """Ask a VM to drop what an earlier process of this one has lent, until it answers."""
+        while vm in self.node.vms_to_recall(self._state.now()):
+            try:
+                answer = self._net.call(
+                    vm, lambda call: frames.QuotaRecall(call=call), RECALL_TIMEOUT
+                )
+                left = timedelta(microseconds=answer.left_us)
+                self.node.record_recall(
+                    vm, min(max(left, timedelta()), MAX_RECALL_LEFT), self._state.now()
+                )
+            except (PeerLostError, TypeError):
+                gevent.sleep(RECALL_PAUSE.total_seconds())
+        self._recalling.discard(vm)
+
     # What operators see.
 
     def _log_events(self) -> None:
@@ -262,6 +298,12 @@
     net.services[TeamLimits].on_report(link, decode_report(frame))
 
 
+@handlers.register("QuotaRecall")
+def handle_recall(net: PeerNet, link: PeerLink, frame: Any) -> None:
+    """Give up what an earlier process of a VM has lent."""
+    net.services[TeamLimits].on_recall(link, frame.call)
+
+
 @handlers.register("QuotaGrant")
 def handle_grant(net: PeerNet, link: PeerLink, frame: Any) -> None:
     """Give a grant to the limits; one that is malformed is rejected by the link."""
--- a/packages/entry/bramleyrill_entry/_peer_link.py
+++ b/packages/entry/bramleyrill_entry/_peer_link.py
@@ -30,6 +30,10 @@
     """The peer cannot be reached, or the link was lost before the answer arrived."""
 
 
+# Frames that belong to the call with their number.
+_ANSWERS = (frames.Ran, frames.Pong, frames.Proved, frames.CatalogPush, frames.QuotaRecalled)
+
+
 def is_port(value: object) -> bool:
     """Return whether a value that another process told is a port to connect to."""
     return isinstance(value, int) and not isinstance(value, bool) and 0 < value < 65536
@@ -201,7 +205,7 @@
 
     def _dispatch(self, frame: Any) -> None:
         """Give an answer to the call that waits for it, and any other frame to `on_frame`."""
-        if type(frame) in (frames.Ran, frames.Pong, frames.Proved, frames.CatalogPush):
+        if type(frame) in _ANSWERS:
             waiter = self._pending_calls.get(frame.call)
             if waiter is not None:
                 waiter.set(frame)
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -5,7 +5,8 @@
 
 enum FrameKind {
   HELLO = 1, PING = 2, PONG = 3, RUN = 4, RAN = 5, RELEASE = 6, PROVE = 7, PROVED = 8,
-  CATALOG_PULL = 9, CATALOG_PUSH = 10, APPOINTED = 11, QUOTA_REPORT = 12, QUOTA_GRANT = 13
+  CATALOG_PULL = 9, CATALOG_PUSH = 10, APPOINTED = 11, QUOTA_REPORT = 12, QUOTA_GRANT = 13,
+  QUOTA_RECALL = 14, QUOTA_RECALLED = 15
 }
 
 // `capacity` is in thousandths of a core, 0 if unknown. `slow_ms` is 0, or by how much the VM was
@@ -110,3 +111,8 @@
   6: list<i16> given, 7: list<i16> retry_ms, 8: list<bool> not_extended, 9: i64 catalog_version,
   10: i32 lent_ppb, 11: bool released
 }
+
+// A VM that restarted asks another one to drop what its earlier process had lent to it.
+struct QuotaRecall { 1: i64 call }
+// Answer to QuotaRecall: for how long tokens may last that were granted from such lends.
+struct QuotaRecalled { 1: i64 call, 2: i64 left_us }
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -19,6 +19,8 @@
     APPOINTED = 11
     QUOTA_REPORT = 12
     QUOTA_GRANT = 13
+    QUOTA_RECALL = 14
+    QUOTA_RECALLED = 15
     _VALUES_TO_NAMES = {
         1: "HELLO",
         2: "PING",
@@ -33,6 +35,8 @@
         11: "APPOINTED",
         12: "QUOTA_REPORT",
         13: "QUOTA_GRANT",
+        14: "QUOTA_RECALL",
+        15: "QUOTA_RECALLED",
     }
 
 
@@ -366,3 +370,17 @@
         ("lent_ppb", None),
         ("released", None),
     ]
+
+
+class QuotaRecall(TPayload):
+    """Struct `QuotaRecall` of entries.thrift."""
+
+    thrift_spec = {1: (TType.I64, "call", False)}
+    default_spec = [("call", None)]
+
+
+class QuotaRecalled(TPayload):
+    """Struct `QuotaRecalled` of entries.thrift."""
+
+    thrift_spec = {1: (TType.I64, "call", False), 2: (TType.I64, "left_us", False)}
+    default_spec = [("call", None), ("left_us", None)]
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -77,6 +77,10 @@
         node.count.hear(usable, self.now)
         for other in usable:
             node.count.confirm(other, self.now)
+        for other in node.vms_to_recall(self.now):
+            if self.in_touch(vm, other) and not self.is_frozen(other):
+                left = self.nodes[other].on_recall(node.key, self.now)
+                node.record_recall(other, left, self.now)
         self.send(vm, node.tick(usable, self.now))
 
     def send(self, vm, messages):
