Split the ending of open transactions and the results without a run off the scheduler

Change: _open_transactions.py says which transactions a holder rolls back, in one place, and _run_results.py builds the results of statements that were not sent. No behaviour changes.

--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -4,20 +4,11 @@
 """
 
 import itertools
-from collections import Counter
 from datetime import timedelta
 
-from attrs import define
 from bramleyrill_base import log_event
 from bramleyrill_core import Mark
-from bramleyrill_core.admission import (
-    MemberAdmission,
-    Queued,
-    Refused,
-    RestingTransaction,
-    Started,
-    resting_to_end,
-)
+from bramleyrill_core.admission import MemberAdmission, Queued, Refused, Started
 from bramleyrill_core.catalog import MemberEntry
 from bramleyrill_core.connections import Use
 from bramleyrill_core.placement import LoadMeter, LoadStamp
@@ -25,10 +16,21 @@
 from bramleyrill_platform import lines
 from gevent.event import AsyncResult
 
+from bramleyrill_entry._open_transactions import (
+    OpenTransaction,
+    TransactionKey,
+    transactions_to_end,
+)
 from bramleyrill_entry._permits import NoPermitError, PermitKeeper
 from bramleyrill_entry._pool import LEASE_TIMEOUT, NoFreeConnectionError, UpstreamPool
 from bramleyrill_entry._preparation import NotSentError, Preparation
 from bramleyrill_entry._run_request import NO_TRANSACTION, Opens, RunProblem, RunRequest, RunResult
+from bramleyrill_entry._run_results import (
+    no_connection_result,
+    no_permit_result,
+    overloaded_result,
+    refused_begin_result,
+)
 from bramleyrill_entry._state import EntryState
 from bramleyrill_entry._upstream import UpstreamConnection, UpstreamError, UpstreamTimeoutError
 
@@ -42,34 +44,6 @@
 # is in use, before the connection of another team is closed for it.
 CONNECTION_WAIT_SHARE = 0.25
 MAX_CONNECTION_WAIT = LEASE_TIMEOUT / 2
-# Suggested to callers that were refused because all connections were in use.
-NO_CONNECTION_RETRY_AFTER = timedelta(seconds=1)
-# Suggested to callers that were refused because the primary may have been replaced.
-NO_PERMIT_RETRY_AFTER = timedelta(seconds=1)
-# A transaction of no team without a statement for this long is rolled back: its entry VM failed or
-# lost it. Those of teams are ended as soon as others wait for what they hold.
-TRANSACTION_IDLE_LIMIT = timedelta(seconds=30)
-
-# Id of the entry VM, and the id of the transaction, which is unique at that VM.
-TransactionKey = tuple[str, int]
-
-
-@define(eq=False)
-class OpenTransaction:
-    """A transaction that is open at the member, with its dedicated connection.
-
-    `admission_id` is its request id in both admission queues, and `team` on whose behalf it runs.
-    `running` is True while a statement is in progress. `wrote` is True after a successful write:
-    only then does its COMMIT prove that the member is still the primary, since a replica can
-    commit a read-only transaction.
-    """
-
-    admission_id: int
-    connection: UpstreamConnection
-    last_used_at: timedelta
-    running: bool = False
-    wrote: bool = False
-    team: str = ""
 
 
 class MemberScheduler:
@@ -162,57 +136,11 @@
         """Refuse requests that waited too long, and roll back abandoned transactions."""
         for admission in (self._statement_admission, self._transaction_admission):
             self._deliver_outcomes(admission, admission.tick())
-        now = self._state.now()
-        for key, transaction in list(self._transactions.items()):
-            idle_for = now - transaction.last_used_at
-            if transaction.running or transaction.team or idle_for <= TRANSACTION_IDLE_LIMIT:
-                continue
-            log_event("exchange_forgotten", member=self.member.id, vm=key[0], exchange=key[1])
-            self._close_transaction(key, transaction)
-        self._end_resting_transactions(now)
-        self._reclaim_connections()
-
-    def _end_resting_transactions(self, now: timedelta) -> None:
-        """Roll back resting transactions of teams for callers that wait for what they hold."""
         waiting_by_team = self._transaction_admission.waiting_by_team()
-        if not waiting_by_team:
-            return
-        resting = [
-            RestingTransaction(key, item.team, now - item.last_used_at)
-            for key, item in self._transactions.items()
-            if item.team and not item.running
-        ]
-        held_by_team = Counter(item.team for item in self._transactions.values())
-        idle_limit = self._state.catalog.transaction_idle_timeout
-        for key in resting_to_end(
-            resting, waiting_by_team, held_by_team, idle_limit, self._state.weight_of
+        for key in transactions_to_end(
+            self._state, self.member.id, self._transactions, waiting_by_team, self.pool
         ):
-            transaction = self._transactions[key]
-            log_event(
-                "resting_transaction_ended",
-                member=self.member.id,
-                team=transaction.team,
-                vm=key[0],
-                exchange=key[1],
-                idle=now - transaction.last_used_at,
-                held=held_by_team[transaction.team],
-                waiting=sum(waiting_by_team.values()),
-            )
-            self._close_transaction(key, transaction)
-
-    def _reclaim_connections(self) -> None:
-        """Roll back resting transactions whose connections waiting statements need."""
-        needed = set(self.pool.reclaimable(self._state.catalog.transaction_idle_timeout))
-        for key, transaction in list(self._transactions.items()):
-            if transaction.connection in needed and not transaction.running:
-                log_event(
-                    "transaction_reclaimed",
-                    member=self.member.id,
-                    team=transaction.connection.team,
-                    vm=key[0],
-                    exchange=key[1],
-                )
-                self._close_transaction(key, transaction)
+            self._close_transaction(key, self._transactions[key])
 
     def close(self) -> None:
         """Roll back all transactions and close all connections."""
@@ -311,7 +239,7 @@
         refusal = self._submit(self._statement_admission, admission_id, request)
         waited = self._record_wait(request, submitted_at, refusal)
         if refusal is not None:
-            return _overloaded_result(refusal, waited)
+            return overloaded_result(refusal, waited)
         try:
             result = self._run_with_retries(request)
         finally:
@@ -328,7 +256,7 @@
             try:
                 connection = self._lease_connection(request)
             except NoFreeConnectionError:
-                return _no_connection_result()
+                return no_connection_result()
             except UpstreamError:
                 return RunResult(problem=RunProblem.UNREACHABLE)
             except NotSentError:
@@ -338,7 +266,7 @@
             except NotSentError:
                 continue
             except NoPermitError:
-                return _no_permit_result()
+                return no_permit_result()
             finally:
                 self.pool.release(connection)
         return RunResult(problem=RunProblem.UNREACHABLE)
@@ -363,7 +291,7 @@
         elif not request.statement.writes:
             begin_answer = self._begin(connection, None, read_only=False)
             if not begin_answer.succeeded:
-                return _refused_begin_result(begin_answer)
+                return refused_begin_result(begin_answer)
         else:
             self._permits.require(self.member, connection.opened_at)
         result = self._execute(connection, request, min_mark)
@@ -420,7 +348,7 @@
                 )
         waited = self._record_wait(request, submitted_at, refusal)
         if refusal is not None:
-            return _overloaded_result(refusal, waited)
+            return overloaded_result(refusal, waited)
         try:
             result = self._begin_transaction(peer, admission_id, request)
         except BaseException:
@@ -441,17 +369,17 @@
                 connection = self._lease_connection(request)
                 begin_answer = self._begin(connection, min_mark, read_only)
             except NoFreeConnectionError:
-                return _no_connection_result()
+                return no_connection_result()
             except UpstreamError:
                 return RunResult(problem=RunProblem.UNREACHABLE)
             except NotSentError:
                 continue
             except NoPermitError:
                 self.pool.release(connection)
-                return _no_permit_result()
+                return no_permit_result()
             if not begin_answer.succeeded:
                 self.pool.release(connection)
-                return _refused_begin_result(begin_answer)
+                return refused_begin_result(begin_answer)
             key = peer, request.transaction_id
             transaction = OpenTransaction(
                 admission_id, connection, self._state.now(), team=request.team
@@ -480,7 +408,7 @@
         if refusal is not None:
             transaction.running = False
             self._close_transaction(key, transaction)
-            return _overloaded_result(refusal, waited)
+            return overloaded_result(refusal, waited)
         try:
             prepared = request.statement.prepared
             self._preparation.set_up(transaction.connection, request.values, prepared)
@@ -511,8 +439,9 @@
         answer = result.answer
         if answer is not None:
             transaction.connection.in_transaction = answer.state is not TransactionState.IDLE
-            if request.statement.kind is StatementKind.COMMIT and transaction.wrote:
-                self._record_commit(answer, sent_at)
+            committed = request.statement.kind is StatementKind.COMMIT and answer.succeeded
+            if committed and transaction.wrote:
+                self._record_proof(answer, sent_at)
             transaction.wrote = transaction.wrote or (answer.succeeded and request.statement.writes)
         if answer is not None and answer.state is TransactionState.OPEN:
             result.transaction_open = True
@@ -524,10 +453,6 @@
         self._close_transaction(key, transaction)
         return result
 
-    def _record_commit(self, answer: Answer, sent_at: timedelta) -> None:
-        if answer.succeeded:
-            self._record_proof(answer, sent_at)
-
     def _close_transaction(self, key: TransactionKey, transaction: OpenTransaction) -> None:
         if self._transactions.pop(key, None) is None:
             return
@@ -576,28 +501,3 @@
             self._state.record_proof(
                 self.member.service, self.member.id, answer.mark.term, answer.mark, sent_at
             )
-
-
-def _no_permit_result() -> RunResult:
-    return RunResult(problem=RunProblem.NO_PERMIT, retry_after=NO_PERMIT_RETRY_AFTER)
-
-
-def _no_connection_result() -> RunResult:
-    return RunResult(
-        problem=RunProblem.OVERLOADED,
-        waited=LEASE_TIMEOUT,
-        retry_after=NO_CONNECTION_RETRY_AFTER,
-    )
-
-
-def _refused_begin_result(answer: Answer) -> RunResult:
-    if answer.code is AnswerCode.READ_ONLY:
-        return RunResult(problem=RunProblem.NOT_PRIMARY)
-    return RunResult(answer)
-
-
-def _overloaded_result(refusal: Refused, waited: timedelta) -> RunResult:
-    retry_after = refusal.problem.retry_after or timedelta()
-    return RunResult(
-        problem=RunProblem.OVERLOADED, waited=max(waited, retry_after), retry_after=retry_after
-    )
