Mend what the review of the joined parts found

Cause: two readers of the whole change found, by reading: a transaction whose opening was not answered stayed open at its holder for good if it was a team's; refusals of dials made together held the learned limit for up to 30 s; a lease was planned once more only at its dial time; one caller that does not read held up the end of all sessions with withdrawn keys; a huge integer as a limit kept the whole configuration out, and a malformed limit was none; an overdue write sent reads elsewhere; repeats of reads in flight were not bounded; an avoided member kept its share; relayed stamps looked newer; a failed tick left the timer of a VM's own delay unset; malformed answers ended a recall.

--- a/packages/core/bramleyrill_core/connections/_allocator.py
+++ b/packages/core/bramleyrill_core/connections/_allocator.py
@@ -253,6 +253,7 @@
             team = waiter.team or ""
             if unclaimed_dials[team] > 0:
                 unclaimed_dials[team] -= 1
+                waiter.blocked_since = None
                 continue
             if now < (waiter.busy_dial_at if busy else waiter.dial_at):
                 continue
--- a/packages/core/bramleyrill_core/connections/_limit.py
+++ b/packages/core/bramleyrill_core/connections/_limit.py
@@ -8,7 +8,7 @@
 
 # How long a lower limit stays after the member refused a connection; doubled by each further
 # refusal until the pool's own limit was reached again.
-INITIAL_HOLD = timedelta(seconds=2)
+INITIAL_HOLD = timedelta(milliseconds=500)
 MAX_HOLD = timedelta(seconds=30)
 # The limit then rises by one, and by twice as much after each further one of these intervals: the
 # member may have dropped the connections of a VM that was lost all at once.
@@ -45,6 +45,9 @@
     def record_refusal(self, open_connections: int, now: timedelta) -> None:
         """Lower the limit: the member refused a connection beside the open ones."""
         self._learned = max(min(open_connections, self.value(now)), 1)
+        if now < self._held_until:
+            # Dials of the same moment are refused together.
+            return
         self._held_until = now + self._hold
         self._hold = min(self._hold * 2, MAX_HOLD)
 
--- a/packages/core/bramleyrill_core/limits/_hub.py
+++ b/packages/core/bramleyrill_core/limits/_hub.py
@@ -174,7 +174,7 @@
     def vms_to_ask(self, vms: list[VmKey], now: timedelta) -> list[VmKey]:
         """Return the VMs that should lend because the group is in use and their lend runs out."""
         self._advance(now)
-        self._prune(now)
+        self.prune(now)
         if now - self._demand_at > DEMAND_LIFETIME:
             return []
         soon = now + LEND_LIFETIME / 2
@@ -324,7 +324,7 @@
             return MAX_RETRY_MS
         return max(math.ceil(1000 * missing / rate), 1)
 
-    def _prune(self, now: timedelta) -> None:
+    def prune(self, now: timedelta) -> None:
         """Drop tokens that have run out at their VMs, and VMs that are silent."""
         for bucket in self._buckets.values():
             lapsed = [vm for vm, row in bucket.by_vm.items() if row.until <= now]
@@ -386,6 +386,11 @@
             hub.apply(self._limits_by_group[group], now)
         return hub
 
+    def prune(self, now: timedelta) -> None:
+        """Forget tokens that have run out, also of groups for which this VM is not its own hub."""
+        for hub in self._groups.values():
+            hub.prune(now)
+
     def groups(self) -> Iterator[GroupHub]:
         """Return the groups that VMs have reported to this one."""
         return iter(self._groups.values())
--- a/packages/core/bramleyrill_core/limits/_node.py
+++ b/packages/core/bramleyrill_core/limits/_node.py
@@ -178,6 +178,7 @@
         for number, group in self._groups.items():
             if group.teams and group.choice.hub == self.key:
                 messages += self._ask_to_lend(self._hub.serve(number, now), key_by_id, now)
+        self._hub.prune(now)
         for problem in self._hub.take_problems():
             self._record("quota_message_bounded", reason=problem)
         return messages
--- a/packages/core/bramleyrill_core/placement/_load.py
+++ b/packages/core/bramleyrill_core/placement/_load.py
@@ -49,8 +49,9 @@
     """Known load of a member, what this VM's own requests met there, and the share given to it.
 
     `stamp` was taken at `taken_at`. `sent_since` counts the requests that this VM has sent after it
-    and `unanswered` holds when those in progress were sent, the oldest first. `wait` is the last
-    wait in the holder's queue that an answer told, at `wait_at`. `share` is the part of this VM's
+    and `unanswered` holds when those in progress were sent, the oldest first; `unanswered_reads`
+    are those of them that should take no longer than a usual run. `wait` is the last wait in the
+    holder's queue that an answer told, at `wait_at`. `share` is the part of this VM's
     reads of the service that the member gets since `share_changed_at`, and `limit` the part that it
     may get as of `limit_set_at`.
     """
@@ -60,6 +61,7 @@
     source: LoadSource = LoadSource.NONE
     sent_since: int = 0
     unanswered: dict[int, timedelta] = field(factory=dict, repr=False)
+    unanswered_reads: dict[int, timedelta] = field(factory=dict, repr=False)
     wait: timedelta = timedelta()
     wait_at: timedelta = timedelta()
     rate: FailureRate = field(factory=FailureRate)
@@ -122,8 +124,11 @@
         return max(expected_s, self.overdue_s(now))
 
     def overdue_s(self, now: timedelta) -> float:
-        """Return for how long an answer has been missing that should have come, in seconds."""
-        oldest = next(iter(self.unanswered.values()), None)
+        """Return for how long the answer to a read is overdue, in seconds.
+
+        Writes and transactions may wait for locks while the member has room.
+        """
+        oldest = next(iter(self.unanswered_reads.values()), None)
         if oldest is None:
             return 0.0
         usual_s = OVERDUE_RUNS * self.expected_service_s(now) + OVERDUE_MARGIN_S
--- a/packages/core/bramleyrill_core/placement/_reads.py
+++ b/packages/core/bramleyrill_core/placement/_reads.py
@@ -110,18 +110,21 @@
         self.loads = LoadTable()
         self.rows: Table[str, ReadRow] = Table()
 
-    def record_sent(self, member: str, now: timedelta) -> int:
+    def record_sent(self, member: str, now: timedelta, is_read: bool = True) -> int:
         """Count a request to a member, which adds to its known load; return its number."""
         self._sent += 1
         load = self.loads.load_of(member)
         load.sent_since += 1
         load.unanswered[self._sent] = now
+        if is_read:
+            load.unanswered_reads[self._sent] = now
         return self._sent
 
     def record_ended(self, member: str, number: int) -> None:
         """Count the end of the request with this number."""
         load = self.loads.load_of(member)
         load.unanswered.pop(number, None)
+        load.unanswered_reads.pop(number, None)
         load.sent_since = max(load.sent_since - 1, 0)
 
     def record_stamp(
@@ -146,7 +149,7 @@
             self._avoid_by_single_failures(row, now)
             return
         longest = (MAX_AVOIDANCE - MIN_AVOIDANCE) * rate.lower_bound(now)
-        row.avoid_until = now + MIN_AVOIDANCE + longest
+        row.avoid_until = max(row.avoid_until, now + MIN_AVOIDANCE + longest)
 
     def record_failed_read(self, member: str, now: timedelta) -> None:
         """Record that a member answered a read with an error, which lowers its share of reads."""
@@ -161,12 +164,14 @@
     def record_stale(self, member: str, now: timedelta) -> None:
         """Record a refusal because of lag and avoid the member, for longer each time in a row."""
         row = self._row(member)
-        row.avoid_until = now + min(MIN_AVOIDANCE * 2**row.stale_refusals, MAX_STALE_AVOIDANCE)
+        avoided_for = min(MIN_AVOIDANCE * 2**row.stale_refusals, MAX_STALE_AVOIDANCE)
+        row.avoid_until = max(row.avoid_until, now + avoided_for)
         row.stale_refusals = min(row.stale_refusals + 1, 8)
 
     def avoid(self, member: str, now: timedelta) -> None:
         """Try a member last for `MIN_AVOIDANCE`."""
-        self._row(member).avoid_until = now + MIN_AVOIDANCE
+        row = self._row(member)
+        row.avoid_until = max(row.avoid_until, now + MIN_AVOIDANCE)
 
     def round_trip(self, domain: str) -> timedelta:
         """Return the estimated round trip to a failure domain."""
--- a/packages/core/bramleyrill_core/placement/_repeats.py
+++ b/packages/core/bramleyrill_core/placement/_repeats.py
@@ -66,9 +66,13 @@
     repeated: int = 0
     by_kind: Table[Hashable, UsualTime] = field(factory=Table)
 
-    def record_read(self, kind: Hashable, run: timedelta | None) -> None:
-        """Count a read, with its run at a member if it was answered."""
-        self.saved = min(self.saved + REPEATS_PER_READ, MAX_SAVED_REPEATS)
+    def record_read(self, kind: Hashable, run: timedelta | None, is_first: bool = True) -> None:
+        """Count a read's attempt, with its run at a member if it was answered.
+
+        Only the first attempt of a read earns a part of a repeat.
+        """
+        if is_first:
+            self.saved = min(self.saved + REPEATS_PER_READ, MAX_SAVED_REPEATS)
         usual = self.by_kind.get(kind)
         if usual is None and len(self.by_kind) < MAX_KINDS:
             usual = self.by_kind.add(kind, UsualTime())
@@ -81,6 +85,6 @@
         return usual.limit() if usual is not None and self.saved >= 1 else None
 
     def spend(self) -> None:
-        """Count a repeat."""
-        self.saved = max(self.saved - 1, 0.0)
+        """Count a repeat; reads that are in flight together may overdraw the budget."""
+        self.saved -= 1
         self.repeated += 1
--- a/packages/core/bramleyrill_core/placement/_shares.py
+++ b/packages/core/bramleyrill_core/placement/_shares.py
@@ -67,6 +67,9 @@
     if not usable[0].avoided and _has_room(by_distance, choice.now):
         return [*by_distance, *(item for item in candidates if item.avoided)]
     tiers = _give_shares(usable, choice.now)
+    for item in candidates:
+        if item not in usable:
+            _set_share(item.load, 0.0, choice.now)
     first = _draw_shorter_queue(usable, tiers, choice) or _draw(tiers, choice)
     return [first, *by_cost([item for item in candidates if item is not first], choice)]
 
@@ -79,7 +82,7 @@
     """
     nearest = by_distance[0]
     load, stamp = nearest.load, nearest.load.stamp
-    if load.limit != 1.0 or load.wait or load.rate.failures or load.overdue_s(now):
+    if load.limit != 1.0 or load.wait or load.rate.lower_bound(now) > 0 or load.overdue_s(now):
         return False
     service_s = nearest.service_s(now)
     if len(by_distance) > 1:
@@ -88,7 +91,7 @@
             return False
     if len(load.unanswered) >= nearest.member.slots or load.share < 1 - SMALL_CHANGE:
         return False
-    if stamp is None:
+    if stamp is None or load.age(now) is None:
         return True
     use = MAX_PRIMARY_USE if nearest.is_primary else MAX_USE
     return not stamp.queued and stamp.arrivals_per_s * service_s < use * nearest.member.slots
--- a/packages/core/bramleyrill_core/vm_health/_rotation.py
+++ b/packages/core/bramleyrill_core/vm_health/_rotation.py
@@ -25,7 +25,8 @@
             if wanted and now >= self._not_before:
                 self._out_since = now
             return self._out_since is not None
-        lasted = now - self._out_since
+        # The balancer may not have asked for long.
+        lasted = min(now - self._out_since, MAX_SPELL)
         if wanted and lasted < MAX_SPELL:
             return True
         self._out_since = None
--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -131,6 +131,9 @@
         link.send(encode_result(frame.call, result))
     except PeerLostError as error:
         log_event("result_not_sent", vm=link.peer.id, id=frame.id, reason=error)
+        if result.transaction_open:
+            # Its entry VM does not know that it is open, and would never end it.
+            net.services[MemberSchedulers].end_transaction(link.peer.id, frame.exchange)
 
 
 @handlers.register("Release")
--- a/packages/entry/bramleyrill_entry/_front.py
+++ b/packages/entry/bramleyrill_entry/_front.py
@@ -62,7 +62,8 @@
         while True:
             version = self._state.catalog.version
             for session in list(self.sessions):
-                session.end_if_unauthorized()
+                # A caller that does not read must not delay the others.
+                gevent.spawn(session.end_if_unauthorized)
             while version == self._state.catalog.version:
                 self._state.catalog_changed.wait(CONFIGURATION_CHECK_INTERVAL.total_seconds())
 
--- a/packages/entry/bramleyrill_entry/_limits.py
+++ b/packages/entry/bramleyrill_entry/_limits.py
@@ -43,6 +43,7 @@
 # Number of teams with metrics of their own; the others are added up.
 TEAMS_IN_METRICS = 10
 MILLISECOND = timedelta(milliseconds=1)
+_MICROSECOND = timedelta(microseconds=1)
 
 
 def vm_key(entry: VmEntry) -> VmKey:
@@ -238,22 +239,30 @@
         """Answer a VM that restarted and asks for what its earlier process had lent."""
         self._apply_catalog()
         left = self.node.on_recall(vm_key(link.peer), self._state.now())
-        link.send(frames.QuotaRecalled(call=call, left_us=left // timedelta(microseconds=1)))
+        link.send(frames.QuotaRecalled(call=call, left_us=left // _MICROSECOND))
 
     def _recall(self, vm: str) -> None:
         """Ask a VM to drop what an earlier process of this one has lent, until it answers."""
-        while vm in self.node.vms_to_recall(self._state.now()):
-            try:
-                answer = self._net.call(
-                    vm, lambda call: frames.QuotaRecall(call=call), RECALL_TIMEOUT
-                )
-                left = timedelta(microseconds=answer.left_us)
-                self.node.record_recall(
-                    vm, min(max(left, timedelta()), MAX_RECALL_LEFT), self._state.now()
-                )
-            except (PeerLostError, TypeError):
-                gevent.sleep(RECALL_PAUSE.total_seconds())
-        self._recalling.discard(vm)
+        try:
+            while vm in self.node.vms_to_recall(self._state.now()):
+                self._recall_once(vm)
+        finally:
+            self._recalling.discard(vm)
+
+    def _recall_once(self, vm: str) -> None:
+        try:
+            answer = self._net.call(vm, lambda call: frames.QuotaRecall(call=call), RECALL_TIMEOUT)
+        except PeerLostError:
+            gevent.sleep(RECALL_PAUSE.total_seconds())
+            return
+        # A malformed time counts as the longest.
+        left = MAX_RECALL_LEFT
+        if (
+            isinstance(answer.left_us, int)
+            and 0 <= answer.left_us < MAX_RECALL_LEFT // _MICROSECOND
+        ):
+            left = answer.left_us * _MICROSECOND
+        self.node.record_recall(vm, left, self._state.now())
 
     # What operators see.
 
--- a/packages/entry/bramleyrill_entry/_load_reports.py
+++ b/packages/entry/bramleyrill_entry/_load_reports.py
@@ -77,7 +77,8 @@
             return None
         chosen = random.sample(known, min(MAX_STAMPS_PER_PONG, len(known)))
         return b"".join(
-            _RELAYED.pack(_digest(member), stamp.pack(), age // _AGE_UNIT)
+            # Rounded up, so that a relayed stamp never looks newer than it is.
+            _RELAYED.pack(_digest(member), stamp.pack(), -(-age // _AGE_UNIT))
             for member, stamp, age in chosen
         )
 
--- a/packages/entry/bramleyrill_entry/_open_transactions.py
+++ b/packages/entry/bramleyrill_entry/_open_transactions.py
@@ -15,8 +15,8 @@
 from bramleyrill_entry._state import EntryState
 from bramleyrill_entry._upstream import UpstreamConnection
 
-# A transaction of no team without a statement for this long is rolled back: its entry VM failed or
-# lost it. Those of teams are ended as soon as others wait for what they hold.
+# A transaction without a statement for this long is rolled back: its entry VM failed or lost it, or
+# its caller is gone. Those of teams are ended earlier if others wait for what they hold.
 TRANSACTION_IDLE_LIMIT = timedelta(seconds=30)
 
 # Id of the entry VM, and the id of the transaction, which is unique at that VM.
@@ -69,7 +69,7 @@
 ) -> Iterator[TransactionKey]:
     for key, transaction in transactions.items():
         idle_for = now - transaction.last_used_at
-        if transaction.running or transaction.team or idle_for <= TRANSACTION_IDLE_LIMIT:
+        if transaction.running or idle_for <= TRANSACTION_IDLE_LIMIT:
             continue
         _log_ended("exchange_forgotten", member, key)
         yield key
--- a/packages/entry/bramleyrill_entry/_pool.py
+++ b/packages/entry/bramleyrill_entry/_pool.py
@@ -27,6 +27,9 @@
 # Shortest time between two log lines about connections that were replaced.
 REPLACED_LOG_INTERVAL = timedelta(seconds=1)
 
+# How often the decision is repeated while a lease waits.
+PLAN_INTERVAL = timedelta(milliseconds=20)
+
 # Returns the cost of preparing a connection in this state for the next statement.
 StateCost = Callable[[ConnectionState], int]
 
@@ -157,26 +160,27 @@
         waiter: AsyncResult = AsyncResult()
         self._carry_out(self.allocator.wait(waiter, team, patience))
         try:
-            self._wait_for_dial(waiter, deadline)
-            waiter.wait(timeout=self._seconds_until(deadline))
+            self._wait_for_plan(waiter, deadline)
             if waiter.ready():
                 return waiter.get()
             if self.allocator.is_blocked(waiter) and self.failing_since is None:
                 raise NoFreeConnectionError("all connections are in use")
             raise UpstreamError("no free connection in time")
-        except gevent.GreenletExit:
+        except BaseException:
             self._return_unused(waiter)
             raise
         finally:
             self.allocator.withdraw(waiter)
 
-    def _wait_for_dial(self, waiter: AsyncResult, deadline: timedelta) -> None:
-        """Wait for a connection in use, and dial one if none came free in time."""
-        dial_at = self.allocator.dial_at(waiter)
-        if dial_at is None or self._clock.monotonic() >= dial_at:
-            return
-        waiter.wait(timeout=self._seconds_until(min(dial_at, deadline)))
-        self._carry_out(self.allocator.plan())
+    def _wait_for_plan(self, waiter: AsyncResult, deadline: timedelta) -> None:
+        """Wait for a connection; what may be dialed changes with time, so plan again meanwhile."""
+        while not waiter.ready():
+            now = self._clock.monotonic()
+            if now >= deadline:
+                return
+            waiter.wait(timeout=self._seconds_until(min(now + PLAN_INTERVAL, deadline)))
+            if not waiter.ready():
+                self._carry_out(self.allocator.plan())
 
     def _seconds_until(self, time: timedelta) -> float:
         return max((time - self._clock.monotonic()).total_seconds(), 0.0)
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -168,8 +168,8 @@
     def _queue_tick(self) -> None:
         try:
             self.health.timer_fired()
-        finally:
             self.schedulers.tick()
+        finally:
             self.health.timer_set()
 
     def _gossip_tick(self) -> None:
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -341,7 +341,8 @@
         attempts.count += 1
         placement, row = self._state.placement, self._state.members.members.get(request.member)
         sent_at = self._state.now()
-        number = placement.record_sent(request.member, sent_at)
+        is_single_read = attempts.single and not request.fence and not request.statement.writes
+        number = placement.record_sent(request.member, sent_at, is_single_read)
         try:
             result = self._executor.run(vm, request)
         finally:
@@ -352,7 +353,7 @@
         if not request.fence and attempts.single:
             answered = result.answer is not None and result.answer.succeeded
             run = self._state.now() - sent_at - result.waited if answered else None
-            self._repeats.record_read(_kind_of_read(request, attempts), run)
+            self._repeats.record_read(_kind_of_read(request, attempts), run, attempts.count == 1)
         if _is_failed_read(request, result):
             attempts.may_have_run = True
             attempts.failures += 1
--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -120,6 +120,7 @@
         if self.closing or self.busy or self.in_transaction or self._has_pending_input():
             return
         with contextlib.suppress(OSError):
+            self._sock.settimeout(SEND_TIMEOUT.total_seconds())
             self._refuse_key()
         self._end_if_idle()
 
--- a/tests/connections/test_allocator.py
+++ b/tests/connections/test_allocator.py
@@ -5,6 +5,7 @@
 
 from bramleyrill_base import ManualClock
 from bramleyrill_core.connections import Assign, Close, ConnectionAllocator, Dial, Use
+from bramleyrill_core.connections._limit import INITIAL_HOLD, RECOVERY_INTERVAL, LearnedLimit
 
 MS = timedelta(milliseconds=1)
 SECOND = timedelta(seconds=1)
@@ -162,6 +163,16 @@
         self.assertEqual(self.allocator.request("v", "c"), [Close("b1"), Dial("c", NOW)])
 
 
+class RefusedTogetherTest(unittest.TestCase):
+    def test_refusals_of_one_moment_hold_the_limit_once(self):
+        """Five dials that a full member refused together held the limit for 30 s."""
+        limit = LearnedLimit(16)
+        for _ in range(5):
+            limit.record_refusal(10, SECOND)
+        self.assertEqual(limit.value(SECOND), 10)
+        self.assertGreater(limit.value(SECOND + INITIAL_HOLD), 10)
+
+
 class MemberLimitTest(AllocatorTest):
     def setUp(self):
         super().setUp()
@@ -178,11 +189,11 @@
 
     def test_second_refusal_holds_longer_and_the_limit_recovers(self):
         limit = self.allocator.limit
-        self.clock.advance(2 * SECOND)
+        self.clock.advance(INITIAL_HOLD)
         limit.record_refusal(1, self.clock.monotonic())
-        self.clock.advance(3 * SECOND)
+        self.clock.advance(2 * INITIAL_HOLD - MS)
         self.assertEqual(limit.value(self.clock.monotonic()), 1)
-        self.clock.advance(2 * SECOND)
+        self.clock.advance(MS + RECOVERY_INTERVAL)
         self.assertEqual(limit.value(self.clock.monotonic()), 3)
 
     def test_closed_connection_makes_room_below_the_lowered_limit(self):
--- a/tests/entry/test_executor.py
+++ b/tests/entry/test_executor.py
@@ -4,10 +4,12 @@
 from unittest import mock
 
 from bramleyrill_core import Mark
+from bramleyrill_core.statements import Answer
 from bramleyrill_entry._duty_leases import DutyLeases
 from bramleyrill_entry._executor import _prove_and_reply, _run_and_reply
+from bramleyrill_entry._peer_link import PeerLostError
 from bramleyrill_entry._run_codec import encode_request
-from bramleyrill_entry._run_request import RunProblem
+from bramleyrill_entry._run_request import Opens, RunProblem, RunResult
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_standins.prepared import LineGroup
 from bramleyrill_wire.entries import frames
@@ -29,6 +31,20 @@
         answer = link.send.call_args.args[0]
         self.assertEqual((answer.call, answer.problem), (7, RunProblem.LOST))
 
+    def test_transaction_whose_opening_is_not_answered_is_rolled_back(self):
+        """Its entry VM did not know that it was open, so that nobody ended it."""
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        schedulers = mock.Mock()
+        schedulers.run.return_value = RunResult(Answer(), transaction_open=True)
+        net = mock.Mock(state=make_state(group), services={MemberSchedulers: schedulers})
+        link = mock.Mock()
+        link.peer.id = "vm2"
+        link.send.side_effect = PeerLostError("the link was lost")
+        opening = request("READ a", "m1", opens=Opens.READ_WRITE, transaction_id=4)
+        _run_and_reply(net, link, encode_request(7, opening))
+        schedulers.end_transaction.assert_called_once_with("vm2", 4)
+
 
 class ProveTest(unittest.TestCase):
     def setUp(self):
--- a/tests/placement/test_knowledge.py
+++ b/tests/placement/test_knowledge.py
@@ -163,6 +163,35 @@
         self.assertLessEqual(budget.repeated, 0.05 * 2000 + 10)
         self.assertGreater(budget.repeated, 90)
 
+    def test_repeats_of_reads_in_flight_together_are_earned_back(self):
+        """Each of 200 reads in flight was repeated when all members turned slow at once."""
+        budget = RepeatBudget()
+        for _ in range(100):
+            budget.record_read("kind", 40 * MS)
+        for _ in range(200):
+            budget.spend()
+        for _ in range(1000):
+            budget.record_read("kind", 40 * MS)
+            self.assertIsNone(budget.first_limit("kind"))
+
+    def test_repeated_read_earns_no_further_repeat(self):
+        budget = RepeatBudget()
+        for _ in range(20):
+            budget.spend()
+        for _ in range(1000):
+            budget.record_read("kind", 40 * MS, is_first=False)
+        self.assertIsNone(budget.first_limit("kind"))
+
+
+class OverdueTest(unittest.TestCase):
+    def test_long_write_says_nothing_of_the_queue(self):
+        """Reads left a member with free slots because one write waited for a lock."""
+        placement = ReadPlacement("x", {"x": "x"})
+        placement.record_sent("m", SECOND, is_read=False)
+        self.assertEqual(placement.loads.load_of("m").overdue_s(9 * SECOND), 0.0)
+        placement.record_sent("m", SECOND)
+        self.assertGreater(placement.loads.load_of("m").overdue_s(9 * SECOND), 7.0)
+
 
 class LengthTest(unittest.TestCase):
     def test_expected_length_follows_the_transactions_and_is_bounded(self):
--- a/tests/teams/test_directory.py
+++ b/tests/teams/test_directory.py
@@ -60,16 +60,19 @@
         for key in ("x", "y", "", "k" * 10_000, "second"):
             self.assertIsNone(directory.team_of(key_digest(key)))
 
-    def test_malformed_limits_are_bounded_or_left_out(self):
+    def test_malformed_limit_is_bounded_and_never_lifted(self):
+        """A huge integer kept the whole configuration out; a malformed limit was no limit."""
         cases = {
             ("ratePerS", 2.5): 2.5,
             ("ratePerS", 0): 0.0,
             ("ratePerS", 10**12): 1e9,
             ("ratePerS", float("inf")): 1e9,
-            ("ratePerS", float("nan")): None,
-            ("ratePerS", -1): None,
-            ("ratePerS", "5"): None,
-            ("ratePerS", True): None,
+            ("ratePerS", 10**400): 1e9,
+            ("ratePerS", float("nan")): 0.0,
+            ("ratePerS", -1): 0.0,
+            ("ratePerS", "5"): 0.0,
+            ("ratePerS", True): 0.0,
+            ("ratePerS", None): None,
         }
         for (name, value), expected in cases.items():
             team = decode({"name": "a", name: value}).teams_by_name["a"]
