Keep the earlier read policy where each region has one failure domain

Change: a deployment that names no read policy gets the shares only if a region has several domains, where a member near can take a part.

--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -10,6 +10,7 @@
 from bramleyrill_core.placement import DEFAULT_READ_POLICY, read_policies
 
 SETTINGS_VARIABLE = "BRAMLEYRILL_CONFIG"
+SINGLE_DOMAIN_READ_POLICY = "last_wait"
 
 # Larger shares, cores and links than any machine has; also excludes infinity.
 MAX_MEASURE = 1e7
@@ -125,7 +126,9 @@
             cpu_share=self._measure("cpu_share"),
             cores=self._measure("cores", 1.0),
             link_mbps=self._measure("link_mbps"),
-            read_policy=self._choice("read_policy", DEFAULT_READ_POLICY, read_policies.by_name),
+            read_policy=self._choice(
+                "read_policy", self._default_read_policy(), read_policies.by_name
+            ),
             quota_window_s=self._optional_number("quota_window_s"),
             quota_over=self._optional_number("quota_over"),
             quota_slack=self._optional_number("quota_slack"),
@@ -185,6 +188,18 @@
             return default
         return value
 
+    def _default_read_policy(self) -> str:
+        """Return the read policy of a deployment that names none.
+
+        Shares even the load of the members of a region; with one failure domain in each, all other
+        members are in other regions, and the last wait decides.
+        """
+        domains = self._values.get("domains")
+        regions = list(map(str, domains.values())) if isinstance(domains, dict) else []
+        return (
+            DEFAULT_READ_POLICY if len(set(regions)) < len(regions) else SINGLE_DOMAIN_READ_POLICY
+        )
+
     def _mapping(self, name: str) -> dict[str, str]:
         value = self._values.get(name)
         if not isinstance(value, dict):
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -58,6 +58,15 @@
         with self.assertRaises(SettingsError):
             self.load(VALID_VALUES | {"fenced_orders": "yes"})
 
+    def test_single_domains_keep_the_earlier_read_policy(self):
+        """Shares sent reads to other regions, where no member near could take a part."""
+        regions = {"north-a": "north", "south-a": "south"}
+        policies = [
+            self.load(VALID_VALUES | {"domains": domains}).read_policy
+            for domains in (regions, regions | {"north-b": "north"})
+        ]
+        self.assertEqual(policies, ["last_wait", "shares"])
+
     def test_measures_of_the_machine(self):
         measures = {"cpu_share": 0.5, "cores": 2, "link_mbps": 100}
         settings = self.load(VALID_VALUES | measures)
