--- a/review/common/world.py
+++ b/review/common/world.py
@@ -38,7 +38,8 @@
         return time.monotonic() - self._started
 
     def write(self, text):
-        self._file.write(f"{self.now():9.4f} {text}\n")
+        line = f"{self.now():9.4f} {text}\n"
+        self._file.write(line.encode("utf-8", "backslashreplace").decode())
 
     def close(self):
         self._file.close()
