Reset connections of a batch that closes the statement it prepared

What callers see: a batch prepares a named statement, fails, and closes the name. After an error the upstream skips the Close until Sync, so the name stays on the connection. The next session that prepares a statement of that name on this connection gets 42P05, "already exists".

Cause: Batch.alters_session looked only at the names that would be left if every frame of the batch were carried out.

Change: a batch that sent a Parse of a named statement alters the session, whatever it closes later, and the connection is reset before another session uses it.

--- a/packages/daemon/bramleyrill_daemon/front/_batch.py
+++ b/packages/daemon/bramleyrill_daemon/front/_batch.py
@@ -133,6 +133,7 @@
         "_session_statements",
         "_limits",
         "_connection_statements",
+        "_parses_name",
         "_portals",
         "commits_before_end",
         "may_end",
@@ -158,6 +159,8 @@
         self._session_statements = session_statements
         self._limits = limits
         self._connection_statements = connection_statements
+        # True once a Parse of a named statement is sent. A Close after it may not be carried out.
+        self._parses_name = False
         self._portals = portals
         self.in_transaction = in_transaction
         self.frames: list[bytes] = []
@@ -231,6 +234,7 @@
         self.new_statements[name] = prepared
         if prepared.local is None:
             self._connection_statements.add(name)
+            self._parses_name = self._parses_name or bool(name)
         else:
             self._connection_statements.discard(name)
 
@@ -255,6 +259,7 @@
         ):
             self._append(prepared.frame, ("add", name, prepared))
             self._connection_statements.add(name)
+            self._parses_name = self._parses_name or bool(name)
             self.needs_tracker = True
         return prepared
 
@@ -286,7 +291,8 @@
     @property
     def alters_session(self) -> bool:
         """Return whether the connection must be reset after the batch."""
-        return any(self._connection_statements) or any(
+        names_left = self._parses_name or any(self._connection_statements)
+        return names_left or any(
             prepared is None
             or prepared.statement.alters_session
             or prepared.statement.kind is StatementClass.BEGIN
--- a/tests/front/test_protocol.py
+++ b/tests/front/test_protocol.py
@@ -10,6 +10,7 @@
 import trustme
 from bramleyrill_base import ManualClock
 from bramleyrill_daemon.front import FrontLimits
+from bramleyrill_daemon.front._batch import Batch
 from bramleyrill_daemon.front._caller import CallerSocket
 from bramleyrill_daemon.front._limits import CoarseClock
 from bramleyrill_wire import postgres as pg
@@ -223,6 +224,15 @@
         self.assertEqual(caller.frame_types(), "12DC" * 50 + "Z")
         self.assertEqual(len(self.member.opened_requests), 1)
 
+    def test_connection_is_reset_after_a_statement_that_the_batch_closes(self):
+        """After an error the upstream skips the Close, and kept the name for the next session."""
+        batch = Batch({}, set(), {}, False, FrontLimits())
+        run = pg.bind("", "s") + pg.execute("")
+        frames = pg.parse("s", "SELECT wrong") + run + pg.close(b"S", "s")
+        for kind, frame in pg.FrameSplitter(b"PBEC", pg.MAX_FRAME).feed(frames):
+            self.assertIsNone(batch.add(kind, frame))
+        self.assertTrue(batch.alters_session)
+
     def test_error_skips_to_sync(self):
         caller = self.caller()
         one = pg.parse("", "SELECT a") + EXECUTE
