Number the prepared statements of a connection

Cause: the name at members was the shape with blanks replaced by underscores, so two shapes had one name. On a shared connection the later PREPARE replaced the earlier one at the member, while ConnectionState still held both as prepared.

Change: the rule is in core now. ConnectionState.add_prepared numbers the statements of a connection and never uses a name twice, also not after a reset or a NOSTMT; the adapter formats the name only.

--- a/packages/core/bramleyrill_core/statements/_session.py
+++ b/packages/core/bramleyrill_core/statements/_session.py
@@ -1,5 +1,8 @@
 """State of a caller's session and of an upstream connection that serves it."""
 
+import itertools
+from collections.abc import Iterator
+
 from attrs import define, field
 
 from bramleyrill_core._values import Mark
@@ -103,10 +106,31 @@
 
 @define(eq=False)
 class ConnectionState:
-    """Values set on an upstream connection, and the statements prepared on it."""
+    """Values set on an upstream connection, and the statements prepared on it.
+
+    The connection serves many sessions, whose own names for prepared statements collide. Each
+    statement therefore gets a new name, numbered per connection. A name that were derived from the
+    shape could be the same for two shapes, and the later one would replace the earlier one at the
+    member.
+
+    Example:
+
+        name = state.add_prepared(prepared)
+        assert state.name_by_prepared[prepared] == name
+    """
 
     values: dict[str, str] = field(factory=dict)
-    prepared: set[Prepared] = field(factory=set)
+    name_by_prepared: dict[Prepared, str] = field(factory=dict)
+    _numbers: Iterator[int] = field(factory=lambda: itertools.count(1))
+
+    def add_prepared(self, prepared: Prepared) -> str:
+        """Record a statement as prepared; return its name, which no other statement ever had."""
+        name = self.name_by_prepared[prepared] = f"p{next(self._numbers)}"
+        return name
+
+    def forget_prepared(self, prepared: Prepared) -> None:
+        """Record that the member does not know a statement, so that it is prepared again."""
+        self.name_by_prepared.pop(prepared, None)
 
     def needs_reset(self, values: dict[str, str]) -> bool:
         """Return whether the connection has a value set that the session did not set."""
@@ -125,7 +149,7 @@
         cost = len(self.missing_values(values))
         if self.needs_reset(values):
             cost = 1 + len(values)
-        if prepared is not None and prepared not in self.prepared:
+        if prepared is not None and prepared not in self.name_by_prepared:
             cost += 1
         overwritten = sum(values.get(name) != value for name, value in self.values.items())
         return cost + overwritten
@@ -133,4 +157,4 @@
     def reset(self) -> None:
         """Clear the state, as a reset does at the member."""
         self.values.clear()
-        self.prepared.clear()
+        self.name_by_prepared.clear()
--- a/packages/entry/bramleyrill_entry/_preparation.py
+++ b/packages/entry/bramleyrill_entry/_preparation.py
@@ -52,9 +52,8 @@
             texts.append(lines.RESET_TEXT)
             state.reset()
         texts += [lines.set_text(name, value) for name, value in state.missing_values(values)]
-        if prepared is not None and prepared not in state.prepared:
-            texts.append(lines.prepare_text(prepared))
-            state.prepared.add(prepared)
+        if prepared is not None and prepared not in state.name_by_prepared:
+            texts.append(lines.prepare_text(state.add_prepared(prepared), prepared))
         state.values.update(values)
         if texts:
             self._execute_all(connection, texts)
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -312,12 +312,12 @@
     def _execute(
         self, connection: UpstreamConnection, request: RunRequest, min_mark: Mark | None = None
     ) -> RunResult:
-        statement = request.statement
+        statement, prepared = request.statement, request.statement.prepared
+        name = "" if prepared is None else connection.state.name_by_prepared[prepared]
+        text = lines.member_text(statement, name)
         sent_at = self._state.now()
         try:
-            answer = connection.execute(
-                statement.id, lines.member_text(statement), request.timeout, min_mark
-            )
+            answer = connection.execute(statement.id, text, request.timeout, min_mark)
         except UpstreamTimeoutError:
             log_event("statement_timed_out", id=statement.id, member=self.member.id)
             return RunResult(problem=RunProblem.TIMED_OUT)
@@ -326,8 +326,8 @@
             return RunResult(problem=RunProblem.LOST)
         finally:
             self._meter.record_run(self._state.now() - sent_at)
-        if answer.code is AnswerCode.NOT_PREPARED and statement.prepared is not None:
-            connection.state.prepared.discard(statement.prepared)
+        if answer.code is AnswerCode.NOT_PREPARED and prepared is not None:
+            connection.state.forget_prepared(prepared)
         if answer.code is AnswerCode.READ_ONLY and request.transaction_id == NO_TRANSACTION:
             return RunResult(problem=RunProblem.NOT_PRIMARY)
         if answer.succeeded and request.transaction_id == NO_TRANSACTION and statement.writes:
--- a/tests/entry/test_scheduler.py
+++ b/tests/entry/test_scheduler.py
@@ -190,6 +190,28 @@
         self.assertEqual(self.group.primary.log[0].data, {"a": "5"})
         self.assertNotEqual(*(self.group.runs_of(n)[0].text.split()[1] for n in ("WRITE", "READ")))
 
+    def test_sessions_with_similar_shapes_run_their_own(self):
+        """A statement ran another session's shape, whose name at the member was the same."""
+        shapes = ("lot by", "lot_by", "lot  by", "lot by ", "lot\tby", "lot%20by")
+        for turn in range(2):
+            for number, shape in enumerate(shapes):
+                text = statement("EXECUTE s1 a 5", f"q{turn}.{number}", Prepared(True, shape))
+                self.assertTrue(self.run_at("m1", text).answer.succeeded)
+        for turn in range(2):
+            ran = [self.group.runs_of(f"q{turn}.{n}")[0].shape for n in range(len(shapes))]
+            self.assertEqual(ran, list(shapes))
+
+    def test_statement_that_the_member_forgot_is_prepared_again(self):
+        """After NOSTMT the connection's record of the statement was wrong, and must go."""
+        prepared = Prepared(True, "lot by")
+        text = statement("EXECUTE s1 a 5", "q1", prepared)
+        pool = self.schedulers.scheduler_for("m1").pool
+        connection = pool.lease(SECOND)
+        connection.state.add_prepared(prepared)
+        pool.release(connection)
+        self.assertIs(self.run_at("m1", text).answer.code, AnswerCode.NOT_PREPARED)
+        self.assertTrue(self.run_at("m1", text).answer.succeeded)
+
     def test_write_whose_answer_is_lost_is_not_repeated(self):
         """The write may have run, and a duplicate entry would bill a client twice."""
         self.group.primary.lose_answers = True
