--- a/packages/core/bramleyrill_core/admission/_queue.py
+++ b/packages/core/bramleyrill_core/admission/_queue.py
@@ -68,6 +68,7 @@
         self.policy = policy
         self._clock = clock
         self._limit = InFlightLimit(policy.slots, policy.adaptive)
+        self._reserved = 0
         self._classes: dict[WorkClass, ClassState] = {}
         self._groups: dict[tuple[str, ...], FloorAccount] = {}
         self._waiting: dict[WorkClass, ClassState] = {}
@@ -137,13 +138,22 @@
                     waiting[team] = waiting.get(team, 0) + count
         return waiting
 
+    def reserve(self, slots: int) -> None:
+        """Keep slots free from now on; the requests that hold a slot keep it until they end."""
+        self._reserved += slots
+
+    def unreserve(self, slots: int) -> list[Started | Refused]:
+        """Use reserved slots again; return the requests that now start or fail."""
+        self._reserved -= slots
+        return self._dispatch(self._clock.monotonic())
+
     def submit(self, request: Request) -> Started | Queued | Refused:
         """Start, queue or refuse a new request; raise ValueError if its id is running or queued."""
         if request.id in self._running or request.id in self._queued:
             raise ValueError(f"request {request.id!r} is already running or queued")
         now = self._clock.monotonic()
         state = self._class_for(request)
-        if not self._queued and len(self._running) < int(self._limit.value):
+        if not self._queued and self._has_free_slot():
             if request.deadline <= now:
                 return self._refuse(request, state, ErrorKind.NOT_RUN_DEADLINE, now)
             return self._start(request, state, now)
@@ -203,7 +213,7 @@
             raise ValueError(f"request {request.id!r} is not paused")
         now = self._clock.monotonic()
         state = self._class_for(request)
-        if not self._queued and len(self._running) < int(self._limit.value):
+        if not self._queued and self._has_free_slot():
             return self._start(request, state, now)
         self._enqueue(request, state, now, resumed=True)
         return self._start_if_free(request, now)
@@ -238,6 +248,9 @@
             heapq.heapify(self._deadlines)
         return refused
 
+    def _has_free_slot(self) -> bool:
+        return len(self._running) + self._reserved < int(self._limit.value)
+
     def _class_for(self, request: Request) -> ClassState:
         state = self._classes.get(request.work_class) or self._add_class(request.work_class)
         if request.team and state.fair is None:
@@ -297,7 +310,7 @@
 
     def _start_if_free(self, request: Request, now: timedelta) -> Started | Queued:
         """Start the request if a slot is free and no other request waits."""
-        if len(self._running) < int(self._limit.value) and len(self._queued) == 1:
+        if self._has_free_slot() and len(self._queued) == 1:
             state, _ = self._queued[request.id]
             state.pop()
             del self._queued[request.id]
@@ -344,7 +357,7 @@
 
     def _dispatch(self, now: timedelta) -> list[Started | Refused]:
         outcomes: list[Started | Refused] = []
-        while self._waiting and len(self._running) < int(self._limit.value):
+        while self._waiting and self._has_free_slot():
             state = self._choose_class(now)
             request = state.pop()
             _, arrived_at = self._queued.pop(request.id)
--- a/packages/core/bramleyrill_core/admission/_stages.py
+++ b/packages/core/bramleyrill_core/admission/_stages.py
@@ -107,6 +107,14 @@
         """Return how many requests hold a slot."""
         return self._queue.in_flight
 
+    def reserve(self, slots: int) -> None:
+        """Keep slots free from now on; the requests that hold a slot keep it until they end."""
+        self._queue.reserve(slots)
+
+    def unreserve(self, slots: int) -> list[Started | Refused]:
+        """Use reserved slots again; return the requests that now start or fail."""
+        return self._move_expired_to_late(self._queue.unreserve(slots))
+
     def waiting_by_team(self) -> dict[str, int]:
         """Return how many requests of each team wait for a slot."""
         return self._queue.waiting_by_team()
--- a/packages/core/bramleyrill_core/catalog/_model.py
+++ b/packages/core/bramleyrill_core/catalog/_model.py
@@ -44,10 +44,14 @@
 
 @frozen
 class ServiceEntry:
-    """A service and the number of connections that each of its members accepts in total."""
+    """A service and the number of connections that each of its members accepts in total.
+
+    A member acknowledges a commit once `sync_replicas` replicas have received it.
+    """
 
     name: str
     max_connections: int
+    sync_replicas: int = 0
 
 
 @frozen
--- a/packages/core/bramleyrill_core/catalog/_tables.py
+++ b/packages/core/bramleyrill_core/catalog/_tables.py
@@ -14,6 +14,8 @@
 LAPSE_GRACE = timedelta(seconds=2.5)
 # Members that left are remembered up to this number, since a restored store may list them again.
 MAX_DEPARTED = 1000
+# For how long a replica whose entry lapsed may come back with commits that no other replica has.
+LOST_REPLICA_MEMORY = timedelta(seconds=60)
 
 
 @define(eq=False)
@@ -37,6 +39,14 @@
         return self.entry.state is MemberState.READY
 
 
+@define(eq=False)
+class LostReplica:
+    """A replica that was not draining when its entry disappeared, and the time of that."""
+
+    entry: MemberEntry
+    lost_at: timedelta
+
+
 @define(eq=False)
 class PrimaryRow:
     """Presumed primary of a service.
@@ -61,6 +71,9 @@
     A restored store lists entries from its copy until the members have written theirs again. An
     entry that may be from the copy therefore does not replace a known one for LAPSE_GRACE, and a
     member that was seen to leave does not come back with it.
+
+    A replica that crashed may be the only one with some acknowledged commits, so it is remembered
+    for LOST_REPLICA_MEMORY, or until it or its successor at the same address is listed.
     """
 
     def __init__(self) -> None:
@@ -68,6 +81,7 @@
         self.primaries: Table[str, PrimaryRow] = Table()
         self.revision = StoreRevision()
         self._departed_incarnations_by_id: dict[str, int] = {}
+        self._lost_by_id: dict[str, LostReplica] = {}
 
     def replace_all(self, entries: list[MemberEntry], now: timedelta) -> None:
         """Replace all entries by a complete list; members that it lacks lapse."""
@@ -125,6 +139,7 @@
                 row.role_revision = role_revision
             row.entry = _keep_draining(entry, row.entry)
             row.lapsed_at = row.restored = None
+        self._forget_lost(entry)
         if entry.role is MemberRole.PRIMARY:
             self._record_claimed_primary(entry.service, entry.id, row.role_revision)
 
@@ -142,13 +157,24 @@
     def drop_lapsed(self, now: timedelta) -> list[str]:
         """Drop the members whose entries did not return within LAPSE_GRACE; return their ids."""
         dropped = [
-            row.entry.id
+            row
             for row in self.members
             if row.lapsed_at is not None and now - row.lapsed_at >= LAPSE_GRACE
         ]
-        for member in dropped:
-            self.members.remove(member)
-        return dropped
+        for row in dropped:
+            self.members.remove(row.entry.id)
+            if row.entry.role is MemberRole.REPLICA:
+                self._lost_by_id[row.entry.id] = LostReplica(row.entry, row.lapsed_at)
+        return [row.entry.id for row in dropped]
+
+    def lost_replicas_of(self, service: str, now: timedelta) -> list[str]:
+        """Return the replicas of a service that crashed and may still come back."""
+        for lost in list(self._lost_by_id.values()):
+            if now - lost.lost_at >= LOST_REPLICA_MEMORY:
+                del self._lost_by_id[lost.entry.id]
+        return [
+            lost.entry.id for lost in self._lost_by_id.values() if lost.entry.service == service
+        ]
 
     def members_of_service(self, service: str) -> list[MemberRow]:
         """Return the members of a service."""
@@ -178,6 +204,14 @@
         self.primaries.add(service, PrimaryRow(member, term, max(revision, earlier_revision)))
         return changed
 
+    def _forget_lost(self, entry: MemberEntry) -> None:
+        """Forget a lost replica that is back, or whose log a new member has at its address."""
+        for lost in list(self._lost_by_id.values()):
+            if lost.entry.id == entry.id or (
+                lost.entry.service == entry.service and lost.entry.address == entry.address
+            ):
+                del self._lost_by_id[lost.entry.id]
+
     def _record_departure(self, entry: MemberEntry) -> None:
         departed = self._departed_incarnations_by_id
         departed[entry.id] = entry.incarnation
--- a/packages/core/bramleyrill_core/leadership/__init__.py
+++ b/packages/core/bramleyrill_core/leadership/__init__.py
@@ -10,7 +10,12 @@
     pending_member,
     renewed_record,
 )
-from bramleyrill_core.leadership._successor import Candidate, choose_successor
+from bramleyrill_core.leadership._successor import (
+    Candidate,
+    Poll,
+    choose_from,
+    choose_successor,
+)
 from bramleyrill_core.leadership._suspicion import (
     REFUSED_AFTER,
     SUSPECT_AFTER,
@@ -29,8 +34,10 @@
     "DutyRecord",
     "DutyView",
     "Evidence",
+    "Poll",
     "Verdict",
     "assess_primary",
+    "choose_from",
     "choose_successor",
     "next_record",
     "pending_member",
--- a/packages/core/bramleyrill_core/leadership/_successor.py
+++ b/packages/core/bramleyrill_core/leadership/_successor.py
@@ -1,19 +1,41 @@
 """Choice of the member that becomes the next primary."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 from bramleyrill_core._values import Mark
 
 
 @frozen
 class Candidate:
-    """A member with the mark of its last log entry; `ready` is False if it may not lead."""
+    """A member with the mark of its last log entry; `ready` is False if it takes no new work."""
 
     member: str
     mark: Mark
     ready: bool
 
 
+@frozen
+class Poll:
+    """What the replicas of a service answered when they were asked for their marks.
+
+    `unheard` are the replicas that did not answer, and those whose entries are gone but may come
+    back. The primary acknowledges a commit once `sync_replicas` replicas have it; with 0 it waits
+    for none, and a change of primary may lose commits.
+    """
+
+    candidates: list[Candidate] = field(factory=list)
+    unheard: list[str] = field(factory=list)
+    sync_replicas: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the candidates together have every acknowledged commit that must last.
+
+        Each of those commits is at `sync_replicas` replicas, so fewer unheard ones cannot hide it.
+        """
+        return not self.sync_replicas or len(self.unheard) < self.sync_replicas
+
+
 def choose_successor(candidates: list[Candidate], at_least: Mark | None = None) -> str | None:
     """Return the most advanced member that is ready, or None; the term counts before the position.
 
@@ -25,6 +47,29 @@
         for candidate in candidates
         if candidate.ready and (at_least is None or candidate.mark >= at_least)
     ]
-    if not eligible:
+    return _most_advanced(eligible)
+
+
+def choose_from(poll: Poll) -> str | None:
+    """Return the member to appoint after a failure, or None if none is known to be safe.
+
+    With synchronous replicas it must have the newest entry that any replica has. One that takes no
+    new work is appointed if no other has that entry, and replaced once another one has caught up.
+
+    Example:
+
+        behind = Candidate("b", Mark(3, 7), True)
+        assert choose_from(Poll([behind], unheard=["c"], sync_replicas=1)) is None
+    """
+    if not poll.sync_replicas:
+        return choose_successor(poll.candidates)
+    if not poll.is_complete or not poll.candidates:
+        return None
+    newest = max(candidate.mark for candidate in poll.candidates)
+    return choose_successor(poll.candidates, newest) or _most_advanced(poll.candidates)
+
+
+def _most_advanced(candidates: list[Candidate]) -> str | None:
+    if not candidates:
         return None
-    return max(eligible, key=lambda candidate: (candidate.mark, candidate.member)).member
+    return max(candidates, key=lambda candidate: (candidate.mark, candidate.member)).member
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -44,6 +44,9 @@
     not hold the duty, and `inquiry_at` the time of the next attempt to ask them. `confirmed_era` is
     the era in which the duty is known to have a record, and `confirm_at` the time of the next
     attempt to write one.
+
+    While the service has no successor that is known to be safe, `leaderless_at` is the time of the
+    next announcement of that.
     """
 
     service: str
@@ -60,6 +63,7 @@
     free_in_era: int = NO_ERA
     inquiry_at: timedelta = timedelta.min
     is_acquiring: bool = False
+    leaderless_at: timedelta = timedelta.min
 
 
 class DutyLeases:
--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -10,6 +10,7 @@
 from bramleyrill_wire.entries import frames
 
 from bramleyrill_entry._duty_leases import DutyLeases
+from bramleyrill_entry._member_commands import answer_command
 from bramleyrill_entry._peer_link import PeerLink, PeerLostError
 from bramleyrill_entry._peers import PeerNet, handlers
 from bramleyrill_entry._run_codec import (
@@ -26,6 +27,8 @@
 PROVE_TIMEOUT = timedelta(milliseconds=700)
 # A proof younger than this is returned without asking the member again.
 FRESH_PROOF_AGE = timedelta(milliseconds=150)
+# A supervisor announces more often that a service has no primary; a longer time is an error.
+MAX_LEADERLESS = timedelta(seconds=5)
 
 
 class Executor:
@@ -149,10 +152,26 @@
 
 
 def _prove_and_reply(net: PeerNet, link: PeerLink, frame: Any) -> None:
+    if frame.command is not None:
+        answer = _no_proof(frame)
+        answer.report = answer_command(net, frame)
+    else:
+        answer = _proof_answer(net, frame)
+    try:
+        link.send(answer)
+    except PeerLostError as error:
+        log_event("proof_not_sent", vm=link.peer.id, reason=error)
+
+
+def _no_proof(frame: Any) -> Any:
+    return frames.Proved(call=frame.call, member="", term=0, position=0, age_us=-1)
+
+
+def _proof_answer(net: PeerNet, frame: Any) -> Any:
     ensure_fresh_proof(net, frame.service_name, frame.known_only)
     state = net.state
     proof = state.proofs.history_of(frame.service_name).newest
-    answer = frames.Proved(call=frame.call, member="", term=0, position=0, age_us=-1)
+    answer = _no_proof(frame)
     if proof is not None:
         age = state.now() - proof.proved_at
         answer = frames.Proved(
@@ -164,13 +183,14 @@
         )
     if frame.duty_era is not None:
         answer.may_hold_duty = net.services[DutyLeases].may_hold(frame.service_name)
-    try:
-        link.send(answer)
-    except PeerLostError as error:
-        log_event("proof_not_sent", vm=link.peer.id, reason=error)
+    return answer
 
 
 @handlers.register("Appointed")
 def handle_appointed(net: PeerNet, link: PeerLink, frame: Any) -> None:
-    """Record that a member was appointed primary."""
+    """Record that a member was appointed primary, or that none can be for a while."""
+    if frame.leaderless_ms is not None:
+        duration = timedelta(milliseconds=frame.leaderless_ms)
+        net.state.record_leaderless(frame.service_name, min(duration, MAX_LEADERLESS))
+        return
     net.state.record_appointment(frame.service_name, frame.member, f"peer {link.peer.id}")
--- a/packages/entry/bramleyrill_entry/_fence.py
+++ b/packages/entry/bramleyrill_entry/_fence.py
@@ -5,15 +5,15 @@
 from bramleyrill_core import Rules
 from bramleyrill_core.catalog import MemberEntry
 from bramleyrill_core.permits import StatusReport, wait_after_fence
-from bramleyrill_platform import lines
 
-from bramleyrill_entry._member_status import ask_status, refuses_connections
+from bramleyrill_entry._member_commands import MemberCommand, MemberCommands
+from bramleyrill_entry._member_status import refuses_connections
 from bramleyrill_entry._state import EntryState
 
 
-def demote(state: EntryState, primary: MemberEntry, term: int) -> StatusReport | None:
+def demote(commands: MemberCommands, primary: MemberEntry, term: int) -> StatusReport | None:
     """Order the old primary to become a replica; return its report if it is one now."""
-    report = ask_status(primary, state.clock, lines.demote_text(term))
+    report = commands.send(primary, MemberCommand.DEMOTE, term)
     if report is None or report.is_primary:
         return None
     log_event("primary_demoted", service=primary.service, member=primary.id, term=term)
@@ -21,7 +21,11 @@
 
 
 def end_permits(
-    state: EntryState, primary: MemberEntry | None, successor: MemberEntry, term: int
+    state: EntryState,
+    commands: MemberCommands,
+    primary: MemberEntry | None,
+    successor: MemberEntry,
+    term: int,
 ) -> bool:
     """Return once no VM has a permit for the old primary, or False if that cannot be achieved.
 
@@ -29,8 +33,8 @@
     store. A primary that was demoted, or whose machine refuses connections, needs no wait: VMs
     accept a permit only if it is younger than their connection to the member.
     """
-    demotion = gevent.spawn(demote, state, primary, term) if primary is not None else None
-    if not _fence_successor(state, successor, term):
+    demotion = gevent.spawn(demote, commands, primary, term) if primary is not None else None
+    if not _fence_successor(commands, successor, term):
         return False
     fenced_at = state.now()
     if demotion is not None:
@@ -42,12 +46,12 @@
     return True
 
 
-def _fence_successor(state: EntryState, successor: MemberEntry, term: int) -> bool:
+def _fence_successor(commands: MemberCommands, successor: MemberEntry, term: int) -> bool:
     """Stop the successor from receiving, so that no VM gets a new permit from the replicas."""
-    report = ask_status(successor, state.clock, lines.fence_text(term))
+    report = commands.send(successor, MemberCommand.FENCE, term)
     if report is None:
         # A successor that an earlier order has promoted refuses the fence, and needs none.
-        report = ask_status(successor, state.clock)
+        report = commands.send(successor)
         fenced = report is not None and report.is_primary
     else:
         fenced = report.is_primary or report.fenced_term >= term
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -26,6 +26,7 @@
 from bramleyrill_entry._load_reports import LoadReports
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._run_request import NO_TRANSACTION, Opens, RunProblem, RunRequest, RunResult
+from bramleyrill_entry._run_results import no_primary_result
 from bramleyrill_entry._state import EntryState
 
 # How long to look for a member that runs a statement. It exceeds the latency target because a late
@@ -269,6 +270,9 @@
                 return vm, row.entry.id
             if self._state.now() >= attempts.deadline:
                 return None
+            if self._state.is_leaderless(request.service):
+                attempts.last_result = no_primary_result(result)
+                return None
             # Retry a read once without delay if its answer was lost or it failed; the retry uses
             # another connection.
             answer_lost = result.problem in (RunProblem.LOST, RunProblem.TIMED_OUT)
@@ -311,7 +315,7 @@
     def _wait_for_primary(self, attempts: StatementAttempts) -> bool:
         """Wait until the primary changes or the retry delay ends; return False at the deadline."""
         remaining = attempts.deadline - self._state.now()
-        if remaining <= timedelta():
+        if remaining <= timedelta() or self._state.is_leaderless(attempts.route.service):
             return False
         pause = min(remaining, RETRY_PAUSE * (1 + attempts.count))
         self._state.primary_changed.wait(pause.total_seconds())
--- a/packages/entry/bramleyrill_entry/_run_request.py
+++ b/packages/entry/bramleyrill_entry/_run_request.py
@@ -28,7 +28,8 @@
     its holder cannot be reached. NO_EXCHANGE: the transaction is no longer open at the holder.
     STOPPING: the holder is shutting down. LOST: the connection closed or was silent before the
     answer. TIMED_OUT: the statement took too long. NO_PERMIT: the holder cannot be certain that the
-    member still leads.
+    member still leads. NO_PRIMARY: the primary failed, and no member is known to have all of its
+    acknowledged commits.
     """
 
     OVERLOADED = 1
@@ -40,6 +41,7 @@
     LOST = 7
     TIMED_OUT = 8
     NO_PERMIT = 9
+    NO_PRIMARY = 10
 
     @property
     def not_run(self) -> bool:
--- a/packages/entry/bramleyrill_entry/_run_results.py
+++ b/packages/entry/bramleyrill_entry/_run_results.py
@@ -12,6 +12,8 @@
 NO_CONNECTION_RETRY_AFTER = timedelta(seconds=1)
 # Suggested to callers that were refused because the primary may have been replaced.
 NO_PERMIT_RETRY_AFTER = timedelta(seconds=1)
+# Suggested to callers while no successor of a failed primary is known to be safe.
+NO_PRIMARY_RETRY_AFTER = timedelta(seconds=1)
 
 
 def no_permit_result() -> RunResult:
@@ -19,6 +21,13 @@
     return RunResult(problem=RunProblem.NO_PERMIT, retry_after=NO_PERMIT_RETRY_AFTER)
 
 
+def no_primary_result(last: RunResult) -> RunResult:
+    """Return the result of a statement whose last attempt failed while no member may lead."""
+    if last.problem is None or not last.problem.not_run:
+        return last
+    return RunResult(problem=RunProblem.NO_PRIMARY, retry_after=NO_PRIMARY_RETRY_AFTER)
+
+
 def no_connection_result() -> RunResult:
     """Return the result of a statement that found all connections in use."""
     return RunResult(
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -11,11 +11,13 @@
 from bramleyrill_core.admission import MemberAdmission, Queued, Refused, Started
 from bramleyrill_core.catalog import MemberEntry
 from bramleyrill_core.connections import Use
+from bramleyrill_core.permits import StatusReport
 from bramleyrill_core.placement import LoadMeter, LoadStamp
 from bramleyrill_core.statements import Answer, AnswerCode, StatementKind, TransactionState
 from bramleyrill_platform import lines
 from gevent.event import AsyncResult
 
+from bramleyrill_entry._command_slot import CommandSlot
 from bramleyrill_entry._open_transactions import (
     OpenTransaction,
     TransactionKey,
@@ -36,6 +38,8 @@
 
 # One statement more than the member has slots, so that a freed slot never waits for the network.
 EXTRA_IN_FLIGHT = 1
+# Slots that a command to the member keeps free: one for itself, and the one more that is in flight.
+COMMAND_SLOTS = EXTRA_IN_FLIGHT + 1
 EXPECTED_STATEMENT_TIME = timedelta(milliseconds=15)
 EXPECTED_TRANSACTION_TIME = timedelta(milliseconds=300)
 # Attempts to get a connection on which the statement can be sent.
@@ -74,6 +78,12 @@
             state.clock,
             state.weight_of,
         )
+        self._commands = CommandSlot(
+            self.pool,
+            self._statement_admission,
+            COMMAND_SLOTS,
+            lambda outcomes: self._deliver_outcomes(self._statement_admission, outcomes),
+        )
         self._transactions: dict[TransactionKey, OpenTransaction] = {}
         self._admission_ids = itertools.count(1)
         self._waiters: dict[tuple[MemberAdmission, int], AsyncResult] = {}
@@ -166,6 +176,10 @@
         self.pool.release(connection)
         return None if answer.succeeded else RunProblem.NOT_PRIMARY
 
+    def command(self, text: str) -> StatusReport | None:
+        """Send a command that answers with the member's status; None if it does not answer."""
+        return self._commands.run(text)
+
     # Admission.
 
     def _wait_for_admission(
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -52,6 +52,8 @@
     statements of callers in progress. `watches_store` is whether this VM follows the store itself;
     otherwise it learns of changes from its peers. `history` is the era of the store that it knows.
     `team_metrics` counts the work of teams at the members that this VM is the holder of.
+    `leaderless_until_by_service` has the services whose primary does not answer and whose
+    successor is not known to be safe yet.
     """
 
     settings: EntrySettings
@@ -70,6 +72,7 @@
     requests_running: int = 0
     watches_store: bool = True
     team_metrics: TeamMetrics = field(factory=TeamMetrics)
+    leaderless_until_by_service: dict[str, timedelta] = field(factory=dict)
     _weights: TeamWeights = field(
         init=False,
         default=Factory(lambda state: TeamWeights(lambda: state.catalog.teams), takes_self=True),
@@ -116,6 +119,7 @@
         if self.members.record_primary_proof(service, member, term):
             log_event("primary_changed", service=service, member=member, term=term, source="proof")
             self.primary_changed.fire()
+        self.leaderless_until_by_service.pop(service, None)
         self.proofs.history_of(service).record(mark, proved_at, member)
 
     def record_claimed_lead(self, service: str, member: str, term: int) -> None:
@@ -124,8 +128,23 @@
             log_event("primary_changed", service=service, member=member, term=term, source="status")
             self.primary_changed.fire()
 
+    def record_leaderless(self, service: str, duration: timedelta) -> None:
+        """Record that a service has no usable primary, and will have none for a while."""
+        self.leaderless_until_by_service[service] = self.now() + duration
+
+    def is_leaderless(self, service: str) -> bool:
+        """Return whether waiting for a service's primary is of no use now."""
+        until = self.leaderless_until_by_service.get(service)
+        if until is None:
+            return False
+        if self.now() < until:
+            return True
+        del self.leaderless_until_by_service[service]
+        return False
+
     def record_appointment(self, service: str, member: str, source: str) -> None:
         """Record that `member` was appointed primary."""
+        self.leaderless_until_by_service.pop(service, None)
         current = self.members.primaries.get(service)
         if current is not None and current.member == member:
             return
--- /dev/null
+++ b/packages/entry/bramleyrill_entry/_successor_search.py
@@ -0,0 +1,71 @@
+"""Ask the replicas of a service for their marks, and choose the next primary among them."""
+
+from datetime import timedelta
+
+import gevent
+from bramleyrill_core import Mark
+from bramleyrill_core.catalog import MemberEntry, MemberRow
+from bramleyrill_core.leadership import Candidate, Poll, choose_successor
+
+from bramleyrill_entry._duty_leases import SupervisedService
+from bramleyrill_entry._member_commands import MemberCommands
+from bramleyrill_entry._state import EntryState
+
+# A planned change waits this long for a replica to have all entries.
+CATCH_UP_TIMEOUT = timedelta(seconds=1.5)
+POLL_INTERVAL = timedelta(milliseconds=40)
+
+
+class SuccessorSearch:
+    """Poll the replicas of services; the choice itself is a rule of the core."""
+
+    def __init__(self, state: EntryState, commands: MemberCommands) -> None:
+        self._state = state
+        self._commands = commands
+
+    def poll(self, supervised: SupervisedService, primary: MemberEntry | None) -> Poll:
+        """Ask all replicas for their status at the same time.
+
+        Where the service has synchronous replicas, those that drain are asked too: they receive and
+        acknowledge commits until they end.
+        """
+        service = supervised.service
+        sync_replicas = self.sync_replicas_of(service)
+        rows = self._replicas(service, primary)
+        if not sync_replicas:
+            rows = [row for row in rows if row.accepts_work]
+        queries = [gevent.spawn(self._commands.send, row.entry) for row in rows]
+        gevent.joinall(queries)
+        candidates, unheard = [], self._state.members.lost_replicas_of(service, self._state.now())
+        for row, query in zip(rows, queries, strict=True):
+            report = query.value
+            if report is None:
+                unheard.append(row.entry.id)
+                continue
+            supervised.highest_term = max(supervised.highest_term, report.term)
+            candidates.append(Candidate(row.entry.id, report.mark, row.accepts_work))
+        return Poll(candidates, unheard, sync_replicas)
+
+    def wait_for(
+        self, supervised: SupervisedService, primary: MemberEntry, primary_mark: Mark | None
+    ) -> str | None:
+        """Return a replica that has the primary's last entry, or None if none gets it in time."""
+        deadline = self._state.now() + CATCH_UP_TIMEOUT
+        while primary_mark is not None and self._state.now() < deadline:
+            chosen = choose_successor(self.poll(supervised, primary).candidates, primary_mark)
+            if chosen is not None:
+                return chosen
+            gevent.sleep(POLL_INTERVAL.total_seconds())
+        return None
+
+    def sync_replicas_of(self, service: str) -> int:
+        """Return how many replicas must have a commit before it is acknowledged."""
+        entry = self._state.catalog.services_by_name.get(service)
+        return entry.sync_replicas if entry is not None else 0
+
+    def _replicas(self, service: str, primary: MemberEntry | None) -> list[MemberRow]:
+        return [
+            row
+            for row in self._state.members.members_of_service(service)
+            if primary is None or row.entry.id != primary.id
+        ]
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -4,15 +4,15 @@
 
 import gevent
 from bramleyrill_base import log_event
-from bramleyrill_core import Mark, rendezvous_order
+from bramleyrill_core import rendezvous_order
 from bramleyrill_core.catalog import MemberEntry, MemberRow
 from bramleyrill_core.leadership import (
-    Candidate,
     DutyView,
     Evidence,
+    Poll,
     Verdict,
     assess_primary,
-    choose_successor,
+    choose_from,
     pending_member,
 )
 from bramleyrill_core.placement import holder_candidates, slow_vms
@@ -30,11 +30,13 @@
 from bramleyrill_entry._duty_leases import DutyLeases, SupervisedService
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._fence import demote, end_permits
-from bramleyrill_entry._member_status import DIAL_TIMEOUT, STATUS_TIMEOUT, ask_status
+from bramleyrill_entry._member_commands import MemberCommands
+from bramleyrill_entry._member_status import DIAL_TIMEOUT, STATUS_TIMEOUT
 from bramleyrill_entry._peers import PeerNet
 from bramleyrill_entry._permits import PermitKeeper
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_entry._state import EntryState
+from bramleyrill_entry._successor_search import POLL_INTERVAL, SuccessorSearch
 from bramleyrill_entry._upstream import (
     RefusedByMemberError,
     UpstreamConnection,
@@ -52,17 +54,18 @@
 MAX_QUERIED_VMS = 12
 # The primary itself is asked only if the other VMs do not answer at once, as a dial takes a slot.
 PROBE_DELAY = timedelta(milliseconds=100)
-# A planned change waits this long for open transactions to end, and then for a replica to have all
-# entries.
+# A planned change waits this long for open transactions to end.
 TRANSACTION_DRAIN_TIMEOUT = timedelta(seconds=1.2)
-CATCH_UP_TIMEOUT = timedelta(seconds=1.5)
 # New fenced work is paused at most this long during a planned change.
 MAX_PAUSE = timedelta(seconds=5)
-POLL_INTERVAL = timedelta(milliseconds=40)
 MAX_APPOINT_ATTEMPTS = 6
 APPOINT_RETRY_PAUSE = timedelta(milliseconds=300)
 # How long to wait for the platform to name the primary of a service that has none.
 NO_PRIMARY_GRACE = timedelta(seconds=3)
+# While no successor is known to be safe, the VMs are told so this often. Each time counts for a
+# little longer, so that they refuse work for the primary at once instead of letting it wait.
+LEADERLESS_INTERVAL = timedelta(seconds=1)
+LEADERLESS_TIME = timedelta(seconds=1.5)
 
 
 class Supervisor:
@@ -87,6 +90,8 @@
         self._confirmation = PrimaryConfirmation(state, self.leases, self._inquiry)
         self._duties = duties
         self._permits = permits or PermitKeeper(state, store)
+        self._commands = MemberCommands(net)
+        self._search = SuccessorSearch(state, self._commands)
         self._services: dict[str, SupervisedService] = {}
 
     def tick(self) -> None:
@@ -245,39 +250,63 @@
             return
         if supervised.duty.current_record is None:
             self._inquiry.ask(supervised)
-        candidates = self._query_candidates(supervised, primary)
-        pending = pending_member(supervised.duty, primary.id if primary else "")
-        if pending in (candidate.member for candidate in candidates):
-            chosen = pending
+        poll = self._search.poll(supervised, primary)
+        chosen = self._choose(supervised, primary, poll)
+        if chosen is not None:
+            self._appoint(supervised, chosen, primary)
+        elif poll.is_complete:
+            log_event("no_successor", service=supervised.service, asked=len(poll.candidates))
         else:
-            chosen = choose_successor(candidates)
+            self._announce_leaderless(supervised, primary, poll)
+
+    def _choose(
+        self, supervised: SupervisedService, primary: MemberEntry | None, poll: Poll
+    ) -> str | None:
+        """Return the member to appoint; an order that may still take effect is repeated.
+
+        Where the platform checks the tokens of orders, a later one replaces it, so the member of
+        that order is not preferred to one that is known to have all acknowledged commits.
+        """
+        pending = pending_member(supervised.duty, primary.id if primary else "")
+        if poll.sync_replicas and not self._permits.needed:
+            return choose_from(poll)
+        if pending in (candidate.member for candidate in poll.candidates):
+            return pending
+        chosen = choose_from(poll)
         if chosen is None and pending and primary is not None:
             # No other member is left, and none of the VMs uses the primary while an order for
             # another one is on record.
-            chosen = primary.id
-        if chosen is None:
-            log_event("no_successor", service=supervised.service, asked=len(candidates))
+            return primary.id
+        return chosen
+
+    def _announce_leaderless(
+        self, supervised: SupervisedService, primary: MemberEntry | None, poll: Poll
+    ) -> None:
+        """Tell all VMs to refuse work for the primary until a successor is known to be safe.
+
+        That is when enough of the unheard replicas answer, or the primary does. A replica counts as
+        unheard while its entry is in the store, and for LOST_REPLICA_MEMORY after that.
+        """
+        now = self._state.now()
+        if now < supervised.leaderless_at:
             return
-        self._appoint(supervised, chosen, primary)
-
-    def _query_candidates(
-        self, supervised: SupervisedService, primary: MemberEntry | None
-    ) -> list[Candidate]:
-        """Ask the members that accept work, except the primary; return those that answer."""
-        rows = [
-            row
-            for row in self._state.members.members_of_service(supervised.service)
-            if row.accepts_work and (primary is None or row.entry.id != primary.id)
-        ]
-        queries = [gevent.spawn(ask_status, row.entry, self._state.clock) for row in rows]
-        gevent.joinall(queries)
-        candidates = []
-        for row, query in zip(rows, queries, strict=True):
-            report = query.value
-            if report is not None:
-                supervised.highest_term = max(supervised.highest_term, report.term)
-                candidates.append(Candidate(row.entry.id, report.mark, row.accepts_work))
-        return candidates
+        supervised.leaderless_at = now + LEADERLESS_INTERVAL
+        log_event(
+            "successor_unproven",
+            service=supervised.service,
+            unheard=",".join(poll.unheard),
+            heard=len(poll.candidates),
+            sync_replicas=poll.sync_replicas,
+        )
+        self._state.record_leaderless(supervised.service, LEADERLESS_TIME)
+        if primary is not None:
+            self._net.broadcast(
+                frames.Appointed(
+                    service_name=supervised.service,
+                    member=primary.id,
+                    leaderless_ms=LEADERLESS_TIME // timedelta(milliseconds=1),
+                )
+            )
 
     def _appoint(
         self,
@@ -328,7 +357,9 @@
         successor = self._state.members.members.get(chosen)
         if successor is None:
             return False
-        return end_permits(self._state, primary, successor.entry, self._next_term(supervised))
+        return end_permits(
+            self._state, self._commands, primary, successor.entry, self._next_term(supervised)
+        )
 
     def _next_term(self, supervised: SupervisedService) -> int:
         """Return a term above every term that this VM knows."""
@@ -380,46 +411,36 @@
         deadline = self._state.now() + TRANSACTION_DRAIN_TIMEOUT
         while scheduler.busy and self._state.now() < deadline:
             gevent.sleep(POLL_INTERVAL.total_seconds())
-        if self._permits.needed:
+        if self._permits.needed or self._search.sync_replicas_of(supervised.service):
             self._hand_over_demoted(supervised, row.entry)
             return
         primary_mark = None
         if scheduler.prove() is None:
             primary_mark = self._state.proofs.history_of(supervised.service).newest.mark
-        chosen = self._wait_for_successor(supervised, row.entry, primary_mark)
+        chosen = self._search.wait_for(supervised, row.entry, primary_mark)
         if chosen is None or not self.leases.read(supervised):
             self._replace_primary(supervised, row.entry)
             return
         self._appoint(supervised, chosen, row.entry)
 
     def _hand_over_demoted(self, supervised: SupervisedService, primary: MemberEntry) -> None:
-        """Hand over where VMs use the primary under permits: demoting it ends them all at once.
+        """Demote the primary before another member is appointed.
 
-        Its last position is then final, and a replica that has it loses nothing.
+        Its last position is then final, and a replica that has it loses nothing. Where VMs use the
+        primary under permits, that ends them all at once. Where replicas are synchronous, open
+        transactions could otherwise commit until the successor leads; these are then rolled back.
         """
         if not self.leases.read(supervised):
             return
         if not self.leases.may_acquire(supervised):
             return
-        self._query_candidates(supervised, primary)
-        report = demote(self._state, primary, self._next_term(supervised))
+        poll = self._search.poll(supervised, primary)
+        report = demote(self._commands, primary, self._next_term(supervised))
         if report is None:
             self._replace_primary(supervised, primary)
             return
-        chosen = self._wait_for_successor(supervised, primary, report.mark)
-        if chosen is None:
-            chosen = choose_successor(self._query_candidates(supervised, primary)) or primary.id
-        self._appoint(supervised, chosen, primary, demoted=True)
-
-    def _wait_for_successor(
-        self, supervised: SupervisedService, primary: MemberEntry, primary_mark: Mark | None
-    ) -> str | None:
-        """Return a replica that has the primary's last entry, or None if none gets it in time."""
-        deadline = self._state.now() + CATCH_UP_TIMEOUT
-        while primary_mark is not None and self._state.now() < deadline:
-            candidates = self._query_candidates(supervised, primary)
-            chosen = choose_successor(candidates, primary_mark)
-            if chosen is not None:
-                return chosen
-            gevent.sleep(POLL_INTERVAL.total_seconds())
-        return None
+        chosen = self._search.wait_for(supervised, primary, report.mark)
+        if chosen is None and not poll.sync_replicas:
+            chosen = choose_from(self._search.poll(supervised, primary))
+        # The primary has all entries, and the change is tried again.
+        self._appoint(supervised, chosen or primary.id, primary, demoted=True)
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -1,5 +1,6 @@
 """Members of one service that speak the line protocol and share a replicated log."""
 
+import contextlib
 import itertools
 import socket
 from collections.abc import Iterable
@@ -9,6 +10,7 @@
 import gevent
 from attrs import define, field
 from gevent.event import Event
+from gevent.lock import Semaphore
 from gevent.server import StreamServer
 
 NO_DELAY = timedelta()
@@ -52,7 +54,8 @@
     a statement takes. `deposed_term` is the term that a replaced primary still leads in its own
     view, and `fenced_term` the term with which a replica was fenced; both are 0 otherwise.
     `controls` records the verbs of the commands that set connections up; a
-    command whose verb is `refused_control` fails.
+    command whose verb is `refused_control` fails. `slots` limits the statements that run at the
+    same time if it is set: others wait, and commands are refused while none is free.
     """
 
     def __init__(self, group: "LineGroup", name: str) -> None:
@@ -69,6 +72,7 @@
         self.fenced_term = 0
         self.refused_control = ""
         self.controls: list[str] = []
+        self.slots: Semaphore | None = None
         self.connections = 0
         self.connections_accepted = 0
         self._sockets: set[Any] = set()
@@ -280,12 +284,18 @@
             _, shape = self.prepared.get(words[1], ("", "")) if words[0] == "EXECUTE" else ("", "")
             run = Run(self.member.name, statement_id, text, self.team, shape)
             self.member.group.runs.append(run)
-            gevent.sleep(self.member.statement_time.total_seconds())
+            with self.member.slots or contextlib.nullcontext():
+                gevent.sleep(self.member.statement_time.total_seconds())
+        elif words[0] in ("STATUS", "PAUSE", "DEMOTE") and self._is_busy():
+            return ["ERROR BUSY no slot is free"]
         lines = handler(words[1:])
         if self.member.lose_answers and statement_id != "-":
             return None
         return lines
 
+    def _is_busy(self) -> bool:
+        return self.member.slots is not None and self.member.slots.locked()
+
     def _begin(self, words: list[str]) -> list[str]:
         if not words and not self.member.is_primary:
             return ["ERROR READONLY replica"]
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -63,16 +63,26 @@
 // The owner of a transaction no longer needs it; if it is still open, it is rolled back.
 struct Release { 1: i64 exchange }
 
+// A member's own view, as it answers a MemberCommand; `term` is its term, and the mark is the
+// position of the last entry of its log.
+struct Report {
+  1: bool is_primary, 2: i64 term, 3: i64 mark_term, 4: i64 mark_position, 5: i64 fenced_term
+}
+
 // Requests proof of the current log position of a service's primary. With `duty_era` it also asks
 // whether the VM may hold the service's duty, on behalf of a VM that knows that era of the store.
+// With `command` it asks the holder of `member` to send it a MemberCommand, with a term if the
+// command has one; older builds leave the report out of the answer.
 struct Prove {
-  1: i64 call, 2: string service_name, 3: bool known_only, 4: optional i64 duty_era
+  1: i64 call, 2: string service_name, 3: bool known_only, 4: optional i64 duty_era,
+  5: optional string member, 6: optional i16 command, 7: optional i64 command_term
 }
 // Response to Prove. `age_us` is negative if there is no proof; `member` is the primary that
-// gave it. `may_hold_duty` is left out if it was not asked for.
+// gave it. `may_hold_duty` is left out if it was not asked for, and `report` if the member was sent
+// no command or did not answer it.
 struct Proved {
   1: i64 call, 2: string member, 3: i64 term, 4: i64 position, 5: i64 age_us,
-  6: optional bool may_hold_duty
+  6: optional bool may_hold_duty, 7: optional Report report
 }
 
 // Requests what is newer than the version and revision that the sender has.
@@ -86,8 +96,9 @@
   1: i64 call, 2: i64 version, 3: binary body, 4: i64 members_revision, 5: i64 store_era
 }
 
-// Announces that a member was made primary.
-struct Appointed { 1: string service_name, 2: string member }
+// Announces that a member was made primary. With `leaderless_ms` the member is the last primary that
+// is known, it does not answer, and for that time no successor can be appointed safely.
+struct Appointed { 1: string service_name, 2: string member, 3: optional i32 leaderless_ms }
 
 // A VM's use of the limits of a group of teams, to the group's hub. `stamp_us` is the time of the
 // sender, which the hub returns, and `grant_number` that of the last grant that arrived.
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -225,6 +225,25 @@
     default_spec = [("exchange", None)]
 
 
+class Report(TPayload):
+    """Struct `Report` of entries.thrift."""
+
+    thrift_spec = {
+        1: (TType.BOOL, "is_primary", False),
+        2: (TType.I64, "term", False),
+        3: (TType.I64, "mark_term", False),
+        4: (TType.I64, "mark_position", False),
+        5: (TType.I64, "fenced_term", False),
+    }
+    default_spec = [
+        ("is_primary", None),
+        ("term", None),
+        ("mark_term", None),
+        ("mark_position", None),
+        ("fenced_term", None),
+    ]
+
+
 class Prove(TPayload):
     """Struct `Prove` of entries.thrift."""
 
@@ -233,12 +252,18 @@
         2: (TType.STRING, "service_name", False),
         3: (TType.BOOL, "known_only", False),
         4: (TType.I64, "duty_era", False),
+        5: (TType.STRING, "member", False),
+        6: (TType.I16, "command", False),
+        7: (TType.I64, "command_term", False),
     }
     default_spec = [
         ("call", None),
         ("service_name", None),
         ("known_only", None),
         ("duty_era", None),
+        ("member", None),
+        ("command", None),
+        ("command_term", None),
     ]
 
 
@@ -252,6 +277,7 @@
         4: (TType.I64, "position", False),
         5: (TType.I64, "age_us", False),
         6: (TType.BOOL, "may_hold_duty", False),
+        7: (TType.STRUCT, "report", Report, False),
     }
     default_spec = [
         ("call", None),
@@ -260,6 +286,7 @@
         ("position", None),
         ("age_us", None),
         ("may_hold_duty", None),
+        ("report", None),
     ]
 
 
@@ -302,8 +329,12 @@
 class Appointed(TPayload):
     """Struct `Appointed` of entries.thrift."""
 
-    thrift_spec = {1: (TType.STRING, "service_name", False), 2: (TType.STRING, "member", False)}
-    default_spec = [("service_name", None), ("member", None)]
+    thrift_spec = {
+        1: (TType.STRING, "service_name", False),
+        2: (TType.STRING, "member", False),
+        3: (TType.I32, "leaderless_ms", False),
+    }
+    default_spec = [("service_name", None), ("member", None), ("leaderless_ms", None)]
 
 
 class QuotaReport(TPayload):
--- /dev/null
+++ b/tests/entry/test_synchronous_replicas.py
@@ -0,0 +1,334 @@
+"""Change of primary where commits are acknowledged once replicas have received them."""
+
+import itertools
+import unittest
+from datetime import timedelta
+from unittest import mock
+
+import gevent
+from attrs import evolve
+from bramleyrill_base import ManualClock
+from bramleyrill_core import Mark, Rank
+from bramleyrill_core.admission import MemberAdmission, Queued, Started
+from bramleyrill_core.catalog import MemberState, MemberTable, ServiceEntry
+from bramleyrill_core.catalog._tables import LAPSE_GRACE, LOST_REPLICA_MEMORY
+from bramleyrill_core.leadership import Candidate, Poll, choose_from
+from bramleyrill_entry._member_commands import MemberCommand, MemberCommands
+from bramleyrill_entry._run_request import Opens
+from bramleyrill_platform import decode_catalog
+from bramleyrill_standins.prepared import LineGroup
+from gevent.lock import Semaphore
+
+from tests.entry.builders import SERVICE, make_state, member_entry, request
+from tests.entry.test_session import SessionTest
+from tests.entry.test_supervisor import SupervisorTest
+
+MS = timedelta(milliseconds=1)
+SECOND = timedelta(seconds=1)
+NEW, OLD = Mark(3, 9), Mark(3, 5)
+
+
+class ChoiceTest(unittest.TestCase):
+    def choose(self, candidates, unheard="", sync_replicas=1):
+        """Return the choice among members, each a name and a mark; upper case names drain."""
+        polled = [Candidate(name, mark, name.islower()) for name, mark in candidates.items()]
+        return choose_from(Poll(polled, list(unheard), sync_replicas))
+
+    def test_no_choice_while_an_unheard_replica_may_have_more(self):
+        """The replica that answered lacked acknowledged commits, which were lost."""
+        self.assertIsNone(self.choose({"b": OLD}, unheard="c"))
+        self.assertIsNone(self.choose({"b": OLD, "c": OLD}, unheard="de", sync_replicas=2))
+
+    def test_fewer_unheard_replicas_than_copies_hide_no_commit(self):
+        """Waiting for every replica would keep the service without a primary for no reason."""
+        self.assertEqual(self.choose({"b": OLD, "c": NEW}), "c")
+        self.assertEqual(self.choose({"b": OLD, "c": NEW}, unheard="d", sync_replicas=2), "c")
+
+    def test_draining_replica_with_the_newest_entry_is_appointed(self):
+        """It counts for the acknowledgement until it ends, and was not even asked."""
+        self.assertEqual(self.choose({"b": OLD, "C": NEW}), "C")
+        self.assertEqual(self.choose({"b": NEW, "C": NEW}), "b")
+
+    def test_without_synchronous_replicas_the_service_does_not_wait(self):
+        self.assertEqual(self.choose({"b": OLD}, unheard="c", sync_replicas=0), "b")
+
+    def test_chosen_member_has_every_commit_that_must_last(self):
+        """All cases of up to four replicas: who has the newest entry, and who answers."""
+        names = "bcde"
+        for size, sync_replicas in itertools.product(range(1, 5), range(1, 5)):
+            for holders, heard in itertools.product(_subsets(names[:size]), repeat=2):
+                if len(holders) < sync_replicas:
+                    continue
+                marks = {name: NEW if name in holders else OLD for name in heard}
+                unheard = set(names[:size]) - set(heard)
+                chosen = self.choose(marks, unheard, sync_replicas)
+                self.assertTrue(chosen is None or chosen in holders, (holders, heard))
+
+
+def _subsets(names):
+    return [
+        subset for size in range(len(names) + 1) for subset in itertools.combinations(names, size)
+    ]
+
+
+class LostReplicaTest(unittest.TestCase):
+    """A replica that crashed may be the only one with an acknowledged commit."""
+
+    def setUp(self):
+        group = LineGroup(SERVICE, ["m1", "m2", "m3"])
+        self.addCleanup(group.close)
+        self.group = group
+        self.table = MemberTable()
+        for name in group.members_by_name:
+            self.table.put(member_entry(group, name))
+
+    def lose(self, name, at=timedelta()):
+        self.table.lapse(name, at)
+        self.table.drop_lapsed(at + LAPSE_GRACE)
+
+    def lost(self, at=LAPSE_GRACE):
+        return self.table.lost_replicas_of(SERVICE, at)
+
+    def test_replica_whose_entry_is_gone_still_counts(self):
+        """With its entry gone, the replica that lagged behind it was the only one to choose."""
+        self.lose("m2")
+        self.assertEqual(self.lost(), ["m2"])
+        self.assertEqual(self.table.lost_replicas_of("other", LAPSE_GRACE), [])
+
+    def test_replica_that_is_back_is_not_lost(self):
+        self.lose("m2")
+        self.table.put(member_entry(self.group, "m2", revision=5))
+        self.assertEqual(self.lost(), [])
+
+    def test_new_member_at_the_address_has_the_log(self):
+        self.lose("m2")
+        self.table.put(evolve(member_entry(self.group, "m2", revision=5), id="m4"))
+        self.assertEqual(self.lost(), [])
+
+    def test_primary_and_members_that_left_as_planned_are_not_lost_replicas(self):
+        """They would keep the service without a primary, and have nothing that others lack."""
+        self.lose("m1")
+        self.table.put(member_entry(self.group, "m3", MemberState.DRAINING, revision=5))
+        self.lose("m3")
+        self.assertEqual(self.lost(), [])
+
+    def test_replica_is_given_up_after_a_bounded_time(self):
+        """A replica that is lost for good must not stop the service for ever."""
+        self.lose("m2")
+        self.assertEqual(self.lost(LOST_REPLICA_MEMORY - MS), ["m2"])
+        self.assertEqual(self.lost(LOST_REPLICA_MEMORY), [])
+
+
+class ReservedSlotTest(unittest.TestCase):
+    def test_reserved_slots_are_not_given_out(self):
+        """A command to a member under load found no free slot, however often it was sent."""
+        clock = ManualClock()
+        admission = MemberAdmission(SERVICE, 3, 10 * MS, clock)
+
+        def submit(number):
+            return type(admission.submit(number, Rank.URGENT, SECOND, SECOND))
+
+        self.assertEqual([submit(1), submit(2)], [Started, Started])
+        admission.reserve(2)
+        self.assertIs(submit(3), Queued)
+        self.assertIs(submit(4), Queued)
+        self.assertEqual(admission.finish(1), [])
+        self.assertEqual([item.id for item in admission.finish(2)], [3])
+        self.assertEqual([item.id for item in admission.unreserve(2)], [4])
+
+
+class CommandTest(SupervisorTest):
+    def flood(self, name, readers=12):
+        """Keep all slots of a member in use through this VM, its holder."""
+        member = self.group.members_by_name[name]
+        member.slots, member.statement_time = Semaphore(2), 12 * MS
+        read = {"fence": False, "max_staleness": SECOND}
+
+        def read_forever():
+            while True:
+                self.schedulers.run("vm1", request("READ a", name, **read))
+
+        self.write("m1", "WRITE a 1")
+        for _ in range(readers):
+            self.addCleanup(gevent.spawn(read_forever).kill)
+        gevent.sleep(0.1)
+        self.assertTrue(member.slots.locked())
+
+    def send(self, name, command=MemberCommand.STATUS, term=0):
+        commands = MemberCommands(self.supervisor._net)
+        return commands.send(member_entry(self.group, name), command, term)
+
+    def test_member_under_load_answers_a_command(self):
+        """Its slots were always in use by reads, so STATUS was answered BUSY again and again."""
+        self.flood("m2")
+        self.assertEqual(self.send("m2").mark, Mark(1, 1))
+        self.assertEqual(self.send("m2", MemberCommand.FENCE, 4).fenced_term, 4)
+
+    def test_member_at_its_connection_limit_answers_a_command(self):
+        """The connections of the proxies themselves kept STATUS from the member."""
+        self.group.max_connections = 3
+        self.flood("m2")
+        self.assertEqual(self.send("m2").mark, Mark(1, 1))
+
+    def test_statements_go_on_after_a_command(self):
+        self.flood("m2")
+        self.send("m2")
+        count = len(self.group.runs)
+        gevent.sleep(0.2)
+        self.assertGreater(len(self.group.runs), count + 10)
+
+    def test_member_that_does_not_answer_is_reported_in_time(self):
+        self.group.members_by_name["m2"].silent = True
+        started = self.state.now()
+        self.assertIsNone(self.send("m2"))
+        self.assertLess(self.state.now() - started, 4 * SECOND)
+
+
+class ChangeTest(SupervisorTest):
+    """The replica m2 has the acknowledged commit, m3 has received nothing."""
+
+    def setUp(self):
+        super().setUp()
+        self.state.catalog = evolve(
+            self.state.catalog, services_by_name={SERVICE: ServiceEntry(SERVICE, 16, 1)}
+        )
+        self.group.members_by_name["m3"].lag = timedelta(seconds=10)
+        self.write("m1", "WRITE a 1")
+        gevent.sleep(0.01)
+
+    def fail_primary(self):
+        self.group.members_by_name["m1"].stop()
+        self.replace()
+
+    def replace(self):
+        self.supervised.leaderless_at = timedelta.min
+        self.supervisor._replace_primary(
+            self.supervised, self.state.members.primary_of(SERVICE).entry
+        )
+
+    def appointed(self):
+        return [order[1] for order in self.platform.appointments]
+
+    def test_replica_that_does_not_answer_is_waited_for(self):
+        """The replica that lagged was promoted, since the other one answered STATUS with BUSY."""
+        self.group.members_by_name["m2"].refused_control = "STATUS"
+        self.fail_primary()
+        self.assertEqual(self.appointed(), [])
+        self.group.members_by_name["m2"].refused_control = ""
+        self.replace()
+        self.assertEqual(self.appointed(), ["m2"])
+
+    def test_replica_that_is_down_is_waited_for(self):
+        self.group.members_by_name["m2"].stop()
+        self.fail_primary()
+        self.assertEqual(self.appointed(), [])
+
+    def test_replica_whose_entry_is_gone_is_waited_for(self):
+        self.state.members.lapse("m2", self.state.now() - 2 * LAPSE_GRACE)
+        self.state.members.drop_lapsed(self.state.now())
+        self.fail_primary()
+        self.assertEqual(self.appointed(), [])
+
+    def test_draining_replica_is_asked(self):
+        """Members that take no new work were not asked, though they acknowledge commits."""
+        self.state.members.put(member_entry(self.group, "m2", MemberState.DRAINING, revision=9))
+        self.fail_primary()
+        self.assertEqual(self.appointed(), ["m2"])
+
+    def test_operator_can_give_up_the_commits(self):
+        """With syncReplicas 0 in force the replica that is left is appointed."""
+        self.group.members_by_name["m2"].stop()
+        self.state.catalog = evolve(
+            self.state.catalog, services_by_name={SERVICE: ServiceEntry(SERVICE, 16)}
+        )
+        self.fail_primary()
+        self.assertEqual(self.appointed(), ["m3"])
+
+    def test_all_vms_learn_that_there_is_no_primary(self):
+        """Their callers would wait for a primary until their deadline."""
+        self.group.members_by_name["m2"].stop()
+        self.fail_primary()
+        self.assertTrue(self.state.is_leaderless(SERVICE))
+        (frame,) = self.supervisor._net.sent
+        self.assertEqual((frame.member, frame.leaderless_ms), ("m1", 1500))
+        self.assertEqual(self.state.members.primary_of(SERVICE).entry.id, "m1")
+
+    def test_answer_of_the_primary_ends_the_refusals(self):
+        self.state.record_leaderless(SERVICE, SECOND)
+        self.state.record_proof(SERVICE, "m1", 1, Mark(1, 1), self.state.now())
+        self.assertFalse(self.state.is_leaderless(SERVICE))
+
+    def drain_primary(self):
+        self.state.members.put(member_entry(self.group, "m1", MemberState.DRAINING, revision=9))
+        self.schedulers.maintain()
+
+    def test_transaction_cannot_commit_after_the_choice_of_the_successor(self):
+        """Commits between the choice and the promotion were acknowledged and then rolled back."""
+        opened = request("WRITE b 2", "m1", transaction_id=5, opens=Opens.READ_WRITE)
+        self.assertTrue(self.schedulers.run("vm1", opened).transaction_open)
+        self.drain_primary()
+        outcomes = []
+
+        def commit_before_the_order(*args):
+            outcomes.append(self.schedulers.run("vm1", request("COMMIT", "m1", transaction_id=5)))
+            return appoint(*args)
+
+        appoint = self.supervisor._duties.appoint
+        with mock.patch.object(self.supervisor._duties, "appoint", commit_before_the_order):
+            self.supervise()
+        self.assertEqual(self.appointed(), ["m2"])
+        (outcome,) = outcomes
+        self.assertFalse(outcome.answer is not None and outcome.answer.succeeded)
+        self.assertEqual([entry for entry in self.group.history if entry.rolled_back], [])
+
+    def test_leaving_primary_leads_on_if_no_replica_catches_up(self):
+        """The most advanced replica was appointed though it lacked acknowledged commits."""
+        self.group.members_by_name["m2"].log.clear()
+        self.drain_primary()
+        self.supervise()
+        self.assertEqual(self.appointed(), ["m1"])
+
+
+class CallerTest(SessionTest):
+    def test_statement_for_a_service_without_a_primary_is_refused_at_once(self):
+        """The caller waited for 6 s for a primary that nobody could appoint."""
+        self.group.members_by_name["m1"].stop()
+        self.schedulers.close()
+        self.state.record_leaderless(SERVICE, 5 * SECOND)
+        caller = self.connect()
+        caller.read_line()
+        started = self.state.now()
+        answer = caller.query("WRITE a 1")
+        self.assertLess(self.state.now() - started, 2 * SECOND)
+        self.assertIn("ERROR BUSY no_primary, retry after 1000 ms", "\n".join(answer))
+
+    def test_primary_that_is_back_serves_at_once(self):
+        self.state.record_leaderless(SERVICE, 5 * SECOND)
+        caller = self.connect()
+        caller.read_line()
+        self.assertIn("COMPLETE", caller.query("WRITE a 1")[0])
+
+
+class DecodeTest(unittest.TestCase):
+    def test_synchronous_replicas_of_a_service(self):
+        """Nothing read the number, so every change of primary was made as if it were 0."""
+        services = [
+            {"name": "a", "syncReplicas": 1},
+            {"name": "b"},
+            {"name": "c", "syncReplicas": "x"},
+        ]
+        catalog = decode_catalog({"version": 3, "backends": services})
+        counts = {name: entry.sync_replicas for name, entry in catalog.services_by_name.items()}
+        self.assertEqual(counts, {"a": 1, "b": 0, "c": 0})
+
+
+class LeaderlessStateTest(unittest.TestCase):
+    def test_refusals_end_by_themselves(self):
+        group = LineGroup(SERVICE, ["m1"])
+        self.addCleanup(group.close)
+        state = make_state(group)
+        state.clock = ManualClock()
+        state.record_leaderless(SERVICE, SECOND)
+        self.assertTrue(state.is_leaderless(SERVICE))
+        state.clock.advance(SECOND)
+        self.assertFalse(state.is_leaderless(SERVICE))
