Give up connections to members as soon as a planned stop begins

Each stop takes its whole grace, and requests that run at its end are cut without an answer although no member has run them.

Cause: a holder that stopped kept its connections to members, idle ones too, until it exited. They count against the member's limit, so the VM that took the member over could open none: its log has `upstream_dial_failed ... reason=too_many_connections` each 500 ms for as long as the stop takes. Callers were tried again for up to 6 s, longer than a stop, and the exit answered nobody.

Change: ConnectionAllocator.drain in core closes idle connections at once and the others when they are released; a stop begins with it, before the other VMs learn of it.

--- a/packages/core/bramleyrill_core/connections/_allocator.py
+++ b/packages/core/bramleyrill_core/connections/_allocator.py
@@ -86,6 +86,7 @@
         self._waiters: dict[Hashable, Waiter] = {}
         self._dial_s = EXPECTED_DIAL_S
         self._has_teams = False
+        self._draining = False
 
     @property
     def open_count(self) -> int:
@@ -237,7 +238,7 @@
         With teams it is not known whose statement comes next, so connections are dialed on demand.
         """
         now = self._clock.monotonic()
-        missing = 0 if self._has_teams else connections - self._size()
+        missing = 0 if self._has_teams or self._draining else connections - self._size()
         possible = min(self._max_dials() - self.dial_count, self.limit.value(now) - self._size())
         return [self._start_dial("", now) for _ in range(min(missing, possible))]
 
@@ -272,6 +273,15 @@
 
     # Upkeep.
 
+    def drain(self) -> list[Close]:
+        """Keep no idle connections from now on, as another VM takes over the member.
+
+        They count against the member's limit, and the other VM could open none. Statements that
+        are still run here get a connection each.
+        """
+        self._draining = True
+        return [self._close(connection) for connection in self.idle()]
+
     def close_expired(self, max_idle: timedelta = TEAM_MAX_IDLE_TIME, keep: int = 0) -> list[Close]:
         """Close connections that were idle for longer, but keep the `keep` last used ones."""
         now = self._clock.monotonic()
@@ -363,6 +373,8 @@
                 return [Assign(waiter.key, connection.key), *self.plan()]
         connection.use, connection.since = Use.IDLE, now
         self._idle_by_team.setdefault(connection.team, []).append(connection)
+        if self._draining:
+            return [self._close(connection), *self.plan()]
         return self.plan()
 
     def _make_room(self, view: PoolView, actions: list[Action]) -> bool:
--- a/packages/entry/bramleyrill_entry/_pool.py
+++ b/packages/entry/bramleyrill_entry/_pool.py
@@ -146,6 +146,10 @@
         """Close the idle connections that were not used for this long."""
         self._carry_out(self.allocator.close_expired(unused_for))
 
+    def drain(self) -> None:
+        """Close idle connections now, and each other one when it is released."""
+        self._carry_out(self.allocator.drain())
+
     def close(self) -> None:
         """Close all connections and fail the leases that wait for one."""
         self._closed = True
--- a/packages/entry/bramleyrill_entry/_router.py
+++ b/packages/entry/bramleyrill_entry/_router.py
@@ -26,7 +26,7 @@
 from bramleyrill_entry._load_reports import LoadReports
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._run_request import NO_TRANSACTION, Opens, RunProblem, RunRequest, RunResult
-from bramleyrill_entry._run_results import no_primary_result
+from bramleyrill_entry._run_results import no_primary_result, stopping_answer
 from bramleyrill_entry._state import EntryState
 
 # How long to look for a member that runs a statement. It exceeds the latency target because a late
@@ -83,6 +83,8 @@
         self, session: StatementSession, route: DatabaseRoute, statement: Statement
     ) -> Answer:
         """Run a statement outside a transaction."""
+        if self._state.cannot_answer():
+            return stopping_answer()
         attempts = self._new_attempts(route, single=True)
         fence = statement.writes or _needs_primary(session, route)
         request = self._build_request(session, route, statement)
@@ -104,6 +106,8 @@
 
         The second value is None if no transaction is open afterwards.
         """
+        if self._state.cannot_answer():
+            return stopping_answer(), None
         attempts = self._new_attempts(route)
         request = self._build_request(session, route, statement)
         request.opens = Opens.READ_ONLY if session.read_only else Opens.READ_WRITE
@@ -149,6 +153,11 @@
         self._lengths.record(transaction.service, transaction.statements)
         self._executor.end_transaction(transaction.vm, transaction.transaction_id)
 
+    def _deadline(self, attempts: StatementAttempts) -> timedelta:
+        """Return until when a statement may be sent to a member, also if a stop began since."""
+        answer_by = self._state.answer_by
+        return attempts.deadline if answer_by is None else min(attempts.deadline, answer_by)
+
     def _new_attempts(self, route: DatabaseRoute, single: bool = False) -> StatementAttempts:
         now = self._state.now()
         return StatementAttempts(route, now, now + ROUTING_TIMEOUT, single)
@@ -197,7 +206,7 @@
             statements=self._lengths.expected(request.service) if opens else 1.0,
         )
         for member in ordered:
-            if state.now() >= attempts.deadline or attempts.count >= MAX_ATTEMPTS:
+            if state.now() >= self._deadline(attempts) or attempts.count >= MAX_ATTEMPTS:
                 return None
             vm = self._holder(member)
             self._prepare_attempt(request, member, attempts)
@@ -257,7 +266,7 @@
 
         Return the holder and the member that gave the final answer, or None.
         """
-        while attempts.count < MAX_ATTEMPTS:
+        while attempts.count < MAX_ATTEMPTS and not self._state.cannot_answer():
             row = self._state.members.primary_of(request.service)
             if row is None:
                 if not self._wait_for_primary(attempts):
@@ -268,7 +277,7 @@
             result = self._run(vm, request, attempts)
             if self._judge_primary_result(result, request, row, attempts) is AttemptOutcome.FINAL:
                 return vm, row.entry.id
-            if self._state.now() >= attempts.deadline:
+            if self._state.now() >= self._deadline(attempts):
                 return None
             if self._state.is_leaderless(request.service):
                 attempts.last_result = no_primary_result(result)
@@ -314,7 +323,7 @@
 
     def _wait_for_primary(self, attempts: StatementAttempts) -> bool:
         """Wait until the primary changes or the retry delay ends; return False at the deadline."""
-        remaining = attempts.deadline - self._state.now()
+        remaining = self._deadline(attempts) - self._state.now()
         if remaining <= timedelta() or self._state.is_leaderless(attempts.route.service):
             return False
         pause = min(remaining, RETRY_PAUSE * (1 + attempts.count))
@@ -334,7 +343,7 @@
     ) -> None:
         now = self._state.now()
         request.member = member.id
-        request.max_wait = max(attempts.deadline - now, timedelta())
+        request.max_wait = max(self._deadline(attempts) - now, timedelta())
         request.timeout = attempts.run_timeout(request)
         request.on_time_left = attempts.on_time_left(now)
         if request.opens is not Opens.NOTHING:
--- a/packages/entry/bramleyrill_entry/_run_results.py
+++ b/packages/entry/bramleyrill_entry/_run_results.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from bramleyrill_base import ErrorKind
 from bramleyrill_core.admission import Refused
 from bramleyrill_core.statements import Answer, AnswerCode
 
@@ -16,6 +17,11 @@
 NO_PRIMARY_RETRY_AFTER = timedelta(seconds=1)
 
 
+def stopping_answer() -> Answer:
+    """Return the answer to a statement for which this process has no time left."""
+    return Answer(AnswerCode.BUSY, text="shutting down, retry after 100 ms")
+
+
 def no_permit_result() -> RunResult:
     """Return the result of a statement for which the holder has no permit."""
     return RunResult(problem=RunProblem.NO_PERMIT, retry_after=NO_PERMIT_RETRY_AFTER)
@@ -45,7 +51,12 @@
 
 
 def overloaded_result(refusal: Refused, waited: timedelta) -> RunResult:
-    """Return the result of a statement that admission refused after a wait."""
+    """Return the result of a statement that admission refused after a wait.
+
+    One that was refused because this VM stops can run at the next holder.
+    """
+    if refusal.problem.kind is ErrorKind.NOT_RUN_DRAINING:
+        return RunResult(problem=RunProblem.STOPPING, waited=waited)
     retry_after = refusal.problem.retry_after or timedelta()
     return RunResult(
         problem=RunProblem.OVERLOADED, waited=max(waited, retry_after), retry_after=retry_after
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -6,7 +6,7 @@
 import itertools
 from datetime import timedelta
 
-from bramleyrill_base import log_event
+from bramleyrill_base import ErrorKind, Problem, log_event
 from bramleyrill_core import Mark
 from bramleyrill_core.admission import MemberAdmission, Queued, Refused, Started
 from bramleyrill_core.catalog import MemberEntry
@@ -152,6 +152,12 @@
         ):
             self._close_transaction(key, self._transactions[key])
 
+    def refuse_waiting(self) -> None:
+        """Refuse the statements that wait for a slot; they have not run."""
+        for (admission, admission_id), waiter in list(self._waiters.items()):
+            self._deliver_outcomes(admission, admission.withdraw(admission_id))
+            waiter.set(Refused(admission_id, Problem(ErrorKind.NOT_RUN_DRAINING)))
+
     def close(self) -> None:
         """Roll back all transactions and close all connections."""
         self.end_transactions()
--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -76,6 +76,8 @@
             self._state, row.entry, self._connection_limit(row), self._permits
         )
         scheduler.pool.limit = self._connection_budget(row)
+        if self._state.stopping:
+            scheduler.pool.drain()
         self.by_member[member] = scheduler
         log_event("desk_opened", member=member, connections=scheduler.pool.limit)
         return scheduler
@@ -85,6 +87,19 @@
         for scheduler in list(self.by_member.values()):
             scheduler.tick()
 
+    def drain(self) -> None:
+        """Give up the connections to members, for the VMs that hold the members from now on.
+
+        Statements and transactions in progress keep theirs until they end.
+        """
+        for scheduler in self.by_member.values():
+            scheduler.pool.drain()
+
+    def refuse_waiting(self) -> None:
+        """Refuse the statements that wait for a slot, as they can no longer be answered."""
+        for scheduler in self.by_member.values():
+            scheduler.refuse_waiting()
+
     def maintain(self) -> None:
         """Close the schedulers of removed members, and idle connections of members held elsewhere.
 
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -48,7 +48,8 @@
     the platform's format, for peers that pull them. `primary_changed` fires when the known
     primary of a service changes or an appointment is learned, `catalog_changed` when a new
     version is in force. `stopping` is set when a planned stop begins, and `closing_sessions` when
-    it starts to close each session after its current answer. `requests_running` counts the
+    it starts to close each session after its current answer. After `answer_by`, which is set by a
+    planned stop, nothing more is sent to a member. `requests_running` counts the
     statements of callers in progress. `watches_store` is whether this VM follows the store itself;
     otherwise it learns of changes from its peers. `history` is the era of the store that it knows.
     `team_metrics` counts the work of teams at the members that this VM is the holder of.
@@ -68,6 +69,7 @@
     primary_changed: Signal = field(factory=Signal)
     catalog_changed: Signal = field(factory=Signal)
     stopping: bool = False
+    answer_by: timedelta | None = None
     closing_sessions: bool = False
     requests_running: int = 0
     watches_store: bool = True
@@ -128,6 +130,10 @@
             log_event("primary_changed", service=service, member=member, term=term, source="status")
             self.primary_changed.fire()
 
+    def cannot_answer(self) -> bool:
+        """Return whether this process stops too soon to run another statement."""
+        return self.answer_by is not None and self.now() >= self.answer_by
+
     def record_leaderless(self, service: str, duration: timedelta) -> None:
         """Record that a service has no usable primary, and will have none for a while."""
         self.leaderless_until_by_service[service] = self.now() + duration
--- a/tests/connections/test_allocator.py
+++ b/tests/connections/test_allocator.py
@@ -237,3 +237,30 @@
         self.assertEqual(self.allocator.close_expired(), [])
         self.clock.advance(600 * SECOND)
         self.assertEqual(self.allocator.close_expired(), [Close("a1")])
+
+
+class DrainTest(AllocatorTest):
+    """A VM that leaves gives its connections up for the next holder of the member."""
+
+    def test_idle_connections_are_closed_at_once(self):
+        """They counted against the member's limit until the VM had ended."""
+        self.add_idle("", "c1")
+        self.lease("", "c2")
+        self.assertEqual(self.allocator.drain(), [Close("c1")])
+        self.assertEqual(self.allocator.release("c2"), [Close("c2")])
+        self.assertEqual(self.allocator.open_count, 0)
+        self.assertEqual(self.allocator.warm_up(2), [])
+
+    def test_connection_goes_to_a_statement_that_waits(self):
+        self.allocator = self.allocator_with(limit=1)
+        self.lease("", "c1")
+        self.assertEqual(self.allocator.request("late", ""), [])
+        self.allocator.drain()
+        self.assertEqual(self.allocator.release("c1"), [Assign("late", "c1")])
+        self.assertEqual(self.allocator.release("c1"), [Close("c1")])
+
+    def test_statement_that_still_runs_here_gets_a_connection(self):
+        """A VM that alone reaches a member serves it until it ends."""
+        self.allocator.drain()
+        self.lease("", "c1")
+        self.assertEqual(self.allocator.release("c1"), [Close("c1")])
