Carry texts that are not UTF-8 between VMs

Cause: the id, the name and shape of a prepared statement and the names of session values were thrift strings made from text with escaped bytes. The encoder's error ended the greenlet that writes the link, and the open link sent nothing any more.

Change: these fields carry the bytes that the caller sent, as the text and the argument did; the bytes of other texts on the wire are the same as before, so older builds read them. Frames are encoded where they are sent. One that cannot be encoded raises NotSentError there, a statement is then known not to have run, and the link goes on.

--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -11,7 +11,7 @@
 
 from bramleyrill_entry._duty_leases import DutyLeases
 from bramleyrill_entry._member_commands import answer_command
-from bramleyrill_entry._peer_link import PeerLink, PeerLostError
+from bramleyrill_entry._peer_link import NotSentError, PeerLink, PeerLostError
 from bramleyrill_entry._peers import PeerNet, handlers
 from bramleyrill_entry._run_codec import (
     decode_request,
@@ -55,6 +55,9 @@
         timeout = request.max_wait + request.timeout + CALL_TIMEOUT_MARGIN
         try:
             return decode_result(link.call(lambda call: encode_request(call, request), timeout))
+        except NotSentError as error:
+            log_event("request_not_sent", vm=vm, id=request.statement.id, reason=error)
+            return RunResult(problem=RunProblem.UNREACHABLE)
         except PeerLostError as error:
             log_event("holder_lost", vm=vm, id=request.statement.id, reason=error)
         except ValueError as error:
@@ -131,7 +134,7 @@
         log_event("run_failed", vm=link.peer.id, id=frame.id, error=repr(error))
         result = RunResult(problem=RunProblem.LOST)
     try:
-        link.send(encode_result(frame.call, result))
+        _send_result(link, frame.call, result)
     except PeerLostError as error:
         log_event("result_not_sent", vm=link.peer.id, id=frame.id, reason=error)
         if result.transaction_open:
@@ -139,6 +142,15 @@
             net.services[MemberSchedulers].end_transaction(link.peer.id, frame.exchange)
 
 
+def _send_result(link: PeerLink, call: int, result: RunResult) -> None:
+    try:
+        link.send(encode_result(call, result))
+    except NotSentError as error:
+        # Without an answer the peer would wait for its timeout.
+        log_event("result_not_encoded", vm=link.peer.id, reason=error)
+        link.send(encode_result(call, RunResult(problem=RunProblem.LOST)))
+
+
 @handlers.register("Release")
 def handle_release(net: PeerNet, link: PeerLink, frame: Any) -> None:
     """Roll back a transaction of a peer if it is still open."""
--- a/packages/entry/bramleyrill_entry/_peer_link.py
+++ b/packages/entry/bramleyrill_entry/_peer_link.py
@@ -30,6 +30,10 @@
     """The peer cannot be reached, or the link was lost before the answer arrived."""
 
 
+class NotSentError(PeerLostError):
+    """The frame was not sent, so the peer has done nothing."""
+
+
 # Frames that belong to the call with their number.
 _ANSWERS = (frames.Ran, frames.Pong, frames.Proved, frames.CatalogPush, frames.QuotaRecalled)
 
@@ -134,13 +138,21 @@
         return self.peer
 
     def send(self, frame: Any) -> None:
-        """Queue a frame; raise PeerLostError if the link is closed."""
+        """Queue a frame; raise PeerLostError if the link is closed.
+
+        Raises NotSentError for a frame with values that the wire cannot carry; the link goes on.
+        """
         if self.lost:
             raise PeerLostError("the link is closed")
         if self._outgoing.qsize() >= MAX_QUEUED_FRAMES:
             self.close()
             raise PeerLostError("the peer does not read its frames")
-        self._outgoing.put(frame)
+        try:
+            data = encode(frame)
+        except Exception as error:
+            # The encoder raises what a value of another type or range leads to.
+            raise NotSentError(f"{type(frame).__name__} cannot be encoded: {error!r}") from error
+        self._outgoing.put(data)
 
     def call(self, make_frame: Callable[[int], Any], timeout: timedelta) -> Any:
         """Send a frame and return its answer; raise PeerLostError if there is none in time."""
@@ -195,6 +207,8 @@
         """Handle a frame; one that cannot be handled is dropped, and the link goes on."""
         try:
             self._dispatch(frame)
+        except NotSentError as error:
+            log_event("frame_not_sent", vm=self.peer.id, reason=error)
         except PeerLostError:
             # The answer could not be sent; the link is closed.
             raise ConnectionError("the link was lost") from None
@@ -215,15 +229,14 @@
     def _write(self) -> None:
         try:
             while True:
-                frame = self._outgoing.get()
-                if frame is None:
+                data = self._outgoing.get()
+                if data is None:
                     return
-                data = encode(frame)
                 while not self._outgoing.empty() and len(data) < _READ_BYTES:
-                    frame = self._outgoing.get()
-                    if frame is None:
+                    more = self._outgoing.get()
+                    if more is None:
                         return
-                    data += encode(frame)
+                    data += more
                 self._sock.sendall(data)
         except OSError:
             self.close()
--- a/packages/entry/bramleyrill_entry/_run_codec.py
+++ b/packages/entry/bramleyrill_entry/_run_codec.py
@@ -21,6 +21,7 @@
 
 
 def _encode_text(text: str) -> bytes:
+    """Return the bytes that the caller or the member sent, which need not be UTF-8."""
     return text.encode("utf-8", "surrogateescape")
 
 
@@ -54,12 +55,12 @@
         service_name=request.service,
         member=request.member,
         kind=statement.kind.value,
-        id=statement.id,
+        id=_encode_text(statement.id),
         text=_encode_text(statement.text) if prepared is None else None,
-        name=(statement.name or None) if prepared is None else None,
+        name=(_encode_text(statement.name) or None) if prepared is None else None,
         argument=_encode_text(statement.argument) or None,
         prepared=prepared_kind or None,
-        shape=prepared.shape if prepared else None,
+        shape=_encode_text(prepared.shape) if prepared else None,
         opens=int(request.opens),
         fence=request.fence or None,
         mark_term=request.mark.term if request.mark else None,
@@ -69,7 +70,8 @@
         on_time_left_us=request.on_time_left // _MICROSECOND,
         patience_left_us=request.max_wait // _MICROSECOND,
         timeout_us=request.timeout // _MICROSECOND,
-        values={name: _encode_text(value) for name, value in request.values.items()} or None,
+        values={_encode_text(name): _encode_text(value) for name, value in request.values.items()}
+        or None,
         team=request.team or None,
     )
 
@@ -86,12 +88,12 @@
 def _read_request(frame: Any) -> RunRequest:
     prepared = None
     if frame.prepared:
-        prepared = Prepared(frame.prepared == _PREPARED_WRITE, frame.shape)
+        prepared = Prepared(frame.prepared == _PREPARED_WRITE, _decode_text(frame.shape))
     statement = Statement(
         StatementKind(frame.kind),
-        frame.id,
+        _decode_text(frame.id),
         _decode_text(frame.text),
-        frame.name or "",
+        _decode_text(frame.name),
         _decode_text(frame.argument),
         prepared,
     )
@@ -108,7 +110,9 @@
         fence=bool(frame.fence),
         mark=_decode_mark(frame.mark_term, frame.mark_position),
         max_staleness=_decode_duration(frame.max_staleness_us),
-        values={name: _decode_text(value) for name, value in (frame.values or {}).items()},
+        values={
+            _decode_text(name): _decode_text(value) for name, value in (frame.values or {}).items()
+        },
         team=frame.team or "",
     )
 
--- a/tests/entry/test_peer_link.py
+++ b/tests/entry/test_peer_link.py
@@ -9,7 +9,13 @@
 from bramleyrill_base import SystemClock
 from bramleyrill_core.placement import VmEntry
 from bramleyrill_entry import _peer_link
-from bramleyrill_entry._peer_link import PeerLink, PeerLostError, decode_vm, encode_vm
+from bramleyrill_entry._peer_link import (
+    NotSentError,
+    PeerLink,
+    PeerLostError,
+    decode_vm,
+    encode_vm,
+)
 from bramleyrill_entry._run_codec import decode_request, decode_result
 from bramleyrill_wire.entries import PROTOCOL, FrameBuffer, encode, frames
 
@@ -46,6 +52,20 @@
         self.assertEqual(self.handled, ["Release"])
         self.assertFalse(self.link.lost)
 
+    def test_frame_that_cannot_be_encoded_does_not_end_the_link(self):
+        """The writing greenlet ended with the encoder's error, and the open link sent no more."""
+        self.shake_hands()
+        for frame in (frames.Vm(id="vm2"), frames.Ran(call=2**70), frames.Hello(vm="text")):
+            with self.assertRaises(NotSentError):
+                self.link.send(frame)
+        self.link.send(frames.Release(exchange=7))
+        received = []
+        buffer = FrameBuffer()
+        while len(received) < 2:
+            received += buffer.feed(self.theirs.recv(1000))
+        self.assertEqual(received[1], frames.Release(exchange=7))
+        self.assertFalse(self.link.lost)
+
     def test_hello_without_an_entry_is_refused(self):
         for vm in (None, frames.Vm(id="vm2")):
             with self.assertRaises(ValueError):
--- a/tests/entry/test_run_codec.py
+++ b/tests/entry/test_run_codec.py
@@ -56,6 +56,20 @@
             received = decode_result(carry(encode_result(1, sent)))
             self.assertEqual(asdict(received), asdict(sent))
 
+    def test_text_that_is_no_utf8_is_carried_as_it_is(self):
+        """One statement id ended the writer of the link, and others were answered as unknown."""
+        odd = b"a\xff\xfe".decode("utf-8", "surrogateescape")
+        for sent in (
+            request(statement(f"WRITE {odd} {odd}", odd), "m1", values={odd: odd}),
+            request(statement(f"EXECUTE s {odd}", odd, Prepared(True, odd)), "m1"),
+        ):
+            (frame,) = FrameBuffer().feed(encode(encode_request(1, sent)))
+            received = decode_request(frame)
+            self.assertEqual(received.statement.id, odd)
+            self.assertEqual(received.statement.argument, sent.statement.argument)
+            self.assertEqual(received.statement.prepared, sent.statement.prepared)
+            self.assertEqual(received.values, sent.values)
+
     def test_argument_of_a_prepared_statement_is_carried_once(self):
         """The text and the argument both held the caller's data, on links between regions."""
         frame = encode(encode_request(1, self.requests()[2]))
