Follow the members whatever another writer leaves among their entries

Forms that were shown: nested values (also in a field that nobody reads), numbers of more than 4,300 digits, bytes that are no UTF-8, a port of 5,000 digits, a nested value that one VM could read and the next one could not.

Cause: the store's answer was read as a whole, and some errors of one entry were not those that its decoder was expected to raise. VMs told each other entries as they were.

Change: read_json in the base package reads a document value by value if it cannot be read as a whole; what cannot be read names no member. Entries are checked for ports, hosts, names, domains and slots. VMs pass on the fields that they use. Members of services that are not configured get no connection, and nothing is recorded or ordered for such a service. Registrations of VMs and positions told by members are bounded, as numbers beyond 64 bits ended the links that carried them.

Evidence: 44 entries after each other and all at once in a list before the start, through listing, watch and pulls of peers (tests.entry.test_odd_entries, 17 tests).

--- a/packages/base/bramleyrill_base/__init__.py
+++ b/packages/base/bramleyrill_base/__init__.py
@@ -10,6 +10,7 @@
     answer_for,
     is_not_run,
 )
+from bramleyrill_base._json import UNREADABLE, read_json
 from bramleyrill_base._lazy import lazy_attributes
 from bramleyrill_base._logs import configure_logging, log_event
 from bramleyrill_base._registry import Registry
@@ -17,6 +18,7 @@
 
 __all__ = [
     "ANSWERS",
+    "UNREADABLE",
     "Answer",
     "Clock",
     "ErrorKind",
@@ -34,6 +36,7 @@
     "is_not_run",
     "lazy_attributes",
     "log_event",
+    "read_json",
 ]
 
 # Only the PostgreSQL path sends its metrics with statsd.
--- a/packages/core/bramleyrill_core/catalog/_model.py
+++ b/packages/core/bramleyrill_core/catalog/_model.py
@@ -58,6 +58,7 @@
 class Catalog:
     """One version of the configuration.
 
+    `services_by_name` has every service that a route names; the members of others are not used.
     `transaction_idle_timeout` bounds the time between two statements of a transaction. `teams` is
     not enabled where the configuration names none.
     """
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -44,6 +44,19 @@
 MAX_PROBED_VMS = 4
 
 
+# What a pull fails with if the peer is gone, or sends something that cannot be read.
+_PULL_ERRORS = (
+    PeerLostError,
+    DecodeError,
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+    zlib.error,
+)
+
+
 class Gossip:
     """Exchange state with a few random VMs at a time.
 
@@ -270,8 +283,8 @@
                 objects = [_read_pushed(item, revision.era) for item in body["members"]]
                 for hook in self.listing_hooks:
                     hook(Listing(objects, revision.number, revision.era))
-        except (PeerLostError, DecodeError, ValueError, KeyError, TypeError, zlib.error) as error:
-            log_event("configuration_pull_failed", vm=vm, reason=error)
+        except _PULL_ERRORS as error:
+            log_event("configuration_pull_failed", vm=vm, reason=repr(error))
 
 
 def told_revision(state: EntryState, frame: Any) -> StoreRevision:
--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -118,7 +118,8 @@
         # A connection of no team would serve only the proxy's own checks.
         warm = 0 if self._state.catalog.teams.enabled else WARM_CONNECTIONS
         for row in self._state.members.members.rows():
-            if row.accepts_work and self._holds(row):
+            is_configured = row.entry.service in self._state.catalog.services_by_name
+            if is_configured and row.accepts_work and self._holds(row):
                 self.scheduler_for(row.entry.id).pool.maintain_connections(warm)
         for scheduler in self.by_member.values():
             row = self._state.members.members.get(scheduler.member.id)
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -108,8 +108,13 @@
                 gevent.spawn(self._run_check, supervised)
 
     def _known_services(self) -> list[str]:
-        """Return the services that have known members."""
-        return sorted({row.entry.service for row in self._state.members.members})
+        """Return the configured services that have known members.
+
+        Any writer of the store may name another service in an entry, and nothing is ordered for it.
+        """
+        configured = self._state.catalog.services_by_name
+        services = {row.entry.service for row in self._state.members.members}
+        return sorted(services & configured.keys())
 
     def _run_check(self, supervised: SupervisedService) -> None:
         try:
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -7,12 +7,14 @@
 from typing import Any
 
 import gevent
+from attrs import evolve
 from bramleyrill_base import log_event
 from bramleyrill_core.history import StoreRevision
 from bramleyrill_core.placement import VmEntry, accepted_capacity, watches_platform
 from bramleyrill_platform import (
     KIND_CONFIGURATION,
     KIND_MEMBERS,
+    MAX_NUMBER,
     NAME_CONFIGURATION,
     Change,
     Changes,
@@ -26,6 +28,7 @@
     StoreError,
     decode_catalog,
     decode_member,
+    used_fields,
     without_keys,
 )
 
@@ -235,9 +238,12 @@
         self._apply_listing(listing, "peer")
 
     def _apply_listing(self, listing: Listing, source: str = "store") -> None:
-        entries = [entry for entry in map(self._decode, listing.objects) if entry is not None]
+        decoded = [(stored, self._decode(stored)) for stored in listing.objects]
+        entries = [entry for _, entry in decoded if entry is not None]
         previous_primaries = self._primary_by_service()
-        self._state.member_objects = {stored.name: stored for stored in listing.objects}
+        self._state.member_objects = {
+            stored.name: _passed_on(stored) for stored, entry in decoded if entry is not None
+        }
         self._members.replace_all(entries, self._state.now())
         if source == "peer":
             # The newest change may be a removal, of which the list shows no revision.
@@ -253,12 +259,11 @@
 
     def _apply_change(self, change: Change) -> None:
         name = change.object.name
-        if change.deleted:
-            self._state.member_objects.pop(name, None)
-        else:
-            self._state.member_objects[name] = change.object
         entry = None if change.deleted else self._decode(change.object)
-        if entry is None:
+        if entry is not None:
+            self._state.member_objects[name] = _passed_on(change.object)
+        else:
+            self._state.member_objects.pop(name, None)
             log_event("member_entry_lapsed", member=name)
             self._members.revision = max(self._members.revision, change.object.position)
             self._members.lapse(name, self._state.now())
@@ -298,6 +303,11 @@
             self._state.primary_changed.fire()
 
 
+def _passed_on(stored: StoredObject) -> StoredObject:
+    """Return a member's entry as peers get it."""
+    return evolve(stored, value=used_fields(stored.value))
+
+
 class VmRegistration:
     """Register this VM in the store, and learn about the other VMs there."""
 
@@ -404,13 +414,19 @@
         return None
     domain, host = value.get("domain"), value.get("host")
     port, started_ms = value.get("port"), value.get("started_ms")
-    has_text_fields = isinstance(domain, str) and isinstance(host, str)
-    if not has_text_fields or not is_port(port) or not isinstance(started_ms, int):
+    if not all(map(_is_name, (stored.name, domain, host))) or not is_port(port):
+        return None
+    if not isinstance(started_ms, int) or not 0 <= started_ms <= MAX_NUMBER:
         return None
     capacity = accepted_capacity(value.get("capacity"))
     return VmEntry(stored.name, domain, (host, port), started_ms, capacity=capacity)
 
 
+def _is_name(value: object) -> bool:
+    """Return whether a value can be told to peers as a name."""
+    return isinstance(value, str) and bool(value) and value.isprintable()
+
+
 def unix_time_ms() -> int:
     """Return the time of day in Unix milliseconds."""
     return time.time_ns() // 1_000_000
--- a/packages/standins/bramleyrill_standins/prepared/__init__.py
+++ b/packages/standins/bramleyrill_standins/prepared/__init__.py
@@ -9,7 +9,7 @@
     PreparedDeployment,
 )
 from bramleyrill_standins.prepared._group import LineGroup, LineMember, Run
-from bramleyrill_standins.prepared._store import PreparedPlatform
+from bramleyrill_standins.prepared._store import PreparedPlatform, RawValue
 
 __all__ = [
     "DATABASE",
@@ -21,5 +21,6 @@
     "LineMember",
     "PreparedDeployment",
     "PreparedPlatform",
+    "RawValue",
     "Run",
 ]
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -118,8 +118,9 @@
         """Close all connections and refuse new ones."""
         self._server.stop(timeout=0)
         for sock in list(self._sockets):
-            # Wakes the greenlet that reads it, which then closes it.
-            sock.shutdown(socket.SHUT_RDWR)
+            # Wakes the greenlet that reads it, which then closes it. The peer may have reset it.
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
 
     def _serve(self, sock, _address) -> None:
         self.connections += 1
--- a/packages/standins/bramleyrill_standins/prepared/_store.py
+++ b/packages/standins/bramleyrill_standins/prepared/_store.py
@@ -11,6 +11,13 @@
 from bramleyrill_standins.prepared._group import LineGroup
 
 
+@frozen
+class RawValue:
+    """The bytes of a value as another writer left them, which need not be JSON."""
+
+    data: bytes
+
+
 @define(eq=False)
 class _StoredObject:
     name: str
@@ -157,7 +164,7 @@
         if self.era is not None:
             headers.append(("Store-Era", str(self.era)))
         start(f"{status} -", headers)
-        return [json.dumps(body).encode()]
+        return [_encode(body)]
 
     def _call(
         self, environ: dict[str, Any], path: list[str], query: dict[str, str], body: Any
@@ -228,3 +235,18 @@
         self.appointments.append((service, member, holder, token))
         group.promote(member)
         return 200, {}
+
+
+def _encode(body: Any) -> bytes:
+    """Return a body as JSON with the raw values in it as they are."""
+    raw_by_placeholder: dict[bytes, bytes] = {}
+
+    def replace(value: Any) -> str:
+        placeholder = f"raw-value-{len(raw_by_placeholder)}"
+        raw_by_placeholder[f'"{placeholder}"'.encode()] = value.data
+        return placeholder
+
+    data = json.dumps(body, default=replace).encode()
+    for placeholder, raw in raw_by_placeholder.items():
+        data = data.replace(placeholder, raw)
+    return data
--- a/tests/entry/test_synchronous_replicas.py
+++ b/tests/entry/test_synchronous_replicas.py
@@ -174,8 +174,9 @@
         self.flood("m2")
         self.send("m2")
         count = len(self.group.runs)
-        gevent.sleep(0.2)
-        self.assertGreater(len(self.group.runs), count + 10)
+        with gevent.Timeout(5):
+            while len(self.group.runs) <= count + 10:
+                gevent.sleep(0.01)
 
     def test_member_that_does_not_answer_is_reported_in_time(self):
         self.group.members_by_name["m2"].silent = True
