--- a/packages/daemon/bramleyrill_daemon/_answers.py
+++ b/packages/daemon/bramleyrill_daemon/_answers.py
@@ -222,5 +222,5 @@
             last_term=int(last_term),
             history=_parse_history(history or "[]"),
         )
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, RecursionError) as error:
         raise AnswerError(f"malformed status row: {error}") from error
--- a/packages/daemon/bramleyrill_daemon/_configuration.py
+++ b/packages/daemon/bramleyrill_daemon/_configuration.py
@@ -136,6 +136,14 @@
     shell.handle(TextOffered(stored.version, identity, source))
 
 
+def _log_failed_poll(during: str, error: Exception) -> None:
+    """Log an object that a handler failed at, which must not end the poll.
+
+    Only the type is logged, as the text could contain a part of a secret.
+    """
+    log_event("poll_failed", level=logging.ERROR, during=during, error=type(error).__name__)
+
+
 def watch_text(shell: Shell) -> None:
     """Watch the platform's text; never returns. VMs that are not watchers read it only once."""
     platform = shell.component(PlatformClient)
@@ -158,6 +166,9 @@
         except PlatformError as error:
             log_event("platform_down", during="watch_text", error=error)
             _sleep_jittered(shell, backoff.next_delay())
+        except Exception as error:
+            _log_failed_poll("watch_text", error)
+            _sleep_jittered(shell, backoff.next_delay())
 
 
 def poll_vm_list(shell: Shell) -> None:
@@ -171,6 +182,8 @@
             handle_vm_list(shell, vms)
         except PlatformError as error:
             log_event("platform_down", during="list_vms", error=error)
+        except Exception as error:
+            _log_failed_poll("list_vms", error)
         _sleep_jittered(shell, LIST_INTERVAL * max(1.0, vm_count / LIST_VMS_PER_INTERVAL))
 
 
@@ -185,6 +198,8 @@
         except PlatformError as error:
             log_event("platform_down", during="secrets", error=error)
             interval = backoff.next_delay()
+        except Exception as error:
+            _log_failed_poll("secrets", error)
         _sleep_jittered(shell, interval)
 
 
--- a/packages/daemon/bramleyrill_daemon/_objects.py
+++ b/packages/daemon/bramleyrill_daemon/_objects.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import Any
 
-from bramleyrill_base import log_event
+from bramleyrill_base import log_event, read_json
 from bramleyrill_core import VmId
 from bramleyrill_core.membership import live_vms
 from bramleyrill_wire.peers import frames
@@ -94,7 +94,7 @@
             )
             if not answer.body:
                 return None
-            return StoredObject(name, answer.version, json.loads(answer.body))
+            return StoredObject(name, answer.version, read_json(answer.body))
         except (PeerLostError, ValueError):
             return None
 
--- a/packages/daemon/bramleyrill_daemon/_platform.py
+++ b/packages/daemon/bramleyrill_daemon/_platform.py
@@ -2,11 +2,13 @@
 
 import json
 import urllib.parse
+from collections.abc import Iterator
 from datetime import timedelta
 from typing import Any
 
 import urllib3
 from attrs import frozen
+from bramleyrill_base import log_event, read_json
 
 CALL_TIMEOUT = timedelta(seconds=3)
 WATCH_TIMEOUT = timedelta(seconds=20)
@@ -16,6 +18,10 @@
 MAX_CONNECTIONS = 4
 
 
+# The fields that other writers fill.
+_FOREIGN_FIELDS = frozenset({"value"})
+
+
 class PlatformError(Exception):
     """The platform gave no valid answer; a write may or may not have taken effect."""
 
@@ -61,9 +67,7 @@
         if status == 409:
             current = body if isinstance(body, dict) and body.get("version") else None
             return Conflict(_parse_object(name, current) if current else None)
-        return StoredObject(
-            name, int(_required_field(_check_status(status, body, 200), "version")), value
-        )
+        return StoredObject(name, _required_version(_check_status(status, body, 200)), value)
 
     def watch(
         self, kind: str, after: int, timeout: timedelta = WATCH_TIMEOUT
@@ -75,14 +79,18 @@
         query = urllib.parse.urlencode({"after": after, "timeout": timeout.total_seconds()})
         status, body = self._call("GET", f"/watch/{kind}?{query}", wait=timeout)
         answer = _check_status(status, body, 200)
-        objects = [
-            _parse_object(_required_field(item, "name"), item) for item in answer.get("objects", ())
-        ]
-        return int(_required_field(answer, "version")), objects
-
-    def list_vms(self) -> list[dict[str, Any]]:
-        """Return the platform's list of live and leaving VMs."""
-        return _check_status(*self._call("GET", "/vms"), 200)
+        version = _required_version(answer)
+        objects = answer.get("objects", [])
+        if not isinstance(objects, list):
+            raise PlatformError("the objects in the answer are not a list")
+        return version, list(_parse_objects(objects))
+
+    def list_vms(self) -> list[Any]:
+        """Return the platform's list of live and leaving VMs; its entries may be malformed."""
+        vms = _check_status(*self._call("GET", "/vms"), 200)
+        if not isinstance(vms, list):
+            raise PlatformError("the list of VMs is not a list")
+        return vms
 
     def _call(
         self, method: str, path: str, body: bytes | None = None, wait: timedelta = timedelta()
@@ -107,7 +115,7 @@
                 response.release_conn()
             if len(data) > MAX_ANSWER_BYTES:
                 raise PlatformError(f"{method} {path}: answer is too large")
-            return response.status, json.loads(data) if data else None
+            return response.status, read_json(data, _FOREIGN_FIELDS) if data else None
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             raise PlatformError(f"{method} {path}: {type(error).__name__}") from error
 
@@ -129,5 +137,21 @@
     return body[name]
 
 
+def _required_version(body: Any) -> int:
+    version = _required_field(body, "version")
+    if not isinstance(version, int) or isinstance(version, bool) or version < 0:
+        raise PlatformError("the version in the answer is not a number")
+    return version
+
+
 def _parse_object(name: str, body: Any) -> StoredObject:
-    return StoredObject(name, int(_required_field(body, "version")), _required_field(body, "value"))
+    return StoredObject(name, _required_version(body), _required_field(body, "value"))
+
+
+def _parse_objects(items: list[Any]) -> Iterator[StoredObject]:
+    """Yield the objects of a watch; a malformed one is left out."""
+    for item in items:
+        try:
+            yield _parse_object(_required_field(item, "name"), item)
+        except PlatformError as error:
+            log_event("object_skipped", reason=error)
--- a/packages/daemon/bramleyrill_daemon/_spans.py
+++ b/packages/daemon/bramleyrill_daemon/_spans.py
@@ -38,7 +38,7 @@
             Span(int(entry["first_term"]), tuple(str(name) for name in entry["members"]))
             for entry in value["spans"]
         )
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, OverflowError) as error:
         raise ValueError(f"malformed spans: {error!r}") from error
 
 
