Wait for a majority before a durable write is acknowledged

What callers may lose: with durability second_member in a group of five or seven members, a write was acknowledged once the primary and one other member had it. A change of primary needs answers of a majority, which need not include either of the two, so one failed member and one that is slow were enough to lose the write. Groups of three are not concerned.

Cause: the acknowledgement asked for two members, whatever the size of the group, and the choice of the successor took the most advanced of a majority. Both rules hold only where they must overlap.

Change: is_on_second_member asks for a majority of the members of the term, at least two. The set of a change and the set of an acknowledgement then always share a member.

No run with five real members was made.

--- a/packages/core/bramleyrill_core/succession/_grants.py
+++ b/packages/core/bramleyrill_core/succession/_grants.py
@@ -7,6 +7,7 @@
 from bramleyrill_core.sessions import log_contains
 from bramleyrill_core.succession._messages import SendProbe
 from bramleyrill_core.succession._tables import SuccessionTables, holds_primary
+from bramleyrill_core.succession._terms import is_majority, members_of
 from bramleyrill_core.text import Durability
 
 
@@ -47,17 +48,26 @@
 
 
 def is_on_second_member(world: World, database: DatabaseId, mark: Mark) -> bool:
-    """Return whether the last status of a member other than the primary includes the entry."""
-    group = world.tables(SuccessionTables).groups.by_id.get(database)
-    if group is None:
+    """Return whether enough members have the entry for every later change to find it.
+
+    A change of primary needs answers of a majority, so the entry must be on a majority too: on the
+    primary and a second member in groups of three, on further ones in larger groups. The last
+    statuses of the members are counted.
+    """
+    tables = world.tables(SuccessionTables)
+    group = tables.groups.by_id.get(database)
+    spans = tables.spans.get(database)
+    if group is None or not spans:
         return False
-    return any(
-        watch.status is not None
+    others = [
+        name
+        for name, watch in group.watches.items()
+        if watch.status is not None
         and name != group.primary
         and watch.status.term == mark.term
         and log_contains(watch.status, mark)
-        for name, watch in group.watches.items()
-    )
+    ]
+    return bool(others) and is_majority(members_of(spans, mark.term), {group.primary, *others})
 
 
 def probe_replicas(world: World, database: DatabaseId) -> list[Effect]:
