Compare fences with a term that was proved, not with an announced one

Cause: a VM that cannot reach the store takes a permit if no replica is fenced above the newest term that it knows. The announcement of the order has raised that term to the one of the fence, so the fence does not show, and a permit for the old primary starts after the order. Besides, the supervisor skipped the wait for permits when the id that it took for the primary refused connections, while VMs used the process that had returned under another id.

Change: MemberTable.proved_term_of keeps the term in which a member was seen to lead, and an appointment does not raise it. All members that a VM may take for the primary are demoted before an order, and the wait is skipped only if each was, or has ended. A late proof of a gone member no longer replaces a member that claims to lead in the same term.

--- a/packages/core/bramleyrill_core/catalog/_tables.py
+++ b/packages/core/bramleyrill_core/catalog/_tables.py
@@ -82,6 +82,7 @@
         self.revision = StoreRevision()
         self._departed_incarnations_by_id: dict[str, int] = {}
         self._lost_by_id: dict[str, LostReplica] = {}
+        self._proved_lead_by_service: dict[str, tuple[str, int]] = {}
 
     def replace_all(self, entries: list[MemberEntry], now: timedelta) -> None:
         """Replace all entries by a complete list; members that it lacks lapse."""
@@ -192,18 +193,48 @@
         primary = self.primaries.get(service)
         return primary.term if primary else 0
 
+    def proved_term_of(self, service: str, member: str) -> int:
+        """Return the term in which a member was last seen to lead, 0 if another one was.
+
+        Unlike `term_of` it does not rise when another member is appointed.
+        """
+        leader, term = self._proved_lead_by_service.get(service, ("", 0))
+        return term if leader == member else 0
+
+    def record_appointment(self, service: str, member: str) -> bool:
+        """Record that `member` is to lead the next term; return whether that is news."""
+        return self._record_lead(service, member, self.term_of(service) + 1)
+
     def record_primary_proof(self, service: str, member: str, term: int) -> bool:
         """Record that `member` led `term`; return whether the presumed primary changed."""
+        if term >= self._proved_lead_by_service.get(service, ("", 0))[1]:
+            self._proved_lead_by_service[service] = (member, term)
+        return self._record_lead(service, member, term)
+
+    def _record_lead(self, service: str, member: str, term: int) -> bool:
         primary = self.primaries.get(service)
         if primary is not None and term < primary.term:
             return False
         changed = primary is None or primary.member != member
         row = self.members.get(member)
+        if changed and row is None and self._leads_in(service, term):
+            # A proof of a member that is gone, told by another VM: the same process may have
+            # returned under another id, and leads on in its term.
+            return False
         revision = row.role_revision if row else StoreRevision()
         earlier_revision = primary.role_revision if primary else StoreRevision()
         self.primaries.add(service, PrimaryRow(member, term, max(revision, earlier_revision)))
         return changed
 
+    def _leads_in(self, service: str, term: int) -> bool:
+        """Return whether a member that is known is presumed to lead a service in a term."""
+        primary = self.primaries.get(service)
+        return (
+            primary is not None
+            and primary.term == term
+            and self.members.get(primary.member) is not None
+        )
+
     def _forget_lost(self, entry: MemberEntry) -> None:
         """Forget a lost replica that is back, or whose log a new member has at its address."""
         for lost in list(self._lost_by_id.values()):
--- a/packages/core/bramleyrill_core/permits/_evidence.py
+++ b/packages/core/bramleyrill_core/permits/_evidence.py
@@ -60,12 +60,16 @@
     def record_reports(
         self, member: str, term: int, reports: Mapping[str, StatusReport], asked_at: timedelta
     ) -> None:
-        """Store which replicas of the primary `member` of `term` were not fenced."""
+        """Store which replicas of the primary `member`, which leads `term`, were not fenced.
+
+        A replica that is fenced for a term, or follows one, above that of `member` shows that a
+        successor is about to lead or does so.
+        """
         if member != self.member:
             self.member = member
             self.unfenced_at = {}
         for replica, report in reports.items():
-            if not report.is_primary and max(report.term, report.fenced_term) <= term:
+            if term and not report.is_primary and max(report.term, report.fenced_term) <= term:
                 self.unfenced_at[replica] = asked_at
             else:
                 self.unfenced_at.pop(replica, None)
--- a/packages/entry/bramleyrill_entry/_fence.py
+++ b/packages/entry/bramleyrill_entry/_fence.py
@@ -23,24 +23,28 @@
 def end_permits(
     state: EntryState,
     commands: MemberCommands,
-    primary: MemberEntry | None,
+    primaries: list[MemberEntry],
     successor: MemberEntry,
     term: int,
 ) -> bool:
-    """Return once no VM has a permit for the old primary, or False if that cannot be achieved.
+    """Return once no VM has a permit for an old primary, or False if that cannot be achieved.
 
     The duty's record must name the successor already, so that no VM gets a new permit from the
-    store. A primary that was demoted, or whose machine refuses connections, needs no wait: VMs
-    accept a permit only if it is younger than their connection to the member.
+    store. `primaries` are all members that a VM may take for the primary. If each of them was
+    demoted, or its machine refuses connections, no wait is needed: VMs accept a permit only if it
+    is younger than their connection to the member.
     """
-    demotion = gevent.spawn(demote, commands, primary, term) if primary is not None else None
+    demotions = [gevent.spawn(demote, commands, primary, term) for primary in primaries]
     if not _fence_successor(commands, successor, term):
         return False
     fenced_at = state.now()
-    if demotion is not None:
-        demotion.join()
-        if demotion.value is not None or refuses_connections(primary, state.clock):
-            return True
+    gevent.joinall(demotions)
+    ended = [
+        demotion.value is not None or refuses_connections(primary, state.clock)
+        for primary, demotion in zip(primaries, demotions, strict=True)
+    ]
+    if ended and all(ended):
+        return True
     expired_at = fenced_at + wait_after_fence(Rules())
     gevent.sleep(max((expired_at - state.now()).total_seconds(), 0.0))
     return True
--- a/packages/entry/bramleyrill_entry/_permits.py
+++ b/packages/entry/bramleyrill_entry/_permits.py
@@ -188,7 +188,10 @@
         return record.member
 
     def _ask_replicas(self, row: PermitRow, member: MemberEntry) -> None:
-        term = self._state.members.term_of(member.service) or self._ask_term(member)
+        # The term that the member leads. The newest known one may be that of its successor already,
+        # in which a fence of the successor would not show.
+        members = self._state.members
+        term = members.proved_term_of(member.service, member.id) or self._ask_term(member)
         asked_at = self._state.now()
         replicas = self._replicas(member)
         questions = [gevent.spawn(self._ask_replica, replica) for replica in replicas]
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -154,8 +154,8 @@
         current = self.members.primaries.get(service)
         if current is not None and current.member == member:
             return
-        term = self.members.term_of(service) + 1
-        if self.members.record_primary_proof(service, member, term):
+        if self.members.record_appointment(service, member):
+            term = self.members.term_of(service)
             log_event("primary_changed", service=service, member=member, term=term, source=source)
         self.primary_changed.fire()
 
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -4,7 +4,7 @@
 
 import gevent
 from bramleyrill_base import log_event
-from bramleyrill_core import rendezvous_order
+from bramleyrill_core import MemberRole, rendezvous_order
 from bramleyrill_core.catalog import MemberEntry, MemberRow
 from bramleyrill_core.leadership import (
     DutyView,
@@ -362,10 +362,29 @@
         successor = self._state.members.members.get(chosen)
         if successor is None:
             return False
+        primaries = self._possible_primaries(supervised.service, primary, chosen)
         return end_permits(
-            self._state, self._commands, primary, successor.entry, self._next_term(supervised)
+            self._state, self._commands, primaries, successor.entry, self._next_term(supervised)
         )
 
+    def _possible_primaries(
+        self, service: str, primary: MemberEntry | None, chosen: str
+    ) -> list[MemberEntry]:
+        """Return the members other than the chosen one that a VM may take for the primary.
+
+        These are the one that this VM knows, and those that say that they lead: after a restart
+        under another id the primary is not the one that was proved last.
+        """
+        by_id = {
+            row.entry.id: row.entry
+            for row in self._state.members.members_of_service(service)
+            if row.entry.role is MemberRole.PRIMARY
+        }
+        if primary is not None:
+            by_id[primary.id] = primary
+        by_id.pop(chosen, None)
+        return list(by_id.values())
+
     def _next_term(self, supervised: SupervisedService) -> int:
         """Return a term above every term that this VM knows."""
         return max(self._state.members.term_of(supervised.service), supervised.highest_term) + 1
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -6,7 +6,9 @@
 from unittest import mock
 
 import gevent
+from attrs import evolve
 from bramleyrill_base import ManualClock
+from bramleyrill_core import Mark
 from bramleyrill_core.catalog import MemberState
 from bramleyrill_core.history import StoreHistory, StoreRevision
 from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
@@ -153,6 +155,28 @@
         self.group.members_by_name["m3"].fenced_term = 2
         self.assertIs(self.run_at("m1", "WRITE a 1").problem, RunProblem.NO_PERMIT)
 
+    def test_fence_shows_after_the_successor_was_announced(self):
+        """The announced term was that of the fence, so the replica counted as not fenced.
+
+        The old primary, back under its id, was presumed to lead again and acknowledged writes.
+        """
+        self.state.record_proof(SERVICE, "m1", 1, Mark(1, 0), self.state.now())
+        self.group.members_by_name["m2"].fenced_term = 2
+        self.state.record_appointment(SERVICE, "m2", "order")
+        self.state.members.put(
+            evolve(member_entry(self.group, "m1", revision=9), incarnation=7),
+        )
+        self.assertEqual(self.state.members.primary_of(SERVICE).entry.id, "m1")
+        self.assertIs(self.run_at("m1", "WRITE a 1").problem, RunProblem.NO_PERMIT)
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def test_replica_that_follows_the_successor_gives_no_permit(self):
+        """The replaced primary does not notice, and says that it leads."""
+        self.state.record_proof(SERVICE, "m1", 1, Mark(1, 0), self.state.now())
+        self.state.record_appointment(SERVICE, "m2", "order")
+        self.group.promote("m2")
+        self.assertFalse(self.permits.renewed(member_entry(self.group, "m1")))
+
     def test_replica_in_the_lead_is_learned_as_the_primary(self):
         """A VM that cannot reach the store or its peers learns of the change from the members."""
         self.group.promote("m2")
@@ -217,6 +241,22 @@
         self.assertIs(self.run_at("m1", "WRITE b 2").problem, RunProblem.NO_PERMIT)
         self.assertEqual(self.group.runs_of("q1"), [])
 
+    def test_primary_under_another_id_is_demoted_too(self):
+        """The supervisor took a dead id for the primary, and VMs went on at the real one."""
+        entry = member_entry(self.group, "m1")
+        dead = evolve(entry, id="dead", address=("127.0.0.1", 1))
+        with self.counted_waits() as waits:
+            self.supervisor._replace_primary(self.supervised, dead)
+        self.assertEqual((sum(waits), self.group.members_by_name["m1"].is_primary), (0, False))
+
+    def test_order_waits_if_the_primary_under_another_id_does_not_answer(self):
+        """The dead id refuses connections, which says nothing of the real primary."""
+        self.group.members_by_name["m1"].silent = True
+        dead = evolve(member_entry(self.group, "m1"), id="dead", address=("127.0.0.1", 1))
+        with self.counted_waits() as waits:
+            self.supervisor._replace_primary(self.supervised, dead)
+        self.assertGreaterEqual(sum(waits), LONGEST_PERMIT.total_seconds())
+
     def test_successor_that_cannot_be_fenced_is_not_ordered(self):
         """A VM without the store would get a new permit from it during the wait."""
         for member in self.group.members_by_name.values():
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -203,6 +203,23 @@
         self.table.record_primary_proof("pieces", "m2", 3)
         self.assertFalse(self.table.record_primary_proof("pieces", "m1", 2))
 
+    def test_late_proof_of_a_gone_member_does_not_replace_the_one_that_returned(self):
+        """The primary was back under a new id, and got no work until it was replaced."""
+        self.table.record_primary_proof("pieces", "m1", 2)
+        self.table.members.remove("m1")
+        self.table.put(member("m9", role=MemberRole.PRIMARY, revision=9))
+        self.assertFalse(self.table.record_primary_proof("pieces", "m1", 2))
+        self.assertEqual(self.table.primary_of("pieces").entry.id, "m9")
+        self.assertTrue(self.table.record_primary_proof("pieces", "m2", 2))
+
+    def test_appointment_is_no_proof(self):
+        """It raises the newest term, in which a fence of the successor does not show."""
+        self.table.record_primary_proof("pieces", "m1", 2)
+        self.assertTrue(self.table.record_appointment("pieces", "m2"))
+        self.assertEqual(self.table.term_of("pieces"), 3)
+        self.assertEqual(self.table.proved_term_of("pieces", "m1"), 2)
+        self.assertEqual(self.table.proved_term_of("pieces", "m2"), 0)
+
     def test_lapsed_entry_is_used_until_the_grace_ends(self):
         """Entries that lapse while the store is unavailable come back within two seconds."""
         self.table.lapse("m2", 0 * MS)
