Demote a primary with synchronous replicas that still answers before it is replaced

What callers may lose: a supervisor that has no proof of a primary replaces it, while VMs that it did not ask still reach the primary. What they commit between the choice of the successor and its promotion is acknowledged at another replica, and lost. The planned change had the same gap when the supervisors act in place of the holder.

Cause: only the planned change by the holder made the primary's last position final.

Without synchronous replicas nothing changes.

--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -15,6 +15,7 @@
     choose_from,
     pending_member,
 )
+from bramleyrill_core.permits import StatusReport
 from bramleyrill_core.placement import holder_candidates, slow_vms
 from bramleyrill_core.statements import AnswerCode
 from bramleyrill_platform import (
@@ -255,6 +256,8 @@
             return
         if supervised.duty.current_record is None:
             self._inquiry.ask(supervised)
+        if primary is not None and self._replace_if_alive(supervised, primary):
+            return
         poll = self._search.poll(supervised, primary)
         chosen = self._choose(supervised, primary, poll)
         if chosen is not None:
@@ -264,6 +267,21 @@
         else:
             self._announce_leaderless(supervised, primary, poll)
 
+    def _replace_if_alive(self, supervised: SupervisedService, primary: MemberEntry) -> bool:
+        """Demote a primary with synchronous replicas that still answers, and replace it.
+
+        Other VMs may still reach it, and what it commits after the choice of the successor would be
+        acknowledged and lost. Return False if it did not answer or the duty is not free.
+        """
+        service = supervised.service
+        if not self._search.sync_replicas_of(service) or not self.leases.may_acquire(supervised):
+            return False
+        report = demote(self._commands, primary, self._next_term(supervised))
+        if report is None:
+            return False
+        self._appoint_caught_up(supervised, primary, report)
+        return True
+
     def _choose(
         self, supervised: SupervisedService, primary: MemberEntry | None, poll: Poll
     ) -> str | None:
@@ -458,13 +476,22 @@
             return
         if not self.leases.may_acquire(supervised):
             return
-        poll = self._search.poll(supervised, primary)
+        self._search.poll(supervised, primary)
         report = demote(self._commands, primary, self._next_term(supervised))
         if report is None:
             self._replace_primary(supervised, primary)
             return
+        self._appoint_caught_up(supervised, primary, report)
+
+    def _appoint_caught_up(
+        self, supervised: SupervisedService, primary: MemberEntry, report: StatusReport
+    ) -> None:
+        """Appoint a replica that has the last entry of a demoted primary.
+
+        If none gets it in time, the primary leads again where commits must not be lost, and the
+        change is tried again.
+        """
         chosen = self._search.wait_for(supervised, primary, report.mark)
-        if chosen is None and not poll.sync_replicas:
+        if chosen is None and not self._search.sync_replicas_of(supervised.service):
             chosen = choose_from(self._search.poll(supervised, primary))
-        # The primary has all entries, and the change is tried again.
         self._appoint(supervised, chosen or primary.id, primary, demoted=True)
--- a/tests/entry/test_synchronous_replicas.py
+++ b/tests/entry/test_synchronous_replicas.py
@@ -12,9 +12,15 @@
 from bramleyrill_core.admission import MemberAdmission, Queued, Started
 from bramleyrill_core.catalog import MemberState, MemberTable, ServiceEntry
 from bramleyrill_core.catalog._tables import LAPSE_GRACE, LOST_REPLICA_MEMORY
-from bramleyrill_core.leadership import Candidate, Poll, choose_from
+from bramleyrill_core.leadership import (
+    KIND_DUTIES,
+    Candidate,
+    DutyRecord,
+    Poll,
+    choose_from,
+)
 from bramleyrill_entry._member_commands import MemberCommand, MemberCommands
-from bramleyrill_entry._run_request import Opens
+from bramleyrill_entry._run_request import Opens, RunProblem
 from bramleyrill_platform import decode_catalog
 from bramleyrill_standins.prepared import LineGroup
 from gevent.lock import Semaphore
@@ -259,6 +265,27 @@
         self.state.record_proof(SERVICE, "m1", 1, Mark(1, 1), self.state.now())
         self.assertFalse(self.state.is_leaderless(SERVICE))
 
+    def test_primary_that_other_vms_still_reach_is_demoted_first(self):
+        """Commits of other VMs after the choice were acknowledged and then rolled back."""
+        outcomes = []
+
+        def write_before_the_order(*args):
+            outcomes.append(self.write("m1", "WRITE b 2"))
+            return appoint(*args)
+
+        appoint = self.supervisor._duties.appoint
+        with mock.patch.object(self.supervisor._duties, "appoint", write_before_the_order):
+            self.replace()
+        self.assertEqual(self.appointed(), ["m2"])
+        self.assertIs(outcomes[0].problem, RunProblem.NOT_PRIMARY)
+        self.assertEqual([entry for entry in self.group.history if entry.rolled_back], [])
+
+    def test_primary_is_not_demoted_without_the_duty(self):
+        """Nobody would lead until the holder of the duty acts."""
+        self.platform.put(KIND_DUTIES, SERVICE, DutyRecord("vm9", 4, "m1").to_value())
+        self.replace()
+        self.assertTrue(self.group.members_by_name["m1"].is_primary)
+
     def drain_primary(self):
         self.state.members.put(member_entry(self.group, "m1", MemberState.DRAINING, revision=9))
         self.schedulers.maintain()
