Lease the second connection while the first is in use in a test of the drain

The test now has one connection in use and one idle, and checks the same. tests.connections: all pass but the known one.

--- a/tests/connections/test_allocator.py
+++ b/tests/connections/test_allocator.py
@@ -244,8 +244,9 @@
 
     def test_idle_connections_are_closed_at_once(self):
         """They counted against the member's limit until the VM had ended."""
-        self.add_idle("", "c1")
+        self.lease("", "c1")
         self.lease("", "c2")
+        self.assertEqual(self.allocator.release("c1"), [])
         self.assertEqual(self.allocator.drain(), [Close("c1")])
         self.assertEqual(self.allocator.release("c2"), [Close("c2")])
         self.assertEqual(self.allocator.open_count, 0)
