--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -43,11 +44,15 @@
 
 
 def free_ports(count):
-    """Return ports that nothing listens on."""
+    """Return ports that nothing listens on, outside the range of outgoing connections."""
     socks = []
-    for _ in range(count):
+    while len(socks) < count:
         sock = socket.socket()
-        sock.bind((HOST, 0))
+        try:
+            sock.bind((HOST, random.randrange(12_000, 30_000)))
+        except OSError:
+            sock.close()
+            continue
         socks.append(sock)
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
