Fence the replicas before a successor is chosen among them

Cause: the supervisor read the replicas' positions and ordered the most advanced one; the platform takes up to a second to promote it. In between all replicas went on receiving, so a primary that comes back, or that only the supervisor does not reach, finds one that confirms its commits. Evidence: the lost writes are at the near replica and not at the chosen one, and the supervisor's log has nothing between duty_acquired and primary_ordered that would stop the old primary. Ruled out: a successor that was behind at the choice (it had every entry then), and answers of another member.

Change: once enough replicas answer STATUS, the holder of the duty stops all of them with PAUSE and chooses by the positions of these answers, which are final: fewer replicas than syncReplicas are left that could confirm a commit. The duty's record names no member while the choice is open, so a change whose supervisor ends is found and finished by the next one. After the order the replicas are resumed. VMs are told to send no new work to a primary that is being replaced, as its outcome would be unknown.

Related paths: platforms without checked tokens had the same window until the VMs' permits ended; the PostgreSQL path compares the leader with the answers to its fence and is not affected, by reading.

The stand-in of a member acknowledges a commit only when enough replicas have it, so that tests can see who confirmed it, and a promotion or a restart ends a fence there as it does at members.

--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -28,6 +28,8 @@
 MAX_TOKEN = 2**53
 # Holder of a record that confirms the primary and leaves the duty free for all.
 NO_HOLDER = ""
+# Member of a record whose holder is choosing one, and has ordered none yet.
+NO_MEMBER = ""
 
 
 @frozen
@@ -35,7 +37,8 @@
     """Value of a duty's object in the store.
 
     `member` is the member that the last order appoints, and `fencing_token` that order's token. A
-    record with NO_HOLDER belongs to no order: it confirms that `member` is the primary.
+    record with NO_HOLDER belongs to no order: it confirms that `member` is the primary. One with
+    NO_MEMBER is written before the replicas are fenced, to choose among them.
     """
 
     holder: str
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -46,7 +46,8 @@
     attempt to write one.
 
     While the service has no successor that is known to be safe, `leaderless_at` is the time of the
-    next announcement of that.
+    next announcement of that. `record_check_at` is the time of the next look for a change of
+    primary that was left unfinished.
     """
 
     service: str
@@ -64,6 +65,7 @@
     inquiry_at: timedelta = timedelta.min
     is_acquiring: bool = False
     leaderless_at: timedelta = timedelta.min
+    record_check_at: timedelta = timedelta.min
 
 
 class DutyLeases:
@@ -143,25 +145,29 @@
         return True
 
     def may_acquire(self, supervised: SupervisedService) -> bool:
-        """Return whether no other VM holds the duty, by what was read last."""
+        """Return whether no other VM holds the duty, by what was read last; log it if one does."""
+        if self.is_free(supervised):
+            return True
         duty = supervised.duty
         current = duty.current_record
-        # A lease outlasts a restore, as the other VMs wait for its length in the new era.
-        if duty.seen_at is not None and current is None and self.holds(supervised):
-            return True
-        era_known_for = self._era_known_for(supervised)
-        if duty.may_acquire(self._state.vm, self._state.now(), era_known_for):
-            return True
-        holder = current.holder if current is not None else "unknown"
         log_event(
             "duty_held",
             service=supervised.service,
-            holder=holder,
+            holder=current.holder if current is not None else "unknown",
             revision=duty.revision,
-            era_known_for=era_known_for,
+            era_known_for=self._era_known_for(supervised),
         )
         return False
 
+    def is_free(self, supervised: SupervisedService) -> bool:
+        """Return whether no other VM holds the duty, by what was read last."""
+        duty = supervised.duty
+        # A lease outlasts a restore, as the other VMs wait for its length in the new era.
+        if duty.seen_at is not None and duty.current_record is None and self.holds(supervised):
+            return True
+        era_known_for = self._era_known_for(supervised)
+        return duty.may_acquire(self._state.vm, self._state.now(), era_known_for)
+
     def may_take_duties(self, supervised: SupervisedService) -> bool:
         """Return whether a duty without a record of this era would be free for this VM."""
         if self._state.history.era == NO_ERA or self._era_known_for(supervised) >= DUTY_LEASE:
--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -200,9 +200,14 @@
 
 @handlers.register("Appointed")
 def handle_appointed(net: PeerNet, link: PeerLink, frame: Any) -> None:
-    """Record that a member was appointed primary, or that none can be for a while."""
+    """Record that a member was appointed primary, or that none leads for a while."""
+    service, member = frame.service_name, frame.member
     if frame.leaderless_ms is not None:
         duration = timedelta(milliseconds=frame.leaderless_ms)
-        net.state.record_leaderless(frame.service_name, min(duration, MAX_LEADERLESS))
+        net.state.record_leaderless(service, min(duration, MAX_LEADERLESS))
         return
-    net.state.record_appointment(frame.service_name, frame.member, f"peer {link.peer.id}")
+    if frame.replacing_ms is not None:
+        duration = timedelta(milliseconds=frame.replacing_ms)
+        net.state.record_replacement(member, min(duration, MAX_LEADERLESS))
+        return
+    net.state.record_appointment(service, member, f"peer {link.peer.id}")
--- a/packages/entry/bramleyrill_entry/_fence.py
+++ b/packages/entry/bramleyrill_entry/_fence.py
@@ -35,7 +35,16 @@
     is younger than their connection to the member.
     """
     demotions = [gevent.spawn(demote, commands, primary, term) for primary in primaries]
-    if not _fence_successor(commands, successor, term):
+    # Without a fence VMs could get a new permit from the replicas.
+    is_fenced = fence(commands, successor, term) is not None
+    log_event(
+        "successor_fenced",
+        service=successor.service,
+        member=successor.id,
+        term=term,
+        done=is_fenced,
+    )
+    if not is_fenced:
         return False
     fenced_at = state.now()
     gevent.joinall(demotions)
@@ -50,16 +59,14 @@
     return True
 
 
-def _fence_successor(commands: MemberCommands, successor: MemberEntry, term: int) -> bool:
-    """Stop the successor from receiving, so that no VM gets a new permit from the replicas."""
-    report = commands.send(successor, MemberCommand.FENCE, term)
+def fence(commands: MemberCommands, replica: MemberEntry, term: int) -> StatusReport | None:
+    """Stop a replica from receiving; return its report, whose mark is final, or None if it fails.
+
+    A replica that an earlier order has promoted refuses the fence, and needs none.
+    """
+    report = commands.send(replica, MemberCommand.FENCE, term)
     if report is None:
-        # A successor that an earlier order has promoted refuses the fence, and needs none.
-        report = commands.send(successor)
-        fenced = report is not None and report.is_primary
-    else:
-        fenced = report.is_primary or report.fenced_term >= term
-    log_event(
-        "successor_fenced", service=successor.service, member=successor.id, term=term, done=fenced
-    )
-    return fenced
+        report = commands.send(replica)
+    fenced = report is not None and (report.is_primary or report.fenced_term >= term)
+    log_event("replica_fenced", service=replica.service, member=replica.id, term=term, done=fenced)
+    return report if fenced else None
--- a/packages/entry/bramleyrill_entry/_member_commands.py
+++ b/packages/entry/bramleyrill_entry/_member_commands.py
@@ -33,6 +33,7 @@
     STATUS = 1
     FENCE = 2
     DEMOTE = 3
+    RESUME = 4
 
 
 def command_text(command: MemberCommand, term: int = 0) -> str:
@@ -41,6 +42,8 @@
         return lines.fence_text(term)
     if command is MemberCommand.DEMOTE:
         return lines.demote_text(term)
+    if command is MemberCommand.RESUME:
+        return lines.RESUME_TEXT
     return lines.STATUS_TEXT
 
 
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -121,6 +121,9 @@
             return self._continue_transaction(peer, request)
         if request.fence:
             self._wait_while_paused(request.max_wait)
+            if self._state.is_being_replaced(self.member.id):
+                # A commit would not be confirmed, and a transaction would end with the change.
+                return RunResult(problem=RunProblem.NOT_PRIMARY)
         if request.opens is Opens.NOTHING:
             return self._run_single(request)
         return self._open_transaction(peer, request)
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -54,7 +54,8 @@
     otherwise it learns of changes from its peers. `history` is the era of the store that it knows.
     `team_metrics` counts the work of teams at the members that this VM is the holder of.
     `leaderless_until_by_service` has the services whose primary does not answer and whose
-    successor is not known to be safe yet.
+    successor is not known to be safe yet. `replaced_until_by_member` has the primaries whose
+    successor is being chosen.
     """
 
     settings: EntrySettings
@@ -75,6 +76,7 @@
     watches_store: bool = True
     team_metrics: TeamMetrics = field(factory=TeamMetrics)
     leaderless_until_by_service: dict[str, timedelta] = field(factory=dict)
+    replaced_until_by_member: dict[str, timedelta] = field(factory=dict)
     _weights: TeamWeights = field(
         init=False,
         default=Factory(lambda state: TeamWeights(lambda: state.catalog.teams), takes_self=True),
@@ -140,17 +142,30 @@
 
     def is_leaderless(self, service: str) -> bool:
         """Return whether waiting for a service's primary is of no use now."""
-        until = self.leaderless_until_by_service.get(service)
-        if until is None:
+        return self._holds_until(self.leaderless_until_by_service, service)
+
+    def record_replacement(self, member: str, duration: timedelta) -> None:
+        """Record that the successor of a primary is being chosen, and will be for a while."""
+        self.replaced_until_by_member[member] = self.now() + duration
+
+    def is_being_replaced(self, member: str) -> bool:
+        """Return whether new work at a primary would be lost, or end with it."""
+        return self._holds_until(self.replaced_until_by_member, member)
+
+    def _holds_until(self, end_by_name: dict[str, timedelta], name: str) -> bool:
+        """Return whether the end recorded for a name is still to come; forget it if not."""
+        end = end_by_name.get(name)
+        if end is None:
             return False
-        if self.now() < until:
+        if self.now() < end:
             return True
-        del self.leaderless_until_by_service[service]
+        del end_by_name[name]
         return False
 
     def record_appointment(self, service: str, member: str, source: str) -> None:
         """Record that `member` was appointed primary."""
         self.leaderless_until_by_service.pop(service, None)
+        self.replaced_until_by_member.pop(member, None)
         current = self.members.primaries.get(service)
         if current is not None and current.member == member:
             return
--- a/packages/entry/bramleyrill_entry/_successor_search.py
+++ b/packages/entry/bramleyrill_entry/_successor_search.py
@@ -1,14 +1,17 @@
 """Ask the replicas of a service for their marks, and choose the next primary among them."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import gevent
 from bramleyrill_core import Mark
 from bramleyrill_core.catalog import MemberEntry, MemberRow
 from bramleyrill_core.leadership import Candidate, Poll, choose_successor, uncovered_losses
+from bramleyrill_core.permits import StatusReport
 
 from bramleyrill_entry._duty_leases import SupervisedService
-from bramleyrill_entry._member_commands import MemberCommands
+from bramleyrill_entry._fence import fence
+from bramleyrill_entry._member_commands import MemberCommand, MemberCommands
 from bramleyrill_entry._state import EntryState
 
 # A planned change waits this long for a replica to have all entries.
@@ -29,12 +32,45 @@
         Where the service has synchronous replicas, those that drain are asked too: they receive and
         acknowledge commits until they end.
         """
+        return self._poll(supervised, primary, self._commands.send)
+
+    def fence(self, supervised: SupervisedService, primary: MemberEntry | None, term: int) -> Poll:
+        """Stop all replicas from receiving, and return the marks that they have then.
+
+        A primary that is back, or that only this VM does not reach, can acknowledge nothing more
+        if the poll is complete.
+        """
+        return self._poll(supervised, primary, lambda replica: fence(self._commands, replica, term))
+
+    def resume(self, service: str, primary: MemberEntry | None, chosen: str) -> None:
+        """Let the replicas that `fence` stopped receive again, now that another member leads.
+
+        A promotion does that, but a member that led already is not promoted.
+        """
+        for row in self._replicas(service, primary):
+            if row.entry.id != chosen:
+                gevent.spawn(self._commands.send, row.entry, MemberCommand.RESUME)
+
+    def has_fenced_replica(self, service: str, primary: MemberEntry) -> bool:
+        """Return whether a replica of the primary still receives nothing, by its own report."""
+        rows = self._replicas(service, primary)
+        queries = [gevent.spawn(self._commands.send, row.entry) for row in rows]
+        gevent.joinall(queries)
+        reports = [query.value for query in queries if query.value is not None]
+        return any(report.fenced_term and not report.is_primary for report in reports)
+
+    def _poll(
+        self,
+        supervised: SupervisedService,
+        primary: MemberEntry | None,
+        ask: Callable[[MemberEntry], StatusReport | None],
+    ) -> Poll:
         service = supervised.service
         sync_replicas = self.sync_replicas_of(service)
         rows = self._replicas(service, primary)
         if not sync_replicas:
             rows = [row for row in rows if row.accepts_work]
-        queries = [gevent.spawn(self._commands.send, row.entry) for row in rows]
+        queries = [gevent.spawn(ask, row.entry) for row in rows]
         gevent.joinall(queries)
         candidates, unheard = [], []
         for row, query in zip(rows, queries, strict=True):
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -7,6 +7,7 @@
 from bramleyrill_core import MemberRole, rendezvous_order
 from bramleyrill_core.catalog import MemberEntry, MemberRow
 from bramleyrill_core.leadership import (
+    NO_MEMBER,
     DutyView,
     Evidence,
     Poll,
@@ -38,6 +39,7 @@
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_entry._state import EntryState
 from bramleyrill_entry._successor_search import POLL_INTERVAL, SuccessorSearch
+from bramleyrill_entry._unfinished_change import UnfinishedChanges
 from bramleyrill_entry._upstream import (
     RefusedByMemberError,
     UpstreamConnection,
@@ -67,6 +69,8 @@
 # little longer, so that they refuse work for the primary at once instead of letting it wait.
 LEADERLESS_INTERVAL = timedelta(seconds=1)
 LEADERLESS_TIME = timedelta(seconds=1.5)
+# How long a primary that is being replaced gets no new work. An order takes less.
+REPLACEMENT_TIME = timedelta(seconds=4)
 
 
 class Supervisor:
@@ -93,6 +97,7 @@
         self._permits = permits or PermitKeeper(state, store)
         self._commands = MemberCommands(net)
         self._search = SuccessorSearch(state, self._commands)
+        self._unfinished = UnfinishedChanges(state, self.leases, self._search)
         self._services: dict[str, SupervisedService] = {}
 
     def tick(self) -> None:
@@ -146,6 +151,8 @@
         if assess_primary(Evidence(silent_for - index * SUPERVISOR_DELAY)) is Verdict.FINE:
             if index == 0 and self._permits.needed:
                 self._confirmation.confirm(supervised, row.entry)
+            if self._unfinished.is_left(supervised, row.entry, index):
+                self._replace_primary(supervised, row.entry)
             return
         silent_for, refused = self._collect_proofs(supervised, row.entry)
         evidence = Evidence(silent_for - index * SUPERVISOR_DELAY, checked=True, refused=refused)
@@ -259,6 +266,10 @@
         if primary is not None and self._replace_if_alive(supervised, primary):
             return
         poll = self._search.poll(supervised, primary)
+        if poll.sync_replicas and poll.candidates and poll.is_complete:
+            poll = self._fence_replicas(supervised, primary)
+            if poll is None:
+                return
         chosen = self._choose(supervised, primary, poll)
         if chosen is not None:
             self._appoint(supervised, chosen, primary)
@@ -282,6 +293,34 @@
         self._appoint_caught_up(supervised, primary, report)
         return True
 
+    def _fence_replicas(
+        self, supervised: SupervisedService, primary: MemberEntry | None
+    ) -> Poll | None:
+        """Make sure that the primary can acknowledge no more commits, and poll the final marks.
+
+        A primary that crashed is back with its log and leads until its successor does; what it
+        acknowledges after the choice would be lost. Only the holder of the duty fences, and its
+        record shows that a change began, so that another VM finishes it if this one fails. Return
+        None if another VM holds the duty.
+        """
+        pending = pending_member(supervised.duty, primary.id if primary else "")
+        if self.leases.acquire(supervised, pending or NO_MEMBER) is None:
+            return None
+        if primary is not None:
+            self._announce_replacement(primary)
+        return self._search.fence(supervised, primary, self._next_term(supervised))
+
+    def _announce_replacement(self, primary: MemberEntry) -> None:
+        """Tell all VMs to wait with new work, as a primary that is back cannot commit it."""
+        self._state.record_replacement(primary.id, REPLACEMENT_TIME)
+        self._net.broadcast(
+            frames.Appointed(
+                service_name=primary.service,
+                member=primary.id,
+                replacing_ms=REPLACEMENT_TIME // timedelta(milliseconds=1),
+            )
+        )
+
     def _choose(
         self, supervised: SupervisedService, primary: MemberEntry | None, poll: Poll
     ) -> str | None:
@@ -346,12 +385,15 @@
         record = self.leases.acquire(supervised, chosen)
         if record is None:
             return False
+        synchronous = self._search.sync_replicas_of(supervised.service) > 0
         if not demoted and not self._end_permits(supervised, chosen, primary):
             return False
         for _ in range(MAX_APPOINT_ATTEMPTS):
             if not self.leases.holds(supervised):
                 log_event("duty_lease_ended", service=supervised.service, member=chosen)
                 return False
+            if synchronous and primary is not None and primary.id != chosen:
+                self._announce_replacement(primary)
             result = self._duties.appoint(
                 supervised.service, chosen, record.holder, record.fencing_token
             )
@@ -365,6 +407,8 @@
             )
             if result is AppointResult.DONE:
                 self._announce_appointment(supervised.service, chosen)
+                if synchronous and self.leases.holds(supervised):
+                    self._search.resume(supervised.service, primary, chosen)
                 return True
             if result is AppointResult.REFUSED:
                 return False
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -80,7 +80,8 @@
         self._server.start()
 
     def start(self) -> None:
-        """Listen again on the same address after `stop`; the log is kept."""
+        """Listen again on the same address after `stop`; the log is kept, a fence is not."""
+        self.fenced_term = 0
         self._server = StreamServer(self.address, self._serve)
         self._server.start()
 
@@ -139,7 +140,8 @@
     """A primary and its replicas; `history` has all commits, also those that were rolled back.
 
     With `split`, a primary that is replaced goes on in its old term until it is demoted, as if it
-    were cut off from its successor. Example: `group = LineGroup("pieces", ["m1", "m2"])`, then
+    were cut off from its successor. With `sync_replicas`, a commit is acknowledged once that many
+    replicas have received it. Example: `group = LineGroup("pieces", ["m1", "m2"])`, then
     `group.promote("m2")`.
     """
 
@@ -153,6 +155,7 @@
         self.primary: LineMember | None = next(iter(self.members_by_name.values()))
         self.changed = Event()
         self.split = False
+        self.sync_replicas = 0
 
     def promote(self, name: str) -> None:
         """Make a member the primary of the next term; the others drop entries that it lacks."""
@@ -166,10 +169,10 @@
             self.primary.deposed_term = self.term
         self.term += 1
         self.primary = member
-        member.fenced_term = 0
         for other in self.members_by_name.values():
             if not other.deposed_term:
                 other.log = list(member.log)
+                other.fenced_term = 0
 
     def demote(self, member: LineMember) -> None:
         """Make a member a replica; without another primary the group has none then."""
@@ -178,10 +181,11 @@
         elif member.deposed_term:
             member.follow()
 
-    def commit(self, data: dict[str, str], member: LineMember | None = None) -> None:
+    def commit(self, data: dict[str, str], member: LineMember | None = None) -> bool:
         """Append an entry to the primary's log, and to each replica's after its lag.
 
-        The entries of a deposed primary, given as `member`, stay with it.
+        The entries of a deposed primary, given as `member`, stay with it. Return whether the commit
+        may be acknowledged.
         """
         member = member or self.primary
         entry = Entry(member.term, data)
@@ -189,12 +193,22 @@
         member.log.append(entry)
         if member is not self.primary:
             entry.rolled_back = entry.deposed = True
-            return
+            return True
         length = len(self.primary.log)
         for replica in self.members_by_name.values():
             if replica is not self.primary and not replica.deposed_term:
                 lag_s = replica.lag.total_seconds()
                 gevent.spawn_later(lag_s, self._replicate, member, replica, length)
+        return not self.sync_replicas or self._wait_for_replicas(member, length)
+
+    def _wait_for_replicas(self, source: LineMember, length: int) -> bool:
+        """Wait until enough replicas have an entry; return False if its member lost the lead."""
+        while self.primary is source and source.running:
+            replicas = [other for other in self.members_by_name.values() if other is not source]
+            if sum(len(replica.log) >= length for replica in replicas) >= self.sync_replicas:
+                return True
+            gevent.sleep(0.001)
+        return False
 
     def _replicate(self, source: LineMember, replica: LineMember, length: int) -> None:
         """Extend a replica's log to the first `length` entries of the source's.
@@ -287,7 +301,7 @@
             self.member.group.runs.append(run)
             with self.member.slots or contextlib.nullcontext():
                 gevent.sleep(self.member.statement_time.total_seconds())
-        elif words[0] in ("STATUS", "PAUSE", "DEMOTE") and self._is_busy():
+        elif words[0] in ("STATUS", "PAUSE", "RESUME", "DEMOTE") and self._is_busy():
             return ["ERROR BUSY no slot is free"]
         lines = handler(words[1:])
         if self.member.lose_answers and statement_id != "-":
@@ -309,14 +323,14 @@
         self.pending.clear()
         return ["COMPLETE -"]
 
-    def _commit(self, _words: list[str]) -> list[str]:
+    def _commit(self, _words: list[str]) -> list[str] | None:
         self.state = "I"
         if self.pending and (not self.member.is_primary or self.term != self.member.term):
             self.pending.clear()
             return ["ERROR READONLY replaced"]
-        if self.pending:
-            self.member.group.commit(dict(self.pending), self.member)
-        self.pending.clear()
+        data, self.pending = self.pending, {}
+        if data and not self.member.group.commit(data, self.member):
+            return None
         return [f"COMPLETE s{next(_signatures)}"]
 
     def _read(self, words: list[str]) -> list[str]:
@@ -330,7 +344,7 @@
                 return [f"ROW {entry.data[words[0]]}", f"COMPLETE s{next(_signatures)}"]
         return [f"COMPLETE s{next(_signatures)}"]
 
-    def _write(self, words: list[str]) -> list[str]:
+    def _write(self, words: list[str]) -> list[str] | None:
         if not self.member.is_primary or self._primary_changed():
             self.state = "E" if self.state == "T" else "I"
             return ["ERROR READONLY replica"]
@@ -338,8 +352,8 @@
             return self._fail()
         if self.state == "T":
             self.pending[words[0]] = " ".join(words[1:])
-        else:
-            self.member.group.commit({words[0]: " ".join(words[1:])}, self.member)
+        elif not self.member.group.commit({words[0]: " ".join(words[1:])}, self.member):
+            return None
         return [f"COMPLETE s{next(_signatures)}"]
 
     def _primary_changed(self) -> bool:
@@ -350,7 +364,7 @@
         self.state = "E" if self.state == "T" else "I"
         return ["ERROR FAILED disk"]
 
-    def _execute(self, words: list[str]) -> list[str]:
+    def _execute(self, words: list[str]) -> list[str] | None:
         if words[0] not in self.prepared:
             return ["ERROR NOSTMT unknown"]
         kind, _ = self.prepared[words[0]]
@@ -381,6 +395,10 @@
         self.member.fenced_term = int(words[0])
         return self._status([])
 
+    def _resume(self, _words: list[str]) -> list[str]:
+        self.member.fenced_term = 0
+        return self._status([])
+
     def _demote(self, words: list[str]) -> list[str]:
         if int(words[0]) > self.member.term:
             self.member.group.demote(self.member)
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -97,8 +97,13 @@
 }
 
 // Announces that a member was made primary. With `leaderless_ms` the member is the last primary that
-// is known, it does not answer, and for that time no successor can be appointed safely.
-struct Appointed { 1: string service_name, 2: string member, 3: optional i32 leaderless_ms }
+// is known, it does not answer, and for that time no successor can be appointed safely. With
+// `replacing_ms` it is the last primary too, and its successor is being chosen: for that time it gets
+// no new work, also if it answers again.
+struct Appointed {
+  1: string service_name, 2: string member, 3: optional i32 leaderless_ms,
+  4: optional i32 replacing_ms
+}
 
 // A VM's use of the limits of a group of teams, to the group's hub. `stamp_us` is the time of the
 // sender, which the hub returns, and `grant_number` that of the last grant that arrived.
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -333,8 +333,14 @@
         1: (TType.STRING, "service_name", False),
         2: (TType.STRING, "member", False),
         3: (TType.I32, "leaderless_ms", False),
+        4: (TType.I32, "replacing_ms", False),
     }
-    default_spec = [("service_name", None), ("member", None), ("leaderless_ms", None)]
+    default_spec = [
+        ("service_name", None),
+        ("member", None),
+        ("leaderless_ms", None),
+        ("replacing_ms", None),
+    ]
 
 
 class QuotaReport(TPayload):
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -9,7 +9,7 @@
 from attrs import evolve
 from bramleyrill_base import ManualClock
 from bramleyrill_core import Mark
-from bramleyrill_core.catalog import MemberState
+from bramleyrill_core.catalog import MemberState, ServiceEntry
 from bramleyrill_core.history import StoreHistory, StoreRevision
 from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
 from bramleyrill_core.permits import LONGEST_PERMIT
@@ -202,12 +202,13 @@
         return sum(waits)
 
     @contextlib.contextmanager
-    def counted_waits(self):
-        """Record each wait of a fence, and advance the clock instead."""
+    def counted_waits(self, meanwhile=lambda: None):
+        """Record each wait of a fence, and run `meanwhile` and advance the clock instead."""
         waits = []
 
         def advance(seconds):
             waits.append(seconds)
+            meanwhile()
             self.state.clock.advance(timedelta(seconds=seconds))
 
         with mock.patch.object(_fence, "gevent", mock.Mock(wraps=gevent, sleep=advance)):
@@ -216,13 +217,13 @@
     def appointed(self):
         return [appointment[1] for appointment in self.platform.appointments]
 
-    def replace_by_force(self, **changes):
+    def replace_by_force(self, meanwhile=lambda: None):
         """Let the supervisor replace a primary that answers neither it nor the other VMs."""
         primary = member_entry(self.group, "m1")
         with (
             mock.patch.object(_fence, "demote", return_value=None),
             mock.patch.object(_fence, "refuses_connections", return_value=False),
-            self.counted_waits() as waits,
+            self.counted_waits(meanwhile) as waits,
         ):
             self.supervisor._replace_primary(self.supervised, primary)
         return sum(waits)
@@ -241,6 +242,22 @@
         self.assertIs(self.run_at("m1", "WRITE b 2").problem, RunProblem.NO_PERMIT)
         self.assertEqual(self.group.runs_of("q1"), [])
 
+    def test_commit_under_a_permit_that_has_not_expired_is_not_acknowledged(self):
+        """With synchronous replicas the one that was not chosen confirmed it, and it was lost."""
+        self.group.sync_replicas = 1
+        self.state.catalog = evolve(
+            self.state.catalog, services_by_name={SERVICE: ServiceEntry(SERVICE, 16, 1)}
+        )
+        commits = []
+
+        def commit():
+            commits.append(gevent.spawn(self.group.commit, {"a": "1"}))
+            gevent.sleep(0.02)
+
+        self.replace_by_force(commit)
+        self.assertEqual(len(self.appointed()), 1)
+        self.assertIs(commits[0].get(timeout=5), False)
+
     def test_primary_under_another_id_is_demoted_too(self):
         """The supervisor took a dead id for the primary, and VMs went on at the real one."""
         entry = member_entry(self.group, "m1")
--- a/tests/entry/test_synchronous_replicas.py
+++ b/tests/entry/test_synchronous_replicas.py
@@ -21,6 +21,7 @@
 from bramleyrill_core.catalog._tables import LAPSE_GRACE
 from bramleyrill_core.freshness import ProofHistory
 from bramleyrill_core.leadership import (
+    DUTY_LEASE,
     KIND_DUTIES,
     Candidate,
     DutyRecord,
@@ -30,6 +31,7 @@
 )
 from bramleyrill_entry._member_commands import MemberCommand, MemberCommands
 from bramleyrill_entry._run_request import Opens, RunProblem
+from bramleyrill_entry._state import EntryState
 from bramleyrill_platform import decode_catalog
 from bramleyrill_standins.prepared import LineGroup
 from gevent.lock import Semaphore
@@ -266,6 +268,16 @@
         self.assertLess(self.state.now() - started, 4 * SECOND)
 
 
+def _send_without(refused):
+    """Return a `send` of MemberCommands that gets no answer to one command."""
+    send = MemberCommands.send
+
+    def send_others(commands, member, command=MemberCommand.STATUS, term=0):
+        return None if command is refused else send(commands, member, command, term)
+
+    return send_others
+
+
 class ChangeTest(SupervisorTest):
     """The replica m2 has the acknowledged commit, m3 has received nothing."""
 
@@ -387,6 +399,122 @@
         self.assertIs(outcomes[0].problem, RunProblem.NOT_PRIMARY)
         self.assertEqual([entry for entry in self.group.history if entry.rolled_back], [])
 
+    def change_during(self, action, change):
+        """Run `change`, and `action` after its choice, 50 ms before the promotion."""
+
+        def appoint_later(*args):
+            action()
+            gevent.sleep(0.05)
+            return appoint(*args)
+
+        appoint = self.supervisor._duties.appoint
+        with mock.patch.object(self.supervisor._duties, "appoint", appoint_later):
+            change()
+
+    def start_write(self):
+        self.writing = gevent.spawn(self.write, "m1", "WRITE b 2")
+
+    def restart_primary_and_write(self):
+        # Connections to the process that ended would lose the write.
+        self.schedulers.close()
+        self.group.members_by_name["m1"].start()
+        self.start_write()
+
+    def equal_replicas(self):
+        """Give m3 all commits; later ones reach m2 only, and m3 would be the choice."""
+        self.group.members_by_name["m3"].log[:] = self.group.members_by_name["m1"].log
+        self.group.sync_replicas = 1
+
+    def unheard_announcement(self):
+        """Make this VM one that does not hear that the primary is being replaced."""
+        patch = mock.patch.object(EntryState, "record_replacement")
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_primary_that_is_back_before_its_successor_leads_acknowledges_nothing(self):
+        """The replica that was not chosen confirmed its commits, which were then rolled back."""
+        self.equal_replicas()
+        self.unheard_announcement()
+        self.change_during(self.restart_primary_and_write, self.fail_primary)
+        outcome = self.writing.get(timeout=5)
+        self.assertEqual(self.primary_name(), "m3")
+        self.assertIs(outcome.problem, RunProblem.LOST)
+
+    def test_primary_that_others_still_reach_acknowledges_nothing_after_the_choice(self):
+        """A primary that is silent to the supervisor alone went on with the other replica."""
+        self.equal_replicas()
+        self.unheard_announcement()
+        with mock.patch.object(MemberCommands, "send", _send_without(MemberCommand.DEMOTE)):
+            self.change_during(self.start_write, self.replace)
+        self.assertIs(self.writing.get(timeout=5).problem, RunProblem.LOST)
+
+    def test_primary_that_is_being_replaced_gets_no_new_work(self):
+        """Its commits would end with the change, and the callers not know their outcome."""
+        self.equal_replicas()
+        self.change_during(self.restart_primary_and_write, self.fail_primary)
+        self.assertIs(self.writing.get(timeout=5).problem, RunProblem.NOT_PRIMARY)
+        frame = self.supervisor._net.sent[0]
+        self.assertEqual((frame.member, frame.replacing_ms), ("m1", 4000))
+
+    def test_primary_that_leads_again_gets_work_at_once(self):
+        """A change that no replica can take over ends with the old primary."""
+        self.state.record_replacement("m1", 5 * SECOND)
+        self.state.record_appointment(SERVICE, "m1", "order")
+        self.assertTrue(self.write("m1", "WRITE b 2").answer.succeeded)
+
+    def test_replicas_receive_again_after_the_change(self):
+        """Replicas that stayed fenced would leave the new primary without anyone to confirm."""
+        self.equal_replicas()
+        self.fail_primary()
+        gevent.sleep(0.05)
+        fences = {name: item.fenced_term for name, item in self.group.members_by_name.items()}
+        self.assertEqual(fences, {"m1": 0, "m2": 0, "m3": 0})
+        self.assertTrue(self.write("m3", "WRITE c 3").answer.succeeded)
+
+    def test_no_replica_is_fenced_without_the_duty(self):
+        """Two VMs that fence and resume by turns would undo each other's choice."""
+        self.platform.put(KIND_DUTIES, SERVICE, DutyRecord("vm9", 4, "m1").to_value())
+        self.fail_primary()
+        self.assertEqual(self.group.members_by_name["m2"].fenced_term, 0)
+
+    def test_replica_lost_between_poll_and_fence_is_waited_for(self):
+        """It may have confirmed commits of a primary that came back between the two."""
+        self.group.members_by_name["m2"].refused_control = "PAUSE"
+        self.fail_primary()
+        self.assertEqual(self.appointed(), [])
+
+    def leave_unfinished(self, holder, token=1):
+        """Leave the replicas fenced, as by a VM that ended before its order; m1 leads."""
+        for name in ("m2", "m3"):
+            self.group.members_by_name[name].fenced_term = 2
+        self.platform.put(KIND_DUTIES, SERVICE, DutyRecord(holder, token, "").to_value())
+        self.supervised.index, self.supervised.index_valid_until = 0, timedelta.max
+        self.state.record_proof(SERVICE, "m1", 1, Mark(1, 1), self.state.now())
+
+    def test_change_that_another_vm_began_is_finished(self):
+        """The primary answered, but could not commit until somebody ended the fences."""
+        self.leave_unfinished("vm9")
+        self.supervise()
+        self.assertEqual(self.appointed(), [])
+        self.supervised.duty.seen_at -= DUTY_LEASE
+        self.supervise()
+        gevent.sleep(0.05)
+        self.assertEqual(len(self.appointed()), 1)
+        self.assertEqual({item.fenced_term for item in self.group.members_by_name.values()}, {0})
+
+    def test_own_change_that_failed_is_finished_at_once(self):
+        self.leave_unfinished("vm1")
+        self.supervise()
+        self.assertEqual(len(self.appointed()), 1)
+
+    def test_record_of_a_member_that_is_gone_starts_no_change(self):
+        """A primary that returned under another id is not the one that was appointed last."""
+        self.leave_unfinished("vm1")
+        for name in ("m2", "m3"):
+            self.group.members_by_name[name].fenced_term = 0
+        self.supervise()
+        self.assertEqual(self.appointed(), [])
+
     def test_primary_is_not_demoted_without_the_duty(self):
         """Nobody would lead until the holder of the duty acts."""
         self.platform.put(KIND_DUTIES, SERVICE, DutyRecord("vm9", 4, "m1").to_value())
