Store the era in a duty's record, so that its lease holds at high revisions

Callers wait for a primary that is ordered by turns.

Cause: a token is era * 2**32 + revision, and the era of a record was read off its token. From 2**32 on the revision spills over, the record seems to be of another era, and the lease binds nobody. Ruled out: concurrent writes of the record (each has a revision of its own) and the time of the lease (it holds with revisions from 100 on).

Change: the record holds its era; tokens are computed as before. A record without one is read as before.

Related path: permits read the same record, so no VM used the primary that it named unless the replicas carried the permit.

--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -4,16 +4,17 @@
 others once its record has not changed for the length of the lease.
 
 A restored store has lost records: their tokens would be given out again, and their leases would
-look free. So a token holds the era of the store above the revision that its record replaced, which
-the store gives out once an era; and only a record that was written in the present era tells who
-holds the duty. Without one the duty is free once the era has lasted for the length of a lease, as
-every lease of an earlier era has run out by then.
+look free. So a token adds the era of the store, times 2**32, to the revision that its record
+replaced, which the store gives out once an era: tokens rise also across a restore, unless it takes
+2**32 revisions away. And only a record that was written in the present era tells who holds the
+duty. Without one the duty is free once the era has lasted for the length of a lease, as every lease
+of an earlier era has run out by then.
 """
 
 from datetime import timedelta
 from typing import Any
 
-from attrs import define, evolve, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from bramleyrill_core.history import NO_ERA, StoreRevision
 
@@ -22,8 +23,8 @@
 # The platform does not document its lease. This is longer than the platform takes to execute an
 # order in sequence, and short compared with the outage that a failed supervisor may cause.
 DUTY_LEASE = timedelta(seconds=6)
-# Bits of a fencing token that hold the revision; the era is above them.
-TOKEN_REVISION_BITS = 32
+# What one era adds to a fencing token.
+TOKENS_PER_ERA = 2**32
 # Beyond this a number is not exact in JSON.
 MAX_TOKEN = 2**53
 # Holder of a record that confirms the primary and leaves the duty free for all.
@@ -38,21 +39,26 @@
 
     `member` is the member that the last order appoints, and `fencing_token` that order's token. A
     record with NO_HOLDER belongs to no order: it confirms that `member` is the primary. One with
-    NO_MEMBER is written before the replicas are fenced, to choose among them.
+    NO_MEMBER is written before the replicas are fenced, to choose among them. `era` is the era of
+    the store in which the record was made. Builds that do not write it read it off the token, which
+    tells it only while revisions are below 2**32.
     """
 
     holder: str
     fencing_token: int
     member: str
-
-    @property
-    def era(self) -> int:
-        """Return the era of the store in which the record was made."""
-        return self.fencing_token >> TOKEN_REVISION_BITS
+    era: int = field(
+        default=Factory(lambda self: self.fencing_token // TOKENS_PER_ERA, takes_self=True)
+    )
 
     def to_value(self) -> dict[str, Any]:
         """Return the record in the form in which it is stored."""
-        return {"holder": self.holder, "token": self.fencing_token, "member": self.member}
+        return {
+            "holder": self.holder,
+            "token": self.fencing_token,
+            "member": self.member,
+            "era": self.era,
+        }
 
     @classmethod
     def from_value(cls, value: Any) -> "DutyRecord | None":
@@ -64,7 +70,10 @@
             return None
         if not 0 <= token <= MAX_TOKEN:
             return None
-        return cls(holder, token, member)
+        if "era" not in value:
+            return cls(holder, token, member)
+        era = value["era"]
+        return cls(holder, token, member, era) if type(era) is int and era >= NO_ERA else None
 
 
 @define
@@ -127,7 +136,7 @@
 
 def renewed_record(record: DutyRecord, revision: StoreRevision) -> DutyRecord:
     """Return the record to write to hold the duty for another lease with the same order."""
-    return evolve(record, fencing_token=_next_token(record, revision))
+    return evolve(record, fencing_token=_next_token(record, revision), era=revision.era)
 
 
 def next_record(
@@ -145,7 +154,7 @@
         and (record.holder, record.member) == (vm, member)
     ):
         return record
-    return DutyRecord(vm, _next_token(record, revision), member)
+    return DutyRecord(vm, _next_token(record, revision), member, revision.era)
 
 
 def _next_token(record: DutyRecord | None, revision: StoreRevision) -> int:
@@ -153,5 +162,5 @@
 
     The token of the record counts too, since a build without eras counts up from it.
     """
-    token = (revision.era << TOKEN_REVISION_BITS) + revision.number + 1
+    token = revision.era * TOKENS_PER_ERA + revision.number + 1
     return token if record is None else max(token, record.fencing_token + 1)
--- a/tests/entry/test_leadership.py
+++ b/tests/entry/test_leadership.py
@@ -21,6 +21,7 @@
     explore,
     next_record,
     pending_member,
+    renewed_record,
 )
 
 MS = timedelta(milliseconds=1)
@@ -81,6 +82,44 @@
             self.assertIsNone(DutyRecord.from_value(value))
 
 
+class HighRevisionTest(unittest.TestCase):
+    """The era of a record was read off its token, where a revision of 2**32 or more spills over."""
+
+    HIGH = 5_000_000_000
+
+    def written(self, era=0, record=None, holder="vm2"):
+        """Return the next record at a high revision, as it is read back."""
+        written = next_record(record, holder, "m1", StoreRevision(era, self.HIGH))
+        return DutyRecord.from_value(written.to_value())
+
+    def test_duty_is_a_lease(self):
+        """Every VM took the duty at once, and lower tokens followed higher ones."""
+        for era in (0, 3):
+            view = DutyView()
+            view.update(self.written(era), StoreRevision(era, self.HIGH + 1), 1000 * MS)
+            self.assertEqual(pending_member(view, "m9"), "m1")
+            self.assertFalse(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE - MS, DUTY_LEASE))
+            self.assertTrue(view.may_acquire("vm1", 1000 * MS + DUTY_LEASE, DUTY_LEASE))
+
+    def test_renewed_record_is_of_the_era_that_it_was_renewed_in(self):
+        renewed = renewed_record(self.written(), StoreRevision(1, self.HIGH))
+        self.assertEqual(renewed.era, 1)
+
+    def test_token_rises_across_a_restore(self):
+        lost = self.written(era=1)
+        restored = next_record(None, "vm1", "m2", StoreRevision(2, self.HIGH - 1000))
+        self.assertGreater(restored.fencing_token, lost.fencing_token)
+
+    def test_record_of_a_build_that_writes_no_era(self):
+        value = {"holder": "vm1", "token": (2 << 32) + 7, "member": "m1"}
+        self.assertEqual(DutyRecord.from_value(value).era, 2)
+
+    def test_malformed_era_is_no_record(self):
+        for era in (None, "1", 1.0, True, -1):
+            value = {"holder": "vm1", "token": 7, "member": "m1", "era": era}
+            self.assertIsNone(DutyRecord.from_value(value))
+
+
 class RestoredDutyTest(unittest.TestCase):
     """The store was restored from a copy, and is in era 2."""
 
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -281,6 +281,15 @@
         self.replace_by_force()
         self.assertEqual(self.appointed(), [])
 
+    def test_successor_gets_permits_at_high_revisions_of_the_store(self):
+        """The record seemed to be of another era, so no VM used the primary that it names."""
+        self.platform.revision = 5_000_000_000
+        self.platform.put(KIND_DUTIES, SERVICE, DutyRecord("vm1", 4, "m1").to_value())
+        self.group.members_by_name["m1"].stop()
+        self.supervise()
+        (successor,) = self.appointed()
+        self.assertTrue(self.run_at(successor, "WRITE a 1").answer.succeeded)
+
     def test_primary_that_ended_is_replaced_without_the_wait(self):
         self.group.members_by_name["m1"].stop()
         self.assertEqual(self.supervise(), 0)
