Ask again after each wait whether a member takes new work

Cause: the holder asked when a request arrived whether the member takes new work, and not after the waits that followed: for the end of the planned change's pause, for a transaction slot, for a statement slot. Each of these could take the request's whole limit. Evidence: the late statements were sent 0.7 to 3.8 s after the member began to drain, and only its holder had connections to it. Ruled out: a holder that learned of it late.

Change: the scheduler asks again when it has a connection for new work, and refuses what waits for a slot as soon as the member takes none, so that the VM tries the successor at once. Open transactions go on. The waits of a request share one deadline.

--- a/packages/entry/bramleyrill_entry/_run_request.py
+++ b/packages/entry/bramleyrill_entry/_run_request.py
@@ -26,10 +26,10 @@
     OVERLOADED: the holder's queue is too long. NOT_PRIMARY: the member is not the primary.
     NO_PROOF: no recent enough log position of the primary is known. UNREACHABLE: the member or
     its holder cannot be reached. NO_EXCHANGE: the transaction is no longer open at the holder.
-    STOPPING: the holder is shutting down. LOST: the connection closed or was silent before the
-    answer. TIMED_OUT: the statement took too long. NO_PERMIT: the holder cannot be certain that the
-    member still leads. NO_PRIMARY: the primary failed, and no member is known to have all of its
-    acknowledged commits.
+    STOPPING: the holder is shutting down, or the member leaves. LOST: the connection closed or was
+    silent before the answer. TIMED_OUT: the statement took too long. NO_PERMIT: the holder cannot
+    be certain that the member still leads. NO_PRIMARY: the primary failed, and no member is known
+    to have all of its acknowledged commits.
     """
 
     OVERLOADED = 1
--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 from bramleyrill_base import ErrorKind, Problem, log_event
@@ -42,6 +43,8 @@
 COMMAND_SLOTS = EXTRA_IN_FLIGHT + 1
 EXPECTED_STATEMENT_TIME = timedelta(milliseconds=15)
 EXPECTED_TRANSACTION_TIME = timedelta(milliseconds=300)
+# How often a request that waits for the end of a pause looks whether the member still takes work.
+PAUSE_CHECK_INTERVAL = timedelta(milliseconds=100)
 # Attempts to get a connection on which the statement can be sent.
 MAX_CONNECTION_ATTEMPTS = 3
 # Part of the time until a statement would be late that it waits for a connection of its team which
@@ -54,13 +57,21 @@
     """Run statements at one member for the callers of all VMs.
 
     `paused_until` is the end of a pause of new fenced work during a planned change of primary.
+    `takes_new_work` returns whether statements outside of open transactions may be sent to the
+    member; it is asked again after each wait, as the member may leave meanwhile.
     """
 
     def __init__(
-        self, state: EntryState, member: MemberEntry, connections: int, permits: PermitKeeper
+        self,
+        state: EntryState,
+        member: MemberEntry,
+        connections: int,
+        permits: PermitKeeper,
+        takes_new_work: Callable[[], bool] = lambda: True,
     ) -> None:
         self.member = member
         self._permits = permits
+        self._takes_new_work = takes_new_work
         self.pool = UpstreamPool(member, connections, state.clock)
         self._preparation = Preparation(self.pool)
         self._state = state
@@ -119,14 +130,15 @@
     def _run(self, peer: str, request: RunRequest) -> RunResult:
         if request.transaction_id != NO_TRANSACTION and request.opens is Opens.NOTHING:
             return self._continue_transaction(peer, request)
+        deadline = self._state.now() + request.max_wait
         if request.fence:
-            self._wait_while_paused(request.max_wait)
+            self._wait_while_paused(deadline)
             if self._state.is_being_replaced(self.member.id):
                 # A commit would not be confirmed, and a transaction would end with the change.
                 return RunResult(problem=RunProblem.NOT_PRIMARY)
         if request.opens is Opens.NOTHING:
-            return self._run_single(request)
-        return self._open_transaction(peer, request)
+            return self._run_single(request, deadline)
+        return self._open_transaction(peer, request, deadline)
 
     def end_transaction(self, key: TransactionKey) -> None:
         """Roll back a transaction that its entry VM no longer needs, if it is still open."""
@@ -149,6 +161,8 @@
         """Refuse requests that waited too long, and roll back abandoned transactions."""
         for admission in (self._statement_admission, self._transaction_admission):
             self._deliver_outcomes(admission, admission.tick())
+        if not self._takes_new_work():
+            self._refuse_waiting(spared={item.admission_id for item in self._transactions.values()})
         waiting_by_team = self._transaction_admission.waiting_by_team()
         for key in transactions_to_end(
             self._state, self.member.id, self._transactions, waiting_by_team, self.pool
@@ -157,9 +171,7 @@
 
     def refuse_waiting(self) -> None:
         """Refuse the statements that wait for a slot; they have not run."""
-        for (admission, admission_id), waiter in list(self._waiters.items()):
-            self._deliver_outcomes(admission, admission.withdraw(admission_id))
-            waiter.set(Refused(admission_id, Problem(ErrorKind.NOT_RUN_DRAINING)))
+        self._refuse_waiting(spared=frozenset())
 
     def close(self) -> None:
         """Roll back all transactions and close all connections."""
@@ -191,6 +203,14 @@
 
     # Admission.
 
+    def _refuse_waiting(self, spared: Collection[int]) -> None:
+        """Refuse the requests that wait for a slot, but for the admission ids in `spared`."""
+        for (admission, admission_id), waiter in list(self._waiters.items()):
+            if admission_id in spared:
+                continue
+            self._deliver_outcomes(admission, admission.withdraw(admission_id))
+            waiter.set(Refused(admission_id, Problem(ErrorKind.NOT_RUN_DRAINING)))
+
     def _wait_for_admission(
         self, admission: MemberAdmission, admission_id: int, outcome: Started | Queued | Refused
     ) -> Refused | None:
@@ -207,7 +227,11 @@
         return outcome if type(outcome) is Refused else None
 
     def _submit(
-        self, admission: MemberAdmission, admission_id: int, request: RunRequest
+        self,
+        admission: MemberAdmission,
+        admission_id: int,
+        request: RunRequest,
+        deadline: timedelta,
     ) -> Refused | None:
         """Submit a request and wait until it is started or refused; return the refusal, if any."""
         now = self._state.now()
@@ -217,7 +241,7 @@
             admission_id,
             request.rank,
             now + request.on_time_left,
-            now + request.max_wait,
+            deadline,
             request.team,
             lines.item_of(request.statement) if request.team and request.fence else "",
         )
@@ -245,21 +269,21 @@
             used = self._state.now() - started_at
             self._state.team_metrics.record_slot_time(request.team, used)
 
-    def _wait_while_paused(self, max_wait: timedelta) -> None:
-        """Wait until a planned change of primary ends its pause, at most for `max_wait`."""
-        deadline = self._state.now() + max_wait
-        while self.paused_until is not None:
+    def _wait_while_paused(self, deadline: timedelta) -> None:
+        """Wait until a planned change of primary ends its pause, or the member takes no work."""
+        while self.paused_until is not None and self._takes_new_work():
             remaining = min(self.paused_until, deadline) - self._state.now()
             if remaining <= timedelta():
                 return
-            self._state.primary_changed.wait(remaining.total_seconds())
+            pause = min(remaining, PAUSE_CHECK_INTERVAL)
+            self._state.primary_changed.wait(pause.total_seconds())
 
     # Single statements.
 
-    def _run_single(self, request: RunRequest) -> RunResult:
+    def _run_single(self, request: RunRequest, deadline: timedelta) -> RunResult:
         admission_id = next(self._admission_ids)
         submitted_at = self._state.now()
-        refusal = self._submit(self._statement_admission, admission_id, request)
+        refusal = self._submit(self._statement_admission, admission_id, request, deadline)
         waited = self._record_wait(request, submitted_at, refusal)
         if refusal is not None:
             return overloaded_result(refusal, waited)
@@ -295,10 +319,15 @@
         return RunResult(problem=RunProblem.UNREACHABLE)
 
     def _lease_connection(self, request: RunRequest) -> UpstreamConnection:
+        """Return a connection for new work; raise UpstreamError if the member takes none."""
         patience = min(request.on_time_left * CONNECTION_WAIT_SHARE, MAX_CONNECTION_WAIT)
-        return self._preparation.lease(
+        connection = self._preparation.lease(
             request.values, request.statement.prepared, request.team, patience
         )
+        if not self._takes_new_work():
+            self.pool.release(connection)
+            raise UpstreamError("the member is leaving")
+        return connection
 
     def _run_on_connection(self, connection: UpstreamConnection, request: RunRequest) -> RunResult:
         """Run a statement outside a transaction.
@@ -359,12 +388,12 @@
 
     # Transactions.
 
-    def _open_transaction(self, peer: str, request: RunRequest) -> RunResult:
+    def _open_transaction(self, peer: str, request: RunRequest, deadline: timedelta) -> RunResult:
         admission_id = next(self._admission_ids)
         submitted_at = self._state.now()
-        refusal = self._submit(self._transaction_admission, admission_id, request)
+        refusal = self._submit(self._transaction_admission, admission_id, request, deadline)
         if refusal is None:
-            refusal = self._submit(self._statement_admission, admission_id, request)
+            refusal = self._submit(self._statement_admission, admission_id, request, deadline)
             if refusal is not None:
                 self._deliver_outcomes(
                     self._transaction_admission, self._transaction_admission.finish(admission_id)
--- a/packages/entry/bramleyrill_entry/_schedulers.py
+++ b/packages/entry/bramleyrill_entry/_schedulers.py
@@ -1,6 +1,7 @@
 """The member schedulers of this VM, one for each member that it runs statements at."""
 
 from datetime import timedelta
+from functools import partial
 
 from bramleyrill_base import log_event
 from bramleyrill_core.catalog import MemberRow, MemberState
@@ -64,16 +65,20 @@
 
     def scheduler_for(self, member: str) -> MemberScheduler | None:
         """Return the scheduler of a member, created if needed; None if it takes no new work."""
-        row = self._state.members.members.get(member)
-        if row is None or not self._gets_new_work(row):
+        if not self._takes_new_work(member):
             return None
+        row = self._state.members.members.get(member)
         scheduler = self.by_member.get(member)
         if scheduler is not None and _is_same_process(scheduler, row):
             return scheduler
         if scheduler is not None:
             self._close(scheduler, "restarted")
         scheduler = MemberScheduler(
-            self._state, row.entry, self._connection_limit(row), self._permits
+            self._state,
+            row.entry,
+            self._connection_limit(row),
+            self._permits,
+            partial(self._takes_new_work, member),
         )
         scheduler.pool.limit = self._connection_budget(row)
         if self._state.stopping:
@@ -199,6 +204,10 @@
         for member in set(self._draining_since) - draining:
             del self._draining_since[member]
 
+    def _takes_new_work(self, member: str) -> bool:
+        row = self._state.members.members.get(member)
+        return row is not None and self._gets_new_work(row)
+
     def _gets_new_work(self, row: MemberRow) -> bool:
         """Return whether a member gets new work; a draining primary still does for a while."""
         if row.accepts_work:
--- a/tests/entry/test_scheduler.py
+++ b/tests/entry/test_scheduler.py
@@ -7,7 +7,10 @@
 
 import gevent
 from attrs import evolve
+from bramleyrill_base import ErrorKind, ManualClock, Problem
 from bramleyrill_core import Mark
+from bramleyrill_core.admission import Refused
+from bramleyrill_core.catalog import MemberState
 from bramleyrill_core.placement import VmEntry, holder_candidates
 from bramleyrill_core.statements import AnswerCode, Prepared
 from bramleyrill_entry import _pool, _schedulers
@@ -15,7 +18,7 @@
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_standins.prepared import LineGroup
 
-from tests.entry.builders import DOMAIN, SERVICE, make_state, request, statement
+from tests.entry.builders import DOMAIN, SERVICE, make_state, member_entry, request, statement
 
 MS = timedelta(milliseconds=1)
 MAX_STALENESS = timedelta(seconds=2)
@@ -37,6 +40,91 @@
         return self.run_at(member, text, transaction_id=transaction_id, opens=opens, **changes)
 
 
+class LeavingTest(SchedulerTest):
+    """A member that leaves gets no new work, also none that was accepted before."""
+
+    def let_primary_leave(self):
+        """Let m1 drain for longer than it gets new work."""
+        self.state.members.put(member_entry(self.group, "m1", MemberState.DRAINING, revision=9))
+        since = self.state.now() - _schedulers.DRAINING_PRIMARY_GRACE
+        self.schedulers._draining_since["m1"] = since
+
+    def test_request_that_waited_for_the_end_of_a_pause_is_not_sent(self):
+        """First statements reached a draining primary 8.4 s after it had said so."""
+        self.run_at("m1", "READ a", "q0")
+        self.schedulers.scheduler_for("m1").paused_until = self.state.now() + 60 * SECOND
+        waiting = gevent.spawn(self.open_transaction, "m1", "READ a", max_wait=60 * SECOND)
+        gevent.sleep(0.01)
+        self.let_primary_leave()
+        result = waiting.get(timeout=5)
+        self.assertTrue(result.problem.not_run)
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def fill_slots(self):
+        """Keep all slots of m1 in use, and leave its transaction 5 open; return the statements."""
+        self.assertTrue(
+            self.open_transaction("m1", "READ a", 5, statement_id="q0").transaction_open
+        )
+        self.group.members_by_name["m1"].statement_time = SECOND / 2
+        running = [gevent.spawn(self.run_at, "m1", "READ a", f"r{n}") for n in range(3)]
+        gevent.sleep(0.05)
+        return running
+
+    def test_request_that_waits_for_a_slot_is_refused(self):
+        """It held its caller up until the member's transactions had ended, and was sent then."""
+        running = self.fill_slots()
+        waiting = gevent.spawn(self.open_transaction, "m1", "READ a", max_wait=60 * SECOND)
+        gevent.sleep(0.01)
+        self.let_primary_leave()
+        self.schedulers.tick()
+        self.assertIs(waiting.get(timeout=5).problem, RunProblem.STOPPING)
+        self.assertEqual(self.group.runs_of("q1"), [])
+        self.assertTrue(all(item.get(timeout=5).answer.succeeded for item in running))
+
+    def test_open_transaction_that_waits_for_a_slot_goes_on(self):
+        self.fill_slots()
+        waiting = gevent.spawn(self.run_at, "m1", "READ b", transaction_id=5, max_wait=60 * SECOND)
+        gevent.sleep(0.01)
+        self.let_primary_leave()
+        self.schedulers.tick()
+        self.assertTrue(waiting.get(timeout=5).answer.succeeded)
+
+    def test_request_that_waited_for_a_connection_is_not_sent(self):
+        """The pool may give one out seconds after the request was admitted."""
+        scheduler = self.schedulers.scheduler_for("m1")
+
+        def lease_late(*args):
+            self.let_primary_leave()
+            return lease(*args)
+
+        lease = scheduler._preparation.lease
+        with mock.patch.object(scheduler._preparation, "lease", lease_late):
+            self.assertIs(self.run_at("m1", "READ a").problem, RunProblem.UNREACHABLE)
+        self.assertEqual(self.group.runs_of("q1"), [])
+
+    def test_all_waits_of_a_request_share_its_limit(self):
+        """A pause and two queues took the limit each, so callers waited three times as long."""
+        self.state.clock = ManualClock()
+        scheduler = self.schedulers.scheduler_for("m1")
+        deadlines = []
+
+        def submit(*args):
+            deadlines.append(args[3])
+            self.state.clock.advance(SECOND)
+            return Refused(args[0], Problem(ErrorKind.NOT_RUN_OVERLOADED))
+
+        def pause(*_):
+            self.state.clock.advance(SECOND)
+
+        started = self.state.now()
+        with (
+            mock.patch.object(scheduler, "_wait_while_paused", pause),
+            mock.patch.object(scheduler._transaction_admission, "submit", submit),
+        ):
+            self.open_transaction("m1", "READ a", max_wait=3 * SECOND)
+        self.assertEqual(deadlines, [started + 3 * SECOND])
+
+
 class ProofTest(SchedulerTest):
     def test_fenced_read_does_not_run_at_a_replica(self):
         """The store may still name a replaced primary, which must not serve a stale read."""
