End a transaction whose first statement was refused as not run

Cause: a member answers BUSY to the first statement and leaves the transaction open. The router tries again with a new transaction, and nobody ended the earlier one, which kept a connection and a transaction slot for 30 s.

Change: the holder ends a transaction whose first statement did not run. After a later statement it stays open, since its caller decides.

Measured: the regression test fails on the code before, where the first refused transaction is still open, and passes now.

--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -495,7 +495,9 @@
             if committed and transaction.wrote:
                 self._record_proof(answer, sent_at)
             transaction.wrote = transaction.wrote or (answer.succeeded and request.statement.writes)
-        if answer is not None and answer.state is TransactionState.OPEN:
+        # The router opens another transaction if the first statement did not run.
+        is_refused = answer is not None and answer.not_run and request.opens is not Opens.NOTHING
+        if answer is not None and answer.state is TransactionState.OPEN and not is_refused:
             result.transaction_open = True
             self.pool.set_use(transaction.connection, Use.RESTING)
             self._deliver_outcomes(
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -49,13 +49,14 @@
     """One member: a listener, a log, and faults that tests switch on.
 
     While `silent` is set, the member answers nothing. `failing` makes reads fail and
-    `failing_writes` makes writes fail. With `lose_answers` it runs statements and closes the
-    connection instead of answering. `lag` is the replication delay, `statement_time` the time that
-    a statement takes. `deposed_term` is the term that a replaced primary still leads in its own
-    view, and `fenced_term` the term with which a replica was fenced; both are 0 otherwise.
-    `controls` records the verbs of the commands that set connections up; a
-    command whose verb is `refused_control` fails. `slots` limits the statements that run at the
-    same time if it is set: others wait, and commands are refused while none is free.
+    `failing_writes` makes writes fail; `refusing` makes it refuse statements as not run. With
+    `lose_answers` it runs statements and closes the connection instead of answering. `lag` is the
+    replication delay, `statement_time` the time that a statement takes. `deposed_term` is the term
+    that a replaced primary still leads in its own view, and `fenced_term` the term with which a
+    replica was fenced; both are 0 otherwise. `controls` records the verbs of the commands that set
+    connections up; a command whose verb is `refused_control` fails. `slots` limits the statements
+    that run at the same time if it is set: others wait, and commands are refused while none is
+    free.
     """
 
     def __init__(self, group: "LineGroup", name: str) -> None:
@@ -65,6 +66,7 @@
         self.silent = False
         self.failing = False
         self.failing_writes = False
+        self.refusing = False
         self.lose_answers = False
         self.lag = NO_DELAY
         self.statement_time = NO_DELAY
@@ -295,6 +297,8 @@
             return ["ERROR MALFORMED unknown"]
         if words[0] in ("SET", "RESET", "PREPARE"):
             self.member.controls.append(words[0])
+        if self.member.refusing and words[0] in ("READ", "WRITE", "EXECUTE"):
+            return ["ERROR BUSY no slot is free"]
         if words[0] in ("READ", "WRITE", "EXECUTE", "COMMIT"):
             _, shape = self.prepared.get(words[1], ("", "")) if words[0] == "EXECUTE" else ("", "")
             run = Run(self.member.name, statement_id, text, self.team, shape)
--- a/tests/entry/test_scheduler.py
+++ b/tests/entry/test_scheduler.py
@@ -40,6 +40,29 @@
         return self.run_at(member, text, transaction_id=transaction_id, opens=opens, **changes)
 
 
+class RefusedTransactionTest(SchedulerTest):
+    def test_transaction_whose_first_statement_was_refused_is_not_left_open(self):
+        """Each retry left one, and they locked a member's transactions for 30 s."""
+        member = self.group.members_by_name["m1"]
+        member.refusing = True
+        for transaction_id in range(1, 20):
+            result = self.open_transaction("m1", "READ a", transaction_id)
+            self.assertIs(result.answer.code, AnswerCode.BUSY)
+            self.assertFalse(result.transaction_open)
+        self.assertEqual(self.schedulers.count_open_transactions(), 0)
+        member.refusing = False
+        self.assertTrue(self.open_transaction("m1", "READ a", 20).transaction_open)
+
+    def test_transaction_stays_open_after_a_later_statement_was_refused(self):
+        """The caller decides what to do with what has run before."""
+        self.open_transaction("m1", "WRITE a 1")
+        member = self.group.members_by_name["m1"]
+        member.refusing = True
+        self.assertTrue(self.run_at("m1", "READ a", transaction_id=7).transaction_open)
+        member.refusing = False
+        self.assertTrue(self.run_at("m1", "COMMIT", transaction_id=7).answer.succeeded)
+
+
 class LeavingTest(SchedulerTest):
     """A member that leaves gets no new work, also none that was accepted before."""
 
