Split the supervisor and the member scheduler into modules with one job

The evidence on a primary, the announcements of a change, the greenlets that wait for admission, and the sending of statements on a leased connection are modules of their own now. No behavior changes; tests reach the moved parts by their new names, their checks are the same.

--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -4,20 +4,18 @@
 """
 
 import itertools
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from datetime import timedelta
 
-from bramleyrill_base import ErrorKind, Problem, log_event
-from bramleyrill_core import Mark
-from bramleyrill_core.admission import MemberAdmission, Queued, Refused, Started
+from bramleyrill_core.admission import MemberAdmission, Refused
 from bramleyrill_core.catalog import MemberEntry
 from bramleyrill_core.connections import Use
 from bramleyrill_core.permits import StatusReport
 from bramleyrill_core.placement import LoadMeter, LoadStamp
-from bramleyrill_core.statements import Answer, AnswerCode, StatementKind, TransactionState
+from bramleyrill_core.statements import StatementKind, TransactionState
 from bramleyrill_platform import lines
-from gevent.event import AsyncResult
 
+from bramleyrill_entry._admission_waiters import AdmissionWaiters
 from bramleyrill_entry._command_slot import CommandSlot
 from bramleyrill_entry._open_transactions import (
     OpenTransaction,
@@ -35,7 +33,8 @@
     refused_begin_result,
 )
 from bramleyrill_entry._state import EntryState
-from bramleyrill_entry._upstream import UpstreamConnection, UpstreamError, UpstreamTimeoutError
+from bramleyrill_entry._statement_runner import StatementRunner
+from bramleyrill_entry._upstream import UpstreamConnection, UpstreamError
 
 # One statement more than the member has slots, so that a freed slot never waits for the network.
 EXTRA_IN_FLIGHT = 1
@@ -76,6 +75,8 @@
         self._preparation = Preparation(self.pool)
         self._state = state
         self._meter = LoadMeter(member.slots)
+        self._runner = StatementRunner(state, member, permits, self._preparation, self._meter)
+        self._waiters = AdmissionWaiters()
         slots = member.slots + EXTRA_IN_FLIGHT
         self._statement_admission = MemberAdmission(
             member.service, slots, EXPECTED_STATEMENT_TIME, state.clock, state.weight_of
@@ -93,11 +94,10 @@
             self.pool,
             self._statement_admission,
             COMMAND_SLOTS,
-            lambda outcomes: self._deliver_outcomes(self._statement_admission, outcomes),
+            lambda outcomes: self._waiters.deliver(self._statement_admission, outcomes),
         )
         self._transactions: dict[TransactionKey, OpenTransaction] = {}
         self._admission_ids = itertools.count(1)
-        self._waiters: dict[tuple[MemberAdmission, int], AsyncResult] = {}
         self.paused_until: timedelta | None = None
 
     @property
@@ -160,9 +160,9 @@
     def tick(self) -> None:
         """Refuse requests that waited too long, and roll back abandoned transactions."""
         for admission in (self._statement_admission, self._transaction_admission):
-            self._deliver_outcomes(admission, admission.tick())
+            self._waiters.deliver(admission, admission.tick())
         if not self._takes_new_work():
-            self._refuse_waiting(spared={item.admission_id for item in self._transactions.values()})
+            self._waiters.refuse(spared={item.admission_id for item in self._transactions.values()})
         waiting_by_team = self._transaction_admission.waiting_by_team()
         for key in transactions_to_end(
             self._state, self.member.id, self._transactions, waiting_by_team, self.pool
@@ -171,7 +171,7 @@
 
     def refuse_waiting(self) -> None:
         """Refuse the statements that wait for a slot; they have not run."""
-        self._refuse_waiting(spared=frozenset())
+        self._waiters.refuse()
 
     def close(self) -> None:
         """Roll back all transactions and close all connections."""
@@ -188,7 +188,7 @@
         except UpstreamError:
             return RunProblem.UNREACHABLE
         try:
-            answer = self._begin(connection, None, read_only=False)
+            answer = self._runner.begin(connection, None, read_only=False)
         except NotSentError:
             return RunProblem.UNREACHABLE
         except NoPermitError:
@@ -203,29 +203,6 @@
 
     # Admission.
 
-    def _refuse_waiting(self, spared: Collection[int]) -> None:
-        """Refuse the requests that wait for a slot, but for the admission ids in `spared`."""
-        for (admission, admission_id), waiter in list(self._waiters.items()):
-            if admission_id in spared:
-                continue
-            self._deliver_outcomes(admission, admission.withdraw(admission_id))
-            waiter.set(Refused(admission_id, Problem(ErrorKind.NOT_RUN_DRAINING)))
-
-    def _wait_for_admission(
-        self, admission: MemberAdmission, admission_id: int, outcome: Started | Queued | Refused
-    ) -> Refused | None:
-        """Wait until a queued request is started or refused; return the refusal, if any."""
-        if type(outcome) is Queued:
-            waiter = self._waiters[admission, admission_id] = AsyncResult()
-            try:
-                outcome = waiter.get()
-            except BaseException:
-                self._deliver_outcomes(admission, admission.withdraw(admission_id))
-                raise
-            finally:
-                self._waiters.pop((admission, admission_id), None)
-        return outcome if type(outcome) is Refused else None
-
     def _submit(
         self,
         admission: MemberAdmission,
@@ -245,15 +222,7 @@
             request.team,
             lines.item_of(request.statement) if request.team and request.fence else "",
         )
-        return self._wait_for_admission(admission, admission_id, outcome)
-
-    def _deliver_outcomes(
-        self, admission: MemberAdmission, outcomes: list[Started | Refused]
-    ) -> None:
-        for outcome in outcomes:
-            waiter = self._waiters.get((admission, outcome.id))
-            if waiter is not None:
-                waiter.set(outcome)
+        return self._waiters.wait(admission, admission_id, outcome)
 
     def _record_wait(
         self, request: RunRequest, submitted_at: timedelta, refusal: Refused | None
@@ -291,7 +260,7 @@
             result = self._run_with_retries(request)
         finally:
             self._record_slot_time(request, submitted_at + waited)
-            self._deliver_outcomes(
+            self._waiters.deliver(
                 self._statement_admission, self._statement_admission.finish(admission_id)
             )
         result.waited = waited
@@ -337,54 +306,17 @@
         """
         min_mark = None
         if not request.fence:
-            min_mark = self._required_mark(request)
+            min_mark = self._runner.required_mark(request)
             if min_mark is None:
                 return RunResult(problem=RunProblem.NO_PROOF)
         elif not request.statement.writes:
-            begin_answer = self._begin(connection, None, read_only=False)
+            begin_answer = self._runner.begin(connection, None, read_only=False)
             if not begin_answer.succeeded:
                 return refused_begin_result(begin_answer)
         else:
             self._permits.require(self.member, connection.opened_at)
-        result = self._execute(connection, request, min_mark)
-        return self._confirm_write(request, result) if request.statement.writes else result
-
-    def _confirm_write(self, request: RunRequest, result: RunResult) -> RunResult:
-        """Return the result of a write or COMMIT, or that its outcome is unknown.
-
-        Without a permit now, another member may have been promoted before the write was committed,
-        and its entry may be rolled back.
-        """
-        answer = result.answer
-        if answer is None or not answer.succeeded or self._permits.renewed(self.member):
-            return result
-        log_event("permit_expired", id=request.statement.id, member=self.member.id)
-        return RunResult(problem=RunProblem.LOST)
-
-    def _execute(
-        self, connection: UpstreamConnection, request: RunRequest, min_mark: Mark | None = None
-    ) -> RunResult:
-        statement, prepared = request.statement, request.statement.prepared
-        name = "" if prepared is None else connection.state.name_by_prepared[prepared]
-        text = lines.member_text(statement, name)
-        sent_at = self._state.now()
-        try:
-            answer = connection.execute(statement.id, text, request.timeout, min_mark)
-        except UpstreamTimeoutError:
-            log_event("statement_timed_out", id=statement.id, member=self.member.id)
-            return RunResult(problem=RunProblem.TIMED_OUT)
-        except UpstreamError as error:
-            log_event("statement_lost", id=statement.id, member=self.member.id, reason=error)
-            return RunResult(problem=RunProblem.LOST)
-        finally:
-            self._meter.record_run(self._state.now() - sent_at)
-        if answer.code is AnswerCode.NOT_PREPARED and prepared is not None:
-            connection.state.forget_prepared(prepared)
-        if answer.code is AnswerCode.READ_ONLY and request.transaction_id == NO_TRANSACTION:
-            return RunResult(problem=RunProblem.NOT_PRIMARY)
-        if answer.succeeded and request.transaction_id == NO_TRANSACTION and statement.writes:
-            self._record_proof(answer, sent_at)
-        return RunResult(answer)
+        result = self._runner.execute(connection, request, min_mark)
+        return self._runner.confirm_write(request, result) if request.statement.writes else result
 
     # Transactions.
 
@@ -395,7 +327,7 @@
         if refusal is None:
             refusal = self._submit(self._statement_admission, admission_id, request, deadline)
             if refusal is not None:
-                self._deliver_outcomes(
+                self._waiters.deliver(
                     self._transaction_admission, self._transaction_admission.finish(admission_id)
                 )
         waited = self._record_wait(request, submitted_at, refusal)
@@ -414,12 +346,12 @@
     def _begin_transaction(self, peer: str, admission_id: int, request: RunRequest) -> RunResult:
         read_only = request.opens is Opens.READ_ONLY and not request.fence
         for _ in range(MAX_CONNECTION_ATTEMPTS):
-            min_mark = self._required_mark(request) if read_only else None
+            min_mark = self._runner.required_mark(request) if read_only else None
             if read_only and min_mark is None:
                 return RunResult(problem=RunProblem.NO_PROOF)
             try:
                 connection = self._lease_connection(request)
-                begin_answer = self._begin(connection, min_mark, read_only)
+                begin_answer = self._runner.begin(connection, min_mark, read_only)
             except NoFreeConnectionError:
                 return no_connection_result()
             except UpstreamError:
@@ -453,9 +385,7 @@
         outcome = self._statement_admission.resume(
             transaction.admission_id, request.rank, deadline, request.team
         )
-        refusal = self._wait_for_admission(
-            self._statement_admission, transaction.admission_id, outcome
-        )
+        refusal = self._waiters.wait(self._statement_admission, transaction.admission_id, outcome)
         waited = self._record_wait(request, submitted_at, refusal)
         if refusal is not None:
             transaction.running = False
@@ -481,26 +411,26 @@
         self.pool.set_use(transaction.connection, Use.TRANSACTION)
         sent_at = self._state.now()
         try:
-            result = self._execute(transaction.connection, request)
+            result = self._runner.execute(transaction.connection, request)
         finally:
             transaction.running = False
             transaction.last_used_at = self._state.now()
             self._record_slot_time(request, sent_at)
         if request.statement.kind is StatementKind.COMMIT and transaction.wrote:
-            result = self._confirm_write(request, result)
+            result = self._runner.confirm_write(request, result)
         answer = result.answer
         if answer is not None:
             transaction.connection.in_transaction = answer.state is not TransactionState.IDLE
             committed = request.statement.kind is StatementKind.COMMIT and answer.succeeded
             if committed and transaction.wrote:
-                self._record_proof(answer, sent_at)
+                self._runner.record_proof(answer, sent_at)
             transaction.wrote = transaction.wrote or (answer.succeeded and request.statement.writes)
         # The router opens another transaction if the first statement did not run.
         is_refused = answer is not None and answer.not_run and request.opens is not Opens.NOTHING
         if answer is not None and answer.state is TransactionState.OPEN and not is_refused:
             result.transaction_open = True
             self.pool.set_use(transaction.connection, Use.RESTING)
-            self._deliver_outcomes(
+            self._waiters.deliver(
                 self._statement_admission, self._statement_admission.pause(transaction.admission_id)
             )
             return result
@@ -514,44 +444,9 @@
         self.pool.release(transaction.connection)
 
     def _release_slots(self, admission_id: int) -> None:
-        self._deliver_outcomes(
+        self._waiters.deliver(
             self._statement_admission, self._statement_admission.finish(admission_id)
         )
-        self._deliver_outcomes(
+        self._waiters.deliver(
             self._transaction_admission, self._transaction_admission.finish(admission_id)
         )
-
-    def _begin(
-        self, connection: UpstreamConnection, min_mark: Mark | None, read_only: bool
-    ) -> Answer:
-        """Begin a transaction; only a primary accepts one that may write, which proves its role.
-
-        Raises NoPermitError if the member's acceptance would prove nothing.
-        """
-        if not read_only:
-            self._permits.require(self.member, connection.opened_at)
-        sent_at = self._state.now()
-        answer = self._preparation.begin(connection, min_mark, read_only)
-        if answer.succeeded and not read_only:
-            self._record_proof(answer, sent_at)
-        return answer
-
-    def _required_mark(self, request: RunRequest) -> Mark | None:
-        """Return the log position that an unfenced read requires.
-
-        Return None if no proof of the primary's position is recent enough for it.
-        """
-        now = self._state.now()
-        proved_mark = self._state.proofs.history_of(request.service).required_mark(
-            now, request.max_staleness
-        )
-        if proved_mark is None or request.mark is None:
-            return proved_mark
-        return max(proved_mark, request.mark)
-
-    def _record_proof(self, answer: Answer, sent_at: timedelta) -> None:
-        """Record that the member led when `sent_at` was, if a permit covers that time."""
-        if answer.mark is not None and self._permits.covers(self.member, sent_at):
-            self._state.record_proof(
-                self.member.service, self.member.id, answer.mark.term, answer.mark, sent_at
-            )
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -18,33 +18,26 @@
 )
 from bramleyrill_core.permits import StatusReport
 from bramleyrill_core.placement import holder_candidates, slow_vms
-from bramleyrill_core.statements import AnswerCode
 from bramleyrill_platform import (
     AppointResult,
     DutyClient,
     StoreClient,
-    lines,
 )
-from bramleyrill_wire.entries import frames
 
+from bramleyrill_entry._change_announcements import ChangeAnnouncements
 from bramleyrill_entry._confirmation import PrimaryConfirmation
 from bramleyrill_entry._duty_inquiry import DutyInquiry
 from bramleyrill_entry._duty_leases import DutyLeases, SupervisedService
 from bramleyrill_entry._executor import Executor
 from bramleyrill_entry._fence import demote, end_permits
 from bramleyrill_entry._member_commands import MemberCommands
-from bramleyrill_entry._member_status import DIAL_TIMEOUT, STATUS_TIMEOUT
 from bramleyrill_entry._peers import PeerNet
 from bramleyrill_entry._permits import PermitKeeper
+from bramleyrill_entry._primary_evidence import PrimaryEvidence
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_entry._state import EntryState
 from bramleyrill_entry._successor_search import POLL_INTERVAL, SuccessorSearch
 from bramleyrill_entry._unfinished_change import UnfinishedChanges
-from bramleyrill_entry._upstream import (
-    RefusedByMemberError,
-    UpstreamConnection,
-    UpstreamError,
-)
 
 SUPERVISION_INTERVAL = timedelta(milliseconds=250)
 # Computing this VM's index among the supervisors hashes every VM, so it is cached.
@@ -53,10 +46,6 @@
 # normally only the first does.
 MAX_SUPERVISORS = 3
 SUPERVISOR_DELAY = timedelta(milliseconds=700)
-# Maximum number of other VMs that are asked for the proofs that they know.
-MAX_QUERIED_VMS = 12
-# The primary itself is asked only if the other VMs do not answer at once, as a dial takes a slot.
-PROBE_DELAY = timedelta(milliseconds=100)
 # A planned change waits this long for open transactions to end.
 TRANSACTION_DRAIN_TIMEOUT = timedelta(seconds=1.2)
 # New fenced work is paused at most this long during a planned change.
@@ -65,12 +54,6 @@
 APPOINT_RETRY_PAUSE = timedelta(milliseconds=300)
 # How long to wait for the platform to name the primary of a service that has none.
 NO_PRIMARY_GRACE = timedelta(seconds=3)
-# While no successor is known to be safe, the VMs are told so this often. Each time counts for a
-# little longer, so that they refuse work for the primary at once instead of letting it wait.
-LEADERLESS_INTERVAL = timedelta(seconds=1)
-LEADERLESS_TIME = timedelta(seconds=1.5)
-# How long a primary that is being replaced gets no new work. An order takes less.
-REPLACEMENT_TIME = timedelta(seconds=4)
 
 
 class Supervisor:
@@ -87,14 +70,14 @@
         permits: PermitKeeper | None = None,
     ) -> None:
         self._state = state
-        self._net = net
         self._schedulers = schedulers
-        self._executor = executor
+        self._announce = ChangeAnnouncements(state, net)
         self.leases = DutyLeases(state, store)
         self._inquiry = DutyInquiry(state, net, self.leases)
         self._confirmation = PrimaryConfirmation(state, self.leases, self._inquiry)
         self._duties = duties
         self._permits = permits or PermitKeeper(state, store)
+        self._evidence = PrimaryEvidence(state, executor, self._permits)
         self._commands = MemberCommands(net)
         self._search = SuccessorSearch(state, self._commands)
         self._unfinished = UnfinishedChanges(state, self.leases, self._search)
@@ -143,7 +126,7 @@
         index = self._supervisor_index(supervised)
         if index is None:
             return
-        silent_for = self._silent_for(supervised)
+        silent_for = self._evidence.silent_for(supervised)
         if row is None:
             if silent_for > NO_PRIMARY_GRACE + index * SUPERVISOR_DELAY:
                 self._replace_primary(supervised, None)
@@ -154,7 +137,7 @@
             if self._unfinished.is_left(supervised, row.entry, index):
                 self._replace_primary(supervised, row.entry)
             return
-        silent_for, refused = self._collect_proofs(supervised, row.entry)
+        silent_for, refused = self._evidence.collect(supervised, row.entry)
         evidence = Evidence(silent_for - index * SUPERVISOR_DELAY, checked=True, refused=refused)
         if assess_primary(evidence) is Verdict.REPLACE:
             log_event(
@@ -182,75 +165,6 @@
             supervised.index_valid_until = now + INDEX_CACHE_TIME
         return supervised.index
 
-    def _silent_for(self, supervised: SupervisedService) -> timedelta:
-        """Return the age of the newest proof of the primary's role.
-
-        At most the time since this VM has known the primary: a new one gets time to prove its role.
-        """
-        now = self._state.now()
-        age = self._state.proofs.history_of(supervised.service).age(now)
-        known_for = now - supervised.primary_since
-        return known_for if age is None else min(age, known_for)
-
-    def _collect_proofs(
-        self, supervised: SupervisedService, primary: MemberEntry
-    ) -> tuple[timedelta, bool]:
-        """Ask the holder and other VMs for a proof of the primary's role, then the primary itself.
-
-        All are asked at the same time, as each that does not answer takes its whole timeout.
-        Return the age of the newest proof, and whether the primary's machine refuses connections.
-        """
-        service = supervised.service
-        vms = [row.entry.id for row in self._state.vms.vms if not row.entry.leaving]
-        holder = holder_candidates(self._state.vms, primary)[0]
-        queries = [gevent.spawn(self._executor.prove, holder, service)]
-        for vm in vms[:MAX_QUERIED_VMS]:
-            if vm != holder:
-                queries.append(gevent.spawn(self._executor.prove, vm, service, True))
-        probe = gevent.spawn_later(
-            PROBE_DELAY.total_seconds(), self._probe_primary, supervised, primary
-        )
-        pending = [*queries, probe]
-        while pending and self._silent_for(supervised) >= SUPERVISION_INTERVAL:
-            gevent.wait(pending, count=1)
-            pending = [question for question in pending if not question.ready()]
-        probe.kill()
-        return self._silent_for(supervised), probe.value is True
-
-    def _probe_primary(self, supervised: SupervisedService, primary: MemberEntry) -> bool:
-        """Ask the primary for a proof; return whether its machine refuses connections.
-
-        A primary that has too many connections serves other VMs, so it is not silent.
-        """
-        clock = self._state.clock
-        try:
-            connection = UpstreamConnection.dial(primary, DIAL_TIMEOUT, clock)
-        except RefusedByMemberError as error:
-            if error.answer.code is AnswerCode.TOO_MANY_CONNECTIONS:
-                supervised.primary_since = self._state.now()
-            return False
-        except UpstreamError as error:
-            return error.refused
-        sent_at = self._state.now()
-        try:
-            answer = connection.execute(
-                lines.INTERNAL_STATEMENT_ID, lines.BEGIN_TEXT, STATUS_TIMEOUT
-            )
-        except UpstreamError:
-            return False
-        finally:
-            connection.close()
-        if (
-            answer.succeeded
-            and answer.mark is not None
-            and self._permits.renewed(primary, connection.opened_at)
-            and self._permits.covers(primary, sent_at)
-        ):
-            self._state.record_proof(
-                primary.service, primary.id, answer.mark.term, answer.mark, sent_at
-            )
-        return False
-
     def _is_duty_free(self, supervised: SupervisedService) -> bool:
         """Return whether a duty that has no record of this era is free for this VM."""
         self._inquiry.ask(supervised)
@@ -276,7 +190,7 @@
         elif poll.is_complete:
             log_event("no_successor", service=supervised.service, asked=len(poll.candidates))
         else:
-            self._announce_leaderless(supervised, primary, poll)
+            self._announce.leaderless(supervised, primary, poll)
 
     def _replace_if_alive(self, supervised: SupervisedService, primary: MemberEntry) -> bool:
         """Demote a primary with synchronous replicas that still answers, and replace it.
@@ -307,20 +221,9 @@
         if self.leases.acquire(supervised, pending or NO_MEMBER) is None:
             return None
         if primary is not None:
-            self._announce_replacement(primary)
+            self._announce.replacement(primary)
         return self._search.fence(supervised, primary, self._next_term(supervised))
 
-    def _announce_replacement(self, primary: MemberEntry) -> None:
-        """Tell all VMs to wait with new work, as a primary that is back cannot commit it."""
-        self._state.record_replacement(primary.id, REPLACEMENT_TIME)
-        self._net.broadcast(
-            frames.Appointed(
-                service_name=primary.service,
-                member=primary.id,
-                replacing_ms=REPLACEMENT_TIME // timedelta(milliseconds=1),
-            )
-        )
-
     def _choose(
         self, supervised: SupervisedService, primary: MemberEntry | None, poll: Poll
     ) -> str | None:
@@ -341,35 +244,6 @@
             return primary.id
         return chosen
 
-    def _announce_leaderless(
-        self, supervised: SupervisedService, primary: MemberEntry | None, poll: Poll
-    ) -> None:
-        """Tell all VMs to refuse work for the primary until a successor is known to be safe.
-
-        That is when enough of the unheard replicas answer, or the primary does. A replica counts as
-        unheard while its entry is in the store, and for LOST_REPLICA_MEMORY after that.
-        """
-        now = self._state.now()
-        if now < supervised.leaderless_at:
-            return
-        supervised.leaderless_at = now + LEADERLESS_INTERVAL
-        log_event(
-            "successor_unproven",
-            service=supervised.service,
-            unheard=",".join(poll.unheard),
-            heard=len(poll.candidates),
-            sync_replicas=poll.sync_replicas,
-        )
-        self._state.record_leaderless(supervised.service, LEADERLESS_TIME)
-        if primary is not None:
-            self._net.broadcast(
-                frames.Appointed(
-                    service_name=supervised.service,
-                    member=primary.id,
-                    leaderless_ms=LEADERLESS_TIME // timedelta(milliseconds=1),
-                )
-            )
-
     def _appoint(
         self,
         supervised: SupervisedService,
@@ -393,7 +267,7 @@
                 log_event("duty_lease_ended", service=supervised.service, member=chosen)
                 return False
             if synchronous and primary is not None and primary.id != chosen:
-                self._announce_replacement(primary)
+                self._announce.replacement(primary)
             result = self._duties.appoint(
                 supervised.service, chosen, record.holder, record.fencing_token
             )
@@ -406,7 +280,7 @@
                 result=result,
             )
             if result is AppointResult.DONE:
-                self._announce_appointment(supervised.service, chosen)
+                self._announce.appointment(supervised.service, chosen)
                 if synchronous and self.leases.holds(supervised):
                     self._search.resume(supervised.service, primary, chosen)
                 return True
@@ -451,10 +325,6 @@
         """Return a term above every term that this VM knows."""
         return max(self._state.members.term_of(supervised.service), supervised.highest_term) + 1
 
-    def _announce_appointment(self, service: str, member: str) -> None:
-        self._state.record_appointment(service, member, "order")
-        self._net.broadcast(frames.Appointed(service_name=service, member=member))
-
     # Planned changes.
 
     def _replace_draining(self, supervised: SupervisedService, row: MemberRow) -> None:
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -53,7 +53,7 @@
         self.state = make_state(self.group)
         self.schedulers = MemberSchedulers(self.state)
         self.addCleanup(self.schedulers.close)
-        net = LocalNet(self.state, self.schedulers)
+        net = self.net = LocalNet(self.state, self.schedulers)
         executor = Executor(net, self.schedulers)
         self.store = StoreClient(address, self.state.history)
         self.supervisor = Supervisor(
@@ -298,21 +298,25 @@
 
 class CheckTest(SupervisorTest):
     def check(self):
-        return self.supervisor._collect_proofs(self.supervised, member_entry(self.group, "m1"))
+        return self.supervisor._evidence.collect(self.supervised, member_entry(self.group, "m1"))
 
     def test_primary_is_asked_while_other_vms_have_not_answered(self):
         """A dark primary was replaced 0.6 s later, as both timeouts passed one after the other."""
         asked = Event()
         with (
-            mock.patch.object(self.supervisor._executor, "prove", lambda *_: asked.wait(5)),
-            mock.patch.object(self.supervisor, "_probe_primary", lambda *_: asked.set() or True),
+            mock.patch.object(
+                self.supervisor._evidence._executor, "prove", lambda *_: asked.wait(5)
+            ),
+            mock.patch.object(
+                self.supervisor._evidence, "_probe_primary", lambda *_: asked.set() or True
+            ),
         ):
             self.assertTrue(self.check()[1])
         self.assertTrue(asked.is_set())
 
     def test_primary_is_not_asked_if_another_vm_has_a_proof(self):
         """Each check of an idle primary would dial it and take one of its slots."""
-        with mock.patch.object(self.supervisor, "_probe_primary") as probe:
+        with mock.patch.object(self.supervisor._evidence, "_probe_primary") as probe:
             silent_for, refused = self.check()
         self.assertLess(silent_for, _supervisor.SUPERVISION_INTERVAL)
         self.assertFalse(refused)
--- a/tests/entry/test_synchronous_replicas.py
+++ b/tests/entry/test_synchronous_replicas.py
@@ -238,7 +238,7 @@
                 gevent.sleep(0.001)
 
     def send(self, name, command=MemberCommand.STATUS, term=0):
-        commands = MemberCommands(self.supervisor._net)
+        commands = MemberCommands(self.net)
         return commands.send(member_entry(self.group, name), command, term)
 
     def test_member_under_load_answers_a_command(self):
@@ -375,7 +375,7 @@
         self.group.members_by_name["m2"].stop()
         self.fail_primary()
         self.assertTrue(self.state.is_leaderless(SERVICE))
-        (frame,) = self.supervisor._net.sent
+        (frame,) = self.net.sent
         self.assertEqual((frame.member, frame.leaderless_ms), ("m1", 1500))
         self.assertEqual(self.state.members.primary_of(SERVICE).entry.id, "m1")
 
@@ -453,7 +453,7 @@
         self.equal_replicas()
         self.change_during(self.restart_primary_and_write, self.fail_primary)
         self.assertIs(self.writing.get(timeout=5).problem, RunProblem.NOT_PRIMARY)
-        frame = self.supervisor._net.sent[0]
+        frame = self.net.sent[0]
         self.assertEqual((frame.member, frame.replacing_ms), ("m1", 4000))
 
     def test_primary_that_leads_again_gets_work_at_once(self):
