Count transaction ids from a random number in each process

A VM that lost power counted its transactions from 1 again, while holders may still have open ones of its earlier process under the same key: the VM's id and the number. A statement could then reach the transaction of another caller for some tens of milliseconds (PINNED).

Change: ids start at a random number below 2**62; frames carry them as signed 64-bit numbers, as before.

Measured: the regression test finds the same 1,000 ids in two processes before, and none in common after.

--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -1,6 +1,7 @@
 """Run statements at the holder of a member: this VM, or another one over a peer link."""
 
 import itertools
+import random
 from datetime import timedelta
 from typing import Any
 
@@ -27,6 +28,8 @@
 PROVE_TIMEOUT = timedelta(milliseconds=700)
 # A proof younger than this is returned without asking the member again.
 FRESH_PROOF_AGE = timedelta(milliseconds=150)
+# Frames carry the ids as signed 64-bit numbers, which leaves room to count up.
+MAX_FIRST_TRANSACTION_ID = 2**62
 # A supervisor announces more often that a service has no primary; a longer time is an error.
 MAX_LEADERLESS = timedelta(seconds=5)
 
@@ -38,10 +41,11 @@
         self._net = net
         self._state = net.state
         self._schedulers = schedulers
-        self._transaction_ids = itertools.count(1)
+        # A VM that lost power is back while holders still have transactions of its earlier process.
+        self._transaction_ids = itertools.count(random.randint(1, MAX_FIRST_TRANSACTION_ID))
 
     def new_transaction_id(self) -> int:
-        """Return a transaction id that is unique at this VM."""
+        """Return a transaction id that is unique at this VM, also across its restarts."""
         return next(self._transaction_ids)
 
     def run(self, vm: str, request: RunRequest) -> RunResult:
--- a/tests/entry/test_executor.py
+++ b/tests/entry/test_executor.py
@@ -1,18 +1,19 @@
 """Answers to peers: to statements that fail, and to questions for proofs and duties."""
 
+import random
 import unittest
 from unittest import mock
 
 from bramleyrill_core import Mark
 from bramleyrill_core.statements import Answer
 from bramleyrill_entry._duty_leases import DutyLeases
-from bramleyrill_entry._executor import _prove_and_reply, _run_and_reply
+from bramleyrill_entry._executor import Executor, _prove_and_reply, _run_and_reply
 from bramleyrill_entry._peer_link import PeerLostError
 from bramleyrill_entry._run_codec import encode_request
 from bramleyrill_entry._run_request import Opens, RunProblem, RunResult
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_standins.prepared import LineGroup
-from bramleyrill_wire.entries import frames
+from bramleyrill_wire.entries import FrameBuffer, encode, frames
 
 from tests.entry.builders import SERVICE, make_state, request
 
@@ -46,6 +47,24 @@
         schedulers.end_transaction.assert_called_once_with("vm2", 4)
 
 
+class TransactionIdTest(unittest.TestCase):
+    def test_process_does_not_use_the_ids_of_the_one_before_it(self):
+        """A VM that restarted could reach an open transaction of another caller under its key."""
+        earlier, later = (Executor(mock.Mock(), mock.Mock()) for _ in range(2))
+        used = {earlier.new_transaction_id() for _ in range(1000)}
+        self.assertFalse(used & {later.new_transaction_id() for _ in range(1000)})
+
+    def test_ids_fit_in_a_frame(self):
+        with mock.patch.object(random, "randint", lambda _first, last: last):
+            executor = Executor(mock.Mock(), mock.Mock())
+        opening = request(
+            "READ a", "m1", opens=Opens.READ_WRITE, transaction_id=executor.new_transaction_id()
+        )
+        frame = encode_request(7, opening)
+        (decoded,) = FrameBuffer().feed(encode(frame))
+        self.assertEqual(decoded.exchange, opening.transaction_id)
+
+
 class ProveTest(unittest.TestCase):
     def setUp(self):
         group = LineGroup(SERVICE, ["m1", "m2"])
