--- a/packages/entry/bramleyrill_entry/_change_announcements.py
+++ b/packages/entry/bramleyrill_entry/_change_announcements.py
@@ -67,5 +67,6 @@
         )
 
     def appointment(self, service: str, member: str) -> None:
+        """Tell all VMs that a member was appointed."""
         self._state.record_appointment(service, member, "order")
         self._net.broadcast(frames.Appointed(service_name=service, member=member))
--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -30,8 +30,8 @@
 FRESH_PROOF_AGE = timedelta(milliseconds=150)
 # Frames carry the ids as signed 64-bit numbers, which leaves room to count up.
 MAX_FIRST_TRANSACTION_ID = 2**62
-# A supervisor announces more often that a service has no primary; a longer time is an error.
-MAX_LEADERLESS = timedelta(seconds=5)
+# Supervisors repeat their announcements more often; one for a longer time is an error.
+MAX_ANNOUNCED_TIME = timedelta(seconds=5)
 
 
 class Executor:
@@ -208,10 +208,10 @@
     service, member = frame.service_name, frame.member
     if frame.leaderless_ms is not None:
         duration = timedelta(milliseconds=frame.leaderless_ms)
-        net.state.record_leaderless(service, min(duration, MAX_LEADERLESS))
+        net.state.record_leaderless(service, min(duration, MAX_ANNOUNCED_TIME))
         return
     if frame.replacing_ms is not None:
         duration = timedelta(milliseconds=frame.replacing_ms)
-        net.state.record_replacement(member, min(duration, MAX_LEADERLESS))
+        net.state.record_replacement(member, min(duration, MAX_ANNOUNCED_TIME))
         return
     net.state.record_appointment(service, member, f"peer {link.peer.id}")
