Look again after the wait for a connection whether a primary is being replaced

Callers' acknowledged writes were lost with synchronous replicas when a replica started in the same moment as the old primary came back: it was not fenced, and confirmed writes which had waited at the holder for a connection to the primary since before its replacement was announced.

Cause: the scheduler looked for the announcement when a request arrived, and the pool gives out a connection up to seconds later.

Change: the look is repeated where the scheduler already asks whether the member takes new work, when it has the connection.

Measured: the regression test fails before.

--- a/packages/entry/bramleyrill_entry/_scheduler.py
+++ b/packages/entry/bramleyrill_entry/_scheduler.py
@@ -134,7 +134,6 @@
         if request.fence:
             self._wait_while_paused(deadline)
             if self._state.is_being_replaced(self.member.id):
-                # A commit would not be confirmed, and a transaction would end with the change.
                 return RunResult(problem=RunProblem.NOT_PRIMARY)
         if request.opens is Opens.NOTHING:
             return self._run_single(request, deadline)
@@ -293,9 +292,11 @@
         connection = self._preparation.lease(
             request.values, request.statement.prepared, request.team, patience
         )
-        if not self._takes_new_work():
+        # A primary that is being replaced could not commit, or would lose what it commits.
+        is_replaced = request.fence and self._state.is_being_replaced(self.member.id)
+        if is_replaced or not self._takes_new_work():
             self.pool.release(connection)
-            raise UpstreamError("the member is leaving")
+            raise UpstreamError("the member takes no new work")
         return connection
 
     def _run_on_connection(self, connection: UpstreamConnection, request: RunRequest) -> RunResult:
--- a/tests/entry/test_scheduler.py
+++ b/tests/entry/test_scheduler.py
@@ -1,5 +1,6 @@
 """Member schedulers against stand-in members: proofs, transactions, connections, lost answers."""
 
+import functools
 import time
 import unittest
 from datetime import timedelta
@@ -112,19 +113,31 @@
         self.schedulers.tick()
         self.assertTrue(waiting.get(timeout=5).answer.succeeded)
 
-    def test_request_that_waited_for_a_connection_is_not_sent(self):
-        """The pool may give one out seconds after the request was admitted."""
+    def run_while(self, change, text):
+        """Run a statement at m1, and `change` while it waits for a connection."""
         scheduler = self.schedulers.scheduler_for("m1")
 
         def lease_late(*args):
-            self.let_primary_leave()
+            change()
             return lease(*args)
 
         lease = scheduler._preparation.lease
         with mock.patch.object(scheduler._preparation, "lease", lease_late):
-            self.assertIs(self.run_at("m1", "READ a").problem, RunProblem.UNREACHABLE)
+            return self.run_at("m1", text)
+
+    def test_request_that_waited_for_a_connection_is_not_sent(self):
+        """The pool may give one out seconds after the request was admitted."""
+        result = self.run_while(self.let_primary_leave, "READ a")
+        self.assertIs(result.problem, RunProblem.UNREACHABLE)
         self.assertEqual(self.group.runs_of("q1"), [])
 
+    def test_write_that_waited_for_a_connection_is_not_sent_to_a_replaced_primary(self):
+        """A replica that had just started confirmed it, and the successor did not have it."""
+        replace = functools.partial(self.state.record_replacement, "m1", SECOND)
+        result = self.run_while(replace, "WRITE a 1")
+        self.assertIs(result.problem, RunProblem.UNREACHABLE)
+        self.assertEqual(self.group.history, [])
+
     def test_all_waits_of_a_request_share_its_limit(self):
         """A pause and two queues took the limit each, so callers waited three times as long."""
         self.state.clock = ManualClock()
