--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,91 +1,88 @@
-"""VMs that reach the store do not follow it while the two that watch it for them are cut off."""
+"""A replica that is cut off from the store goes on acknowledging commits, and is left out."""
 
+import itertools
 import os
 import pathlib
 import time
+from datetime import timedelta
 
 import gevent
-from storepath import StorePath
 from world import DATABASE, LineCaller, World, finish
 
-VMS = 6
-CUT_SHARE = 0.35
-CUT_S = float(os.environ.get("CUT_S", "12.0"))
-CONFIG_APPLY_S = 4.0
-STABLE_WINDOW_S = 5.0
-ADDED, REMOVED = "added-db", "removed-db"
+CUT_S = float(os.environ.get("CUT_S", "5.0"))
+# One replica_lag "deaf crash": m2 receives nothing for DEAF_S, and m1 crashes meanwhile.
+DEAF_S = 6.0
+DEAF_BEFORE_CRASH_S = 1.5
+CRASH_AFTER_CUT_S = float(os.environ.get("CRASH_AFTER_CUT_S", "4.8"))
+WRITERS_PER_VM = 2
+PAUSE_S = 0.05
 
 
-class CutWorld(World):
-    """Each VM has a path of its own to the store."""
-
-    def __init__(self, record):
-        super().__init__(record, vms=VMS, consistency="primary")
-        self.paths = []
-
-    def store_address(self, number, platform):
-        self.paths.append(StorePath(platform))
-        return self.paths[-1].address
-
-
-def ask(vm, database):
-    """Return the answer of a VM to a read of a database, or to its OPEN if that is refused."""
-    try:
-        caller = LineCaller(vm.caller_address, database)
-        if not caller.opening_answer.startswith("READY"):
-            answer = caller.opening_answer
+def write_forever(world, vm, name, acknowledged, record):
+    """Write one new item after the other; note each that was acknowledged with a signature."""
+    caller = None
+    for number in itertools.count(1):
+        item, statement = f"{name}-{number}", f"{name}x{number}"
+        try:
+            caller = caller or LineCaller(vm.caller_address, DATABASE)
+            answer = caller.ask(f"WRITE {item} v{number}", statement)
+        except OSError as error:
+            answer = [f"no answer: {error}"]
+        if answer[0].startswith("COMPLETE s"):
+            acknowledged[item] = time.monotonic()
         else:
-            answer = caller.ask("READ a", f"x{time.monotonic_ns():x}")[0]
-        caller.close()
-        return answer
-    except OSError as error:
-        return f"no answer: {error}"
+            caller = None
+        record.add(f"{vm.name}: {statement} WRITE {item} -> {' | '.join(answer)}")
+        gevent.sleep(PAUSE_S)
 
 
 def main(record, trouble):
-    broken = []
-    with CutWorld(record) as world:
-        world.put_configuration(2, REMOVED)
-        # Everything has been calm for longer than stableWindowMs.
-        gevent.sleep(9.0)
+    acknowledged, lost = {}, []
+    with World(record, vms=3, sync_replicas=1) as world:
+        group = world.group
+
+        def check(member):
+            """An acknowledged commit must be in the log of the member that is promoted."""
+            items = {item for entry in member.log for item in entry.data}
+            missing = sorted(set(acknowledged) - items)
+            lost.extend(missing)
+            record.add(
+                f"check: {len(acknowledged)} acknowledged, missing in {member.name}: "
+                f"{missing}"
+            )
+
+        group.on_promotion = check
+        for replica in ("m2", "m3"):
+            group.members_by_name[replica].lag = timedelta(milliseconds=2)
+        gevent.sleep(4.0)
         for vm in world.vms:
-            record.add(f"{vm.name}: {DATABASE} -> {ask(vm, DATABASE)}, {REMOVED} -> {ask(vm, REMOVED)}")
-        cut = []
+            for number in range(WRITERS_PER_VM):
+                name = f"{vm.name}w{number}"
+                gevent.spawn(write_forever, world, vm, name, acknowledged, record)
+        gevent.sleep(6.0)
         if trouble:
-            cut = sorted(range(VMS), key=lambda i: -world.paths[i].long_waits(2.0))
-            cut = cut[: int(CUT_SHARE * VMS)]
-            for number in cut:
-                record.add(f"{world.vms[number].name} is partitioned from the store for {CUT_S} s")
-                world.paths[number].cut()
-        cut_at = time.monotonic()
-        gevent.sleep(1.0)
-        world.put_configuration(3, ADDED)
-        acknowledged_at = time.monotonic()
-        record.add(f"store: version 3 is acknowledged, with {ADDED} and without {REMOVED}")
-        gevent.sleep(CONFIG_APPLY_S + 0.5)
-        while time.monotonic() < cut_at + CUT_S - 0.5:
-            for number, vm in enumerate(world.vms):
-                if number in cut:
-                    continue
-                age = time.monotonic() - acknowledged_at
-                added, removed = ask(vm, ADDED), ask(vm, REMOVED)
-                record.add(f"{vm.name}: {age:.1f} s after: {ADDED} -> {added}, {REMOVED} -> {removed}")
-                if added.startswith("ERROR NODB"):
-                    broken.append(f"{vm.name} refuses {ADDED} {age:.1f} s after")
-                if removed.startswith(("COMPLETE s", "ROW")):
-                    broken.append(f"{vm.name} runs {REMOVED} {age:.1f} s after")
-            gevent.sleep(0.5)
-        for path in world.paths:
-            path.heal()
-        record.add("the partition ends")
+            # Just before a heartbeat of m3 is due.
+            while time.monotonic() - world.last_beat["m3"] < 1.1:
+                gevent.sleep(0.01)
+            began = time.monotonic()
+            record.add(f"m3 is partitioned from the store for {CUT_S} s")
+            world.cut_from_store.add("m3")
+            gevent.spawn_later(CUT_S, world.cut_from_store.discard, "m3")
+            gevent.sleep(CRASH_AFTER_CUT_S - DEAF_BEFORE_CRASH_S)
+            record.add("m2 receives nothing")
+            group.deaf.add("m2")
+            gevent.sleep(began + CRASH_AFTER_CUT_S - time.monotonic())
+            record.add("m1 crashes")
+            group.members_by_name["m1"].stop()
+            gevent.sleep(DEAF_S - DEAF_BEFORE_CRASH_S)
+            group.members_by_name["m1"].start()
+            group.deaf.discard("m2")
+            record.add("m1 is back, m2 receives again")
         gevent.sleep(8.0)
-        for vm in world.vms:
-            record.add(f"{vm.name}: at the end: {ADDED} -> {ask(vm, ADDED)}")
-            if ask(vm, DATABASE).startswith("no answer"):
-                raise RuntimeError(f"{vm.name} does not answer")
-    for line in broken:
-        record.add(f"broken: {line}")
-    return bool(broken)
+        record.add(f"{len(acknowledged)} writes were acknowledged, {len(lost)} of them are lost")
+        if len(acknowledged) < 100:
+            raise RuntimeError("too few writes were acknowledged")
+    return bool(lost)
 
 
 finish(main, pathlib.Path(__file__).parent)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,105 +1,91 @@
-"""Clients that prepare a few large statements each end one entry process after the other."""
+"""VMs that reach the store do not follow it while the two that watch it for them are cut off."""
 
 import os
 import pathlib
 import time
 
 import gevent
+from storepath import StorePath
 from world import DATABASE, LineCaller, World, finish
 
-VMS = 2
-MEMORY_MB = 300
-# Two machines of a zone share the peers of one disruption of 120.
-PEERS = 120
-STATEMENTS = 8
-MAX_MESSAGE_BYTES = 1024 * 1024
-LARGE = MAX_MESSAGE_BYTES - 100
-SMALL = 100
-DURATION_S = 80.0
-RESTART_DELAY_S = 0.5
+VMS = 6
+CUT_SHARE = 0.35
+CUT_S = float(os.environ.get("CUT_S", "12.0"))
+CONFIG_APPLY_S = 4.0
+STABLE_WINDOW_S = 5.0
+ADDED, REMOVED = "added-db", "removed-db"
 
 
-def resident_mb(vm):
-    """Return the resident memory of a VM's process in MB, as the platform's machine counts it."""
-    try:
-        with open(f"/proc/{vm._child.pid}/status") as status:
-            for line in status:
-                if line.startswith("VmRSS"):
-                    return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0.0
-
+class CutWorld(World):
+    """Each VM has a path of its own to the store."""
 
-def keep_running(vm, record, ends, peaks):
-    """Act as the machine: end a process that exceeds its memory, and start it again."""
-    while True:
-        used = resident_mb(vm)
-        peaks[vm.name] = max(peaks[vm.name], used)
-        if used > MEMORY_MB:
-            record.add(f"{vm.name} uses {used:.0f} MB of {MEMORY_MB} MB and is killed")
-            ends[vm.name] += 1
-            vm.kill()
-        if not vm.running:
-            gevent.sleep(RESTART_DELAY_S)
-            vm.start()
-            record.add(f"{vm.name} runs again")
-        gevent.sleep(0.05)
+    def __init__(self, record):
+        super().__init__(record, vms=VMS, consistency="primary")
+        self.paths = []
 
-
-def peer(vm, number, size, record, end):
-    """Keep one session with STATEMENTS prepared statements; open it again after a close."""
-    while time.monotonic() < end:
-        try:
-            caller = LineCaller(vm.caller_address, DATABASE)
-            if caller.opening_answer.startswith("READY"):
-                for statement in range(STATEMENTS):
-                    shape = f"q{number}x{statement}" + "q" * size
-                    if not caller.ask(f"PREPARE s{statement} READ {shape}")[0]:
-                        raise OSError("closed")
-                while caller.ask("READ a")[0]:
-                    gevent.sleep(2.0)
-            caller.close()
-        except OSError:
-            pass
-        gevent.sleep(1.0)
+    def store_address(self, number, platform):
+        self.paths.append(StorePath(platform))
+        return self.paths[-1].address
 
 
-def bystander(vm, record, end, counts):
-    """Read once in a while; count what is answered and what is not."""
-    caller = None
-    while time.monotonic() < end:
-        try:
-            caller = caller or LineCaller(vm.caller_address, DATABASE)
-            served = caller.ask("READ a")[0].startswith("COMPLETE s")
-        except OSError:
-            served = False
-        counts[served] += 1
-        if not served:
-            caller = None
-        gevent.sleep(0.1)
+def ask(vm, database):
+    """Return the answer of a VM to a read of a database, or to its OPEN if that is refused."""
+    try:
+        caller = LineCaller(vm.caller_address, database)
+        if not caller.opening_answer.startswith("READY"):
+            answer = caller.opening_answer
+        else:
+            answer = caller.ask("READ a", f"x{time.monotonic_ns():x}")[0]
+        caller.close()
+        return answer
+    except OSError as error:
+        return f"no answer: {error}"
 
 
 def main(record, trouble):
-    with World(record, vms=VMS) as world:
-        gevent.sleep(3.0)
-        ends = {vm.name: 0 for vm in world.vms}
-        peaks = {vm.name: 0.0 for vm in world.vms}
-        counts = {True: 0, False: 0}
-        end = time.monotonic() + DURATION_S
+    broken = []
+    with CutWorld(record) as world:
+        world.put_configuration(2, REMOVED)
+        # Everything has been calm for longer than stableWindowMs.
+        gevent.sleep(9.0)
+        for vm in world.vms:
+            record.add(f"{vm.name}: {DATABASE} -> {ask(vm, DATABASE)}, {REMOVED} -> {ask(vm, REMOVED)}")
+        cut = []
+        if trouble:
+            cut = sorted(range(VMS), key=lambda i: -world.paths[i].long_waits(2.0))
+            cut = cut[: int(CUT_SHARE * VMS)]
+            for number in cut:
+                record.add(f"{world.vms[number].name} is partitioned from the store for {CUT_S} s")
+                world.paths[number].cut()
+        cut_at = time.monotonic()
+        gevent.sleep(1.0)
+        world.put_configuration(3, ADDED)
+        acknowledged_at = time.monotonic()
+        record.add(f"store: version 3 is acknowledged, with {ADDED} and without {REMOVED}")
+        gevent.sleep(CONFIG_APPLY_S + 0.5)
+        while time.monotonic() < cut_at + CUT_S - 0.5:
+            for number, vm in enumerate(world.vms):
+                if number in cut:
+                    continue
+                age = time.monotonic() - acknowledged_at
+                added, removed = ask(vm, ADDED), ask(vm, REMOVED)
+                record.add(f"{vm.name}: {age:.1f} s after: {ADDED} -> {added}, {REMOVED} -> {removed}")
+                if added.startswith("ERROR NODB"):
+                    broken.append(f"{vm.name} refuses {ADDED} {age:.1f} s after")
+                if removed.startswith(("COMPLETE s", "ROW")):
+                    broken.append(f"{vm.name} runs {REMOVED} {age:.1f} s after")
+            gevent.sleep(0.5)
+        for path in world.paths:
+            path.heal()
+        record.add("the partition ends")
+        gevent.sleep(8.0)
         for vm in world.vms:
-            gevent.spawn(keep_running, vm, record, ends, peaks)
-            gevent.spawn(bystander, vm, record, end, counts)
-        gevent.sleep(5.0)
-        size = LARGE if trouble else SMALL
-        record.add(f"{PEERS} peers prepare {STATEMENTS} statements of {size} bytes each")
-        for number in range(PEERS):
-            gevent.spawn(peer, world.vms[number % VMS], number, size, record, end)
-        while time.monotonic() < end and min(ends.values()) < 3:
-            gevent.sleep(0.2)
-        record.add(f"ends by memory: {ends}; peaks in MB: { {k: round(v) for k, v in peaks.items()} }")
-        record.add(f"reads of two other clients: {counts[True]} served, {counts[False]} not")
-        return sum(count >= 3 for count in ends.values()) >= 2
+            record.add(f"{vm.name}: at the end: {ADDED} -> {ask(vm, ADDED)}")
+            if ask(vm, DATABASE).startswith("no answer"):
+                raise RuntimeError(f"{vm.name} does not answer")
+    for line in broken:
+        record.add(f"broken: {line}")
+    return bool(broken)
 
 
 finish(main, pathlib.Path(__file__).parent)
