--- a/packages/core/bramleyrill_core/_values.py
+++ b/packages/core/bramleyrill_core/_values.py
@@ -62,6 +62,10 @@
     term: int
     position: int
 
+    def __str__(self) -> str:
+        """Return the term and the position, as in logs."""
+        return f"{self.term}.{self.position}"
+
 
 NO_MARK = Mark(0, 0)
 
--- a/packages/entry/bramleyrill_entry/_successor_search.py
+++ b/packages/entry/bramleyrill_entry/_successor_search.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 import gevent
+from bramleyrill_base import log_event
 from bramleyrill_core import Mark
 from bramleyrill_core.catalog import MemberEntry, MemberRow
 from bramleyrill_core.leadership import Candidate, Poll, choose_successor, uncovered_losses
@@ -81,6 +82,12 @@
             supervised.highest_term = max(supervised.highest_term, report.term)
             candidates.append(Candidate(row.entry.id, report.mark, row.accepts_work))
         unheard += self._uncovered_losses(service, candidates, unheard)
+        log_event(
+            "replicas_polled",
+            service=service,
+            marks=",".join(f"{item.member}@{item.mark}" for item in candidates) or "-",
+            unheard=",".join(unheard) or "-",
+        )
         return Poll(candidates, unheard, sync_replicas)
 
     def _uncovered_losses(
