Do not promote an old primary whose commits were given up

Cause: the candidate with the highest mark was chosen. Nothing kept where a term began.

Change: the duty's record, which is written before an order anyway, keeps the marks at which the last three appointed members were chosen. It works because the start lies in the store, where a VM that has just started reads it too.

The stand-in of a member reported the group's term for its last entry and rewrote the log of a member that was down; it does as the platform now.

--- a/packages/core/bramleyrill_core/leadership/__init__.py
+++ b/packages/core/bramleyrill_core/leadership/__init__.py
@@ -11,7 +11,14 @@
     pending_member,
     renewed_record,
 )
+from bramleyrill_core.leadership._lead_starts import (
+    LeadStart,
+    has_diverged,
+    starts_up_to,
+    starts_with,
+)
 from bramleyrill_core.leadership._successor import (
+    DIVERGED_LOG_WAIT,
     Candidate,
     Poll,
     choose_from,
@@ -27,6 +34,7 @@
 )
 
 __all__ = [
+    "DIVERGED_LOG_WAIT",
     "DUTY_LEASE",
     "KIND_DUTIES",
     "NO_HOLDER",
@@ -37,13 +45,17 @@
     "DutyRecord",
     "DutyView",
     "Evidence",
+    "LeadStart",
     "Poll",
     "Verdict",
     "assess_primary",
     "choose_from",
     "choose_successor",
+    "has_diverged",
     "next_record",
     "pending_member",
     "renewed_record",
+    "starts_up_to",
+    "starts_with",
     "uncovered_losses",
 ]
--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -17,6 +17,7 @@
 from attrs import Factory, define, evolve, field, frozen
 
 from bramleyrill_core.history import NO_ERA, StoreRevision
+from bramleyrill_core.leadership._lead_starts import MAX_STARTS, LeadStart
 
 # Kind of the objects in the store that hold the duties' records, by service.
 KIND_DUTIES = "bramleyrill-duties"
@@ -41,7 +42,8 @@
     record with NO_HOLDER belongs to no order: it confirms that `member` is the primary. One with
     NO_MEMBER is written before the replicas are fenced, to choose among them. `era` is the era of
     the store in which the record was made. Builds that do not write it read it off the token, which
-    tells it only while revisions are below 2**32.
+    tells it only while revisions are below 2**32. `starts` tells where the terms of the last
+    appointed members begin, newest first; builds that do not write it leave it empty.
     """
 
     holder: str
@@ -50,6 +52,7 @@
     era: int = field(
         default=Factory(lambda self: self.fencing_token // TOKENS_PER_ERA, takes_self=True)
     )
+    starts: tuple[LeadStart, ...] = ()
 
     def to_value(self) -> dict[str, Any]:
         """Return the record in the form in which it is stored."""
@@ -58,6 +61,7 @@
             "token": self.fencing_token,
             "member": self.member,
             "era": self.era,
+            "starts": [start.to_value() for start in self.starts],
         }
 
     @classmethod
@@ -73,7 +77,20 @@
         if "era" not in value:
             return cls(holder, token, member)
         era = value["era"]
-        return cls(holder, token, member, era) if type(era) is int and era >= NO_ERA else None
+        if type(era) is not int or era < NO_ERA:
+            return None
+        return cls(holder, token, member, era, _read_starts(value.get("starts")))
+
+
+def _read_starts(value: Any) -> tuple[LeadStart, ...]:
+    """Return the starts of a stored list; one that is malformed hides the older ones."""
+    starts: list[LeadStart] = []
+    for item in value[:MAX_STARTS] if isinstance(value, list) else []:
+        start = LeadStart.from_value(item)
+        if start is None:
+            break
+        starts.append(start)
+    return tuple(starts)
 
 
 @define
@@ -140,13 +157,17 @@
 
 
 def next_record(
-    record: DutyRecord | None, vm: str, member: str, revision: StoreRevision
+    record: DutyRecord | None,
+    vm: str,
+    member: str,
+    revision: StoreRevision,
+    starts: tuple[LeadStart, ...] = (),
 ) -> DutyRecord:
     """Return the record to write at `revision` before `vm` orders the appointment of `member`.
 
     The fencing token increases with every new order, even from the same holder, so that the
-    platform rejects an earlier order that arrives late. A repeated order keeps its token. The
-    record may only be used if it was written in the era of `revision`.
+    platform rejects an earlier order that arrives late. A repeated order keeps its token and the
+    start of its lead. The record may only be used if it was written in the era of `revision`.
     """
     if (
         record is not None
@@ -154,7 +175,8 @@
         and (record.holder, record.member) == (vm, member)
     ):
         return record
-    return DutyRecord(vm, _next_token(record, revision), member, revision.era)
+    token = _next_token(record, revision)
+    return DutyRecord(vm, token, member, revision.era, starts[:MAX_STARTS])
 
 
 def _next_token(record: DutyRecord | None, revision: StoreRevision) -> int:
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -3,8 +3,9 @@
 from datetime import timedelta
 from typing import Any
 
-from attrs import define
+from attrs import define, field
 from bramleyrill_base import log_event
+from bramleyrill_core import Mark
 from bramleyrill_core.history import NO_ERA
 from bramleyrill_core.leadership import (
     DUTY_LEASE,
@@ -12,6 +13,7 @@
     NO_HOLDER,
     DutyRecord,
     DutyView,
+    LeadStart,
     next_record,
     renewed_record,
 )
@@ -48,6 +50,9 @@
     While the service has no successor that is known to be safe, `leaderless_at` is the time of the
     next announcement of that. `record_check_at` is the time of the next look for a change of
     primary that was left unfinished.
+
+    `marks_by_member` has the marks of the members that answered the last poll. `diverged_since` is
+    the time since which only members whose logs went another way are left, or None.
     """
 
     service: str
@@ -66,6 +71,14 @@
     is_acquiring: bool = False
     leaderless_at: timedelta = timedelta.min
     record_check_at: timedelta = timedelta.min
+    marks_by_member: dict[str, Mark] = field(factory=dict)
+    diverged_since: timedelta | None = None
+
+    @property
+    def starts(self) -> tuple[LeadStart, ...]:
+        """Return where the terms of the last appointed members begin, by the duty's record."""
+        record = self.duty.current_record
+        return record.starts if record is not None else ()
 
 
 class DutyLeases:
@@ -81,16 +94,19 @@
         supervised = self._acquired_by_service.get(service)
         return supervised is not None and (supervised.is_acquiring or self.holds(supervised))
 
-    def acquire(self, supervised: SupervisedService, member: str) -> DutyRecord | None:
+    def acquire(
+        self, supervised: SupervisedService, member: str, starts: tuple[LeadStart, ...] = ()
+    ) -> DutyRecord | None:
         """Write the record of the next order and return it; the duty must have been read.
 
-        Return None if another VM holds the duty or the record cannot be written.
+        `starts` are stored with a new record. Return None if another VM holds the duty or the
+        record cannot be written.
         """
         if not self.may_acquire(supervised):
             return None
         now = self._state.now()
         duty = supervised.duty
-        record = next_record(duty.record, self._state.vm, member, duty.revision)
+        record = next_record(duty.record, self._state.vm, member, duty.revision, starts)
         if record == duty.record:
             if self.holds(supervised):
                 return record
@@ -129,7 +145,7 @@
             return True
         if not self.may_acquire(supervised):
             return False
-        record = next_record(duty.record, NO_HOLDER, member, duty.revision)
+        record = next_record(duty.record, NO_HOLDER, member, duty.revision, supervised.starts)
         try:
             stored = self._write(supervised, record)
         except StoreError as error:
--- a/packages/entry/bramleyrill_entry/_successor_search.py
+++ b/packages/entry/bramleyrill_entry/_successor_search.py
@@ -7,7 +7,13 @@
 from bramleyrill_base import log_event
 from bramleyrill_core import Mark
 from bramleyrill_core.catalog import MemberEntry, MemberRow
-from bramleyrill_core.leadership import Candidate, Poll, choose_successor, uncovered_losses
+from bramleyrill_core.leadership import (
+    Candidate,
+    Poll,
+    choose_successor,
+    starts_up_to,
+    uncovered_losses,
+)
 from bramleyrill_core.permits import StatusReport
 
 from bramleyrill_entry._duty_leases import SupervisedService
@@ -88,7 +94,9 @@
             marks=",".join(f"{item.member}@{item.mark}" for item in candidates) or "-",
             unheard=",".join(unheard) or "-",
         )
-        return Poll(candidates, unheard, sync_replicas)
+        supervised.marks_by_member = {item.member: item.mark for item in candidates}
+        starts = starts_up_to(supervised.starts, primary)
+        return Poll(candidates, unheard, sync_replicas, starts)
 
     def _uncovered_losses(
         self, service: str, candidates: list[Candidate], unheard: list[str]
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -10,11 +10,13 @@
     NO_MEMBER,
     DutyView,
     Evidence,
+    LeadStart,
     Poll,
     Verdict,
     assess_primary,
     choose_from,
     pending_member,
+    starts_with,
 )
 from bramleyrill_core.permits import StatusReport
 from bramleyrill_core.placement import holder_candidates, slow_vms
@@ -187,8 +189,8 @@
         chosen = self._choose(supervised, primary, poll)
         if chosen is not None:
             self._appoint(supervised, chosen, primary)
-        elif poll.is_complete:
-            log_event("no_successor", service=supervised.service, asked=len(poll.candidates))
+        elif poll.is_complete and not poll.candidates:
+            log_event("no_successor", service=supervised.service, asked=0)
         else:
             self._announce.leaderless(supervised, primary, poll)
 
@@ -218,7 +220,8 @@
         None if another VM holds the duty.
         """
         pending = pending_member(supervised.duty, primary.id if primary else "")
-        if self.leases.acquire(supervised, pending or NO_MEMBER) is None:
+        starts = supervised.starts if pending else starts_with(supervised.starts, None, primary)
+        if self.leases.acquire(supervised, pending or NO_MEMBER, starts) is None:
             return None
         if primary is not None:
             self._announce.replacement(primary)
@@ -237,13 +240,34 @@
             return choose_from(poll)
         if pending in (candidate.member for candidate in poll.candidates):
             return pending
-        chosen = choose_from(poll)
-        if chosen is None and pending and primary is not None:
+        chosen = choose_from(poll, self._waited_for_following(supervised, poll))
+        if chosen is None and not poll.candidates and pending and primary is not None:
             # No other member is left, and none of the VMs uses the primary while an order for
             # another one is on record.
             return primary.id
         return chosen
 
+    def _waited_for_following(self, supervised: SupervisedService, poll: Poll) -> timedelta:
+        """Return for how long only members whose logs went another way have been left."""
+        if not poll.has_only_diverged:
+            supervised.diverged_since = None
+            return timedelta()
+        now = self._state.now()
+        if supervised.diverged_since is None:
+            supervised.diverged_since = now
+        return now - supervised.diverged_since
+
+    def _starts_with(
+        self, supervised: SupervisedService, chosen: str, primary: MemberEntry | None
+    ) -> tuple[LeadStart, ...]:
+        """Return the starts to store before a member is ordered."""
+        row = self._state.members.members.get(chosen)
+        mark = supervised.marks_by_member.get(chosen)
+        if row is None or mark is None:
+            return ()
+        start = LeadStart(chosen, row.entry.address, mark)
+        return starts_with(supervised.starts, start, primary)
+
     def _appoint(
         self,
         supervised: SupervisedService,
@@ -256,7 +280,8 @@
         `demoted` is whether the old primary is known to be a replica by now. Return whether the
         order was carried out.
         """
-        record = self.leases.acquire(supervised, chosen)
+        starts = self._starts_with(supervised, chosen, primary)
+        record = self.leases.acquire(supervised, chosen, starts)
         if record is None:
             return False
         synchronous = self._search.sync_replicas_of(supervised.service) > 0
@@ -408,4 +433,5 @@
         chosen = self._search.wait_for(supervised, primary, report.mark)
         if chosen is None and not self._search.sync_replicas_of(supervised.service):
             chosen = choose_from(self._search.poll(supervised, primary))
+        supervised.marks_by_member[primary.id] = report.mark
         self._appoint(supervised, chosen or primary.id, primary, demoted=True)
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -109,8 +109,10 @@
 
     @property
     def position(self) -> tuple[int, int]:
-        """Return the member's term and the number of the last entry in the log."""
-        return self.term, len(self.log)
+        """Return the number of the last entry in the log, and its term or that of a leader."""
+        if self.is_primary or not self.log:
+            return self.term, len(self.log)
+        return self.log[-1].term, len(self.log)
 
     def follow(self) -> None:
         """Become a replica of the group's primary, with its log."""
@@ -173,7 +175,8 @@
         self.term += 1
         self.primary = member
         for other in self.members_by_name.values():
-            if not other.deposed_term:
+            # A member that is down comes back with its log.
+            if not other.deposed_term and other.running:
                 other.log = list(member.log)
                 other.fenced_term = 0
 
--- a/tests/entry/test_leadership.py
+++ b/tests/entry/test_leadership.py
@@ -15,13 +15,19 @@
     DutyRecord,
     DutyView,
     Evidence,
+    LeadStart,
+    Poll,
     Verdict,
     assess_primary,
+    choose_from,
     choose_successor,
     explore,
+    has_diverged,
     next_record,
     pending_member,
     renewed_record,
+    starts_up_to,
+    starts_with,
 )
 
 MS = timedelta(milliseconds=1)
@@ -32,6 +38,64 @@
     return DutyRecord(holder, (era << 32) + number, member)
 
 
+def start(member, term, position, port=1):
+    return LeadStart(member, ("10.0.0.1", port), Mark(term, position))
+
+
+def entry(name, port=1):
+    return mock.Mock(id=name, address=("10.0.0.1", port))
+
+
+class LeadStartTest(unittest.TestCase):
+    """A log of an older term beyond the start of a newer one holds commits that were given up."""
+
+    STARTS = (start("m3", 2, 90, port=3), start("m2", 1, 46, port=2))
+
+    def test_log_beyond_the_start_of_a_newer_term_has_diverged(self):
+        marks = [Mark(1, 46), Mark(1, 47), Mark(2, 90), Mark(2, 91), Mark(3, 95)]
+        diverged = [str(mark) for mark in marks if has_diverged(mark, self.STARTS)]
+        self.assertEqual(diverged, ["1.47", "2.91"])
+        self.assertFalse(has_diverged(Mark(1, 86), ()))
+
+    def test_shorter_log_that_follows_is_chosen(self):
+        """The longest log was chosen, and commits that were given up came back."""
+        candidates = [Candidate("old", Mark(1, 86), True), Candidate("m1", Mark(1, 40), True)]
+        self.assertEqual(choose_from(Poll(candidates)), "old")
+        self.assertEqual(choose_from(Poll(candidates, starts=self.STARTS)), "m1")
+
+    def test_order_that_was_not_carried_out_started_no_term(self):
+        """A follower of the primary that goes on would be taken for one that went another way."""
+        self.assertEqual(starts_up_to(self.STARTS, entry("m2", 2)), self.STARTS[1:])
+        self.assertEqual(starts_up_to(self.STARTS, entry("new", 9)), ())
+        self.assertEqual(starts_up_to(self.STARTS, None), self.STARTS)
+
+    def test_primary_that_is_back_under_another_id_keeps_its_start(self):
+        self.assertEqual(starts_up_to(self.STARTS, entry("new", 3)), self.STARTS)
+
+    def test_repeated_order_keeps_its_start(self):
+        """Its member may lead already, and its mark may be one of the new term."""
+        again = start("m3", 2, 99, port=3)
+        self.assertEqual(starts_with(self.STARTS, again, entry("m2", 2)), self.STARTS)
+        other = start("m1", 2, 99)
+        kept = (other, self.STARTS[1])
+        self.assertEqual(starts_with(self.STARTS, other, entry("m2", 2)), kept)
+        self.assertEqual(starts_with(self.STARTS, None, entry("m2", 2)), self.STARTS[1:])
+
+    def test_record_keeps_the_last_starts(self):
+        written = next_record(None, "vm1", "m3", StoreRevision(1, 7), self.STARTS * 2)
+        self.assertEqual(len(written.starts), 3)
+        self.assertEqual(DutyRecord.from_value(written.to_value()), written)
+
+    def test_malformed_start_hides_only_older_ones(self):
+        """The record also says who holds the duty, which must not be lost with it."""
+        value = next_record(None, "vm1", "m3", StoreRevision(1, 7), self.STARTS).to_value()
+        for broken in (7, {}, {"member": "m2", "address": ["h", 0], "term": 1, "position": 2}):
+            value["starts"][1] = broken
+            self.assertEqual(DutyRecord.from_value(value).starts, self.STARTS[:1])
+        value["starts"] = "none"
+        self.assertEqual(DutyRecord.from_value(value).starts, ())
+
+
 class DutyTest(unittest.TestCase):
     def test_unread_duty_is_not_acquired(self):
         """Without the record a VM cannot know whether another holder's lease is still valid."""
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -7,8 +7,14 @@
 import gevent
 from attrs import evolve
 from bramleyrill_base import ManualClock
-from bramleyrill_core.catalog import MemberState
-from bramleyrill_core.leadership import DUTY_LEASE, KIND_DUTIES, DutyRecord, DutyView
+from bramleyrill_core.catalog import MemberState, MemberTable
+from bramleyrill_core.leadership import (
+    DIVERGED_LOG_WAIT,
+    DUTY_LEASE,
+    KIND_DUTIES,
+    DutyRecord,
+    DutyView,
+)
 from bramleyrill_core.placement import VmEntry
 from bramleyrill_entry import _supervisor
 from bramleyrill_entry._duty_leases import SupervisedService
@@ -139,6 +145,63 @@
         self.assertEqual({appointment[3] for appointment in self.platform.appointments}, {1})
 
 
+class ReturnedLogTest(SupervisorTest):
+    """The primary m1 fails with commits that no replica has; m2 leads, and fails in its turn."""
+
+    def setUp(self):
+        super().setUp()
+        self.write("m1", "WRITE a 1")
+        gevent.sleep(0.01)
+        for replica in ("m2", "m3"):
+            self.group.members_by_name[replica].lag = TEN_SECONDS
+        for number in range(3):
+            self.write("m1", f"WRITE b {number}")
+        self.group.members_by_name["m1"].stop()
+        self.group.members_by_name["m3"].refused_control = "STATUS"
+        self.replace()
+        self.assertEqual(self.primary_name(), "m2")
+        self.group.members_by_name["m3"].refused_control = ""
+        self.write("m2", "WRITE c 1")
+        self.group.members_by_name["m1"].start()
+        self.group.members_by_name["m2"].stop()
+
+    def replace(self):
+        primary = self.state.members.primary_of(SERVICE)
+        self.supervisor._replace_primary(self.supervised, primary and primary.entry)
+
+    def forget(self):
+        """Make this VM one that has just started, and finds no entry of the last primary."""
+        self.state.members = MemberTable()
+        replicas = [member_entry(self.group, name) for name in ("m1", "m3")]
+        self.state.members.replace_all(replicas, self.state.now())
+        self.supervised = SupervisedService(SERVICE, DutyView(), self.state.now())
+        self.supervised.duty.seen_at = None
+
+    def test_old_primary_with_commits_that_were_given_up_is_not_promoted(self):
+        """Its log was the longest, and its commits came back against reads of the second term."""
+        self.replace()
+        self.assertEqual(self.primary_name(), "m3")
+
+    def test_vm_that_has_just_started_knows_which_log_went_another_way(self):
+        self.forget()
+        self.replace()
+        self.assertEqual(self.primary_name(), "m3")
+
+    def test_log_that_went_another_way_is_a_last_resort(self):
+        """A service must not stay without a primary for ever if no other member is left."""
+        self.group.members_by_name["m3"].stop()
+        self.replace()
+        self.assertEqual(self.primary_name(), "m2")
+        self.supervised.diverged_since -= DIVERGED_LOG_WAIT
+        self.replace()
+        self.assertEqual(self.primary_name(), "m1")
+
+    def test_callers_are_refused_while_only_such_a_log_is_left(self):
+        self.group.members_by_name["m3"].stop()
+        self.replace()
+        self.assertTrue(self.state.is_leaderless(SERVICE))
+
+
 class RestoredTest(SupervisorTest):
     """The store is restored from a copy that lacks the newest records."""
 
