Ask replicas whose entry is gone before a successor is chosen

Cause: a replica counted as ended when its entry was gone, and a position that the primary proved later covered it. It lived, went on confirming commits after that position, and was not asked: in the log member_gone 1.4 s before the order, no status_failed, no successor_unproven.

Change: what is gone is asked at its last address, fenced and resumed. A position covers it only if it was proved since the replica is known to be quiet; the supervisors ask once a second. One that alone has the newest commits is appointed, and replaced by a listed member that has caught up.

test_replica_whose_entry_is_gone_is_waited_for left the process running, so it tested the fault; it stops the process now, and seven tests cover the living one. The stand-in's members report the term that they followed last, and one that is down receives nothing.

--- a/packages/core/bramleyrill_core/catalog/_lost_replicas.py
+++ b/packages/core/bramleyrill_core/catalog/_lost_replicas.py
@@ -1,64 +1,97 @@
-"""Replicas whose process has ended, and that may have been the only ones with some commits."""
+"""Replicas whose entry is gone, and that may be the only ones with some acknowledged commits."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
-from attrs import frozen
+from attrs import evolve, frozen
 
-from bramleyrill_core.catalog._model import Address, MemberEntry, MemberState
+from bramleyrill_core.catalog._model import MemberEntry, MemberState
 
 # For how long a replica that is gone may come back with commits that no other replica has.
 LOST_REPLICA_MEMORY = timedelta(seconds=60)
 # Stands for replicas that may have been there before this VM knew the members of a service.
 UNKNOWN_REPLICA = "unknown"
+# Lost processes are remembered up to this number, also those that count no more.
+MAX_LOST = 1000
 
 
 @frozen
 class LostReplica:
-    """A process of a replica that ended, or whose entry is gone, at `lost_at` or before.
+    """A process of a replica whose entry is gone, or that another process has replaced.
 
-    `incarnation` tells it from a later process of the same id, which knows nothing of its log.
-    The log of one that left as `planned` is transferred to the next member at its address.
+    Without an entry it may live, and go on confirming commits. `quiet_since` is the time since when
+    it is known not to answer, or None; `has_ended` is set if it cannot answer again. `heard_at` is
+    when it was last known to live. UNKNOWN_REPLICA has no `entry`, as nobody can ask it.
     """
 
     member: str
     service: str
-    lost_at: timedelta
-    incarnation: int = 0
-    address: Address | None = None
-    planned: bool = False
+    heard_at: timedelta
+    entry: MemberEntry | None = None
+    quiet_since: timedelta | None = None
+    has_ended: bool = False
+    is_settled: bool = False
+
+    @property
+    def process(self) -> tuple[str, int]:
+        """Return what tells the process from others."""
+        return self.member, self.entry.incarnation if self.entry is not None else 0
+
+    @property
+    def planned(self) -> bool:
+        """Return whether it drained; its log is transferred to the next member at its address."""
+        return self.entry is not None and self.entry.state is MemberState.DRAINING
+
+    def counts(self, now: timedelta) -> bool:
+        """Return whether it may still have commits that no other replica has."""
+        return not self.is_settled and now - self.heard_at < LOST_REPLICA_MEMORY
 
 
 class LostReplicas:
-    """The replicas that were lost in the last LOST_REPLICA_MEMORY."""
+    """The replicas that are gone."""
 
     def __init__(self) -> None:
         self._by_process: dict[tuple[str, int], LostReplica] = {}
 
-    def record(self, entry: MemberEntry, now: timedelta) -> None:
-        """Record that the process that wrote `entry` is gone."""
-        self._expire(now)
-        self._by_process[entry.id, entry.incarnation] = LostReplica(
-            member=entry.id,
-            service=entry.service,
-            lost_at=now,
-            incarnation=entry.incarnation,
-            address=entry.address,
-            planned=entry.state is MemberState.DRAINING,
-        )
+    def record(self, entry: MemberEntry, now: timedelta, has_ended: bool = False) -> None:
+        """Record that the entry is gone, or that the process that wrote it has ended."""
+        lost = LostReplica(entry.id, entry.service, now, entry)
+        if has_ended:
+            lost = evolve(lost, quiet_since=now, has_ended=True)
+        self._by_process[lost.process] = lost
+        if len(self._by_process) > MAX_LOST:
+            del self._by_process[next(iter(self._by_process))]
 
     def forget(self, entry: MemberEntry) -> None:
         """Forget a replica that is back, or whose log the writer of `entry` has."""
         self._by_process.pop((entry.id, entry.incarnation), None)
         for process, lost in list(self._by_process.items()):
-            if lost.planned and (lost.service, lost.address) == (entry.service, entry.address):
+            at_same_address = lost.entry.address == entry.address
+            if lost.planned and lost.service == entry.service and at_same_address:
                 del self._by_process[process]
 
-    def of_service(self, service: str, now: timedelta) -> list[LostReplica]:
-        """Return the lost replicas of a service, oldest first."""
-        self._expire(now)
-        return [lost for lost in self._by_process.values() if lost.service == service]
+    def record_answer(self, lost: LostReplica, now: timedelta) -> None:
+        """Record that a replica without an entry answered at its last address."""
+        known = self._by_process.get(lost.process)
+        if known is not None and not known.has_ended:
+            self._by_process[lost.process] = evolve(known, heard_at=now, quiet_since=None)
 
-    def _expire(self, now: timedelta) -> None:
-        for process, lost in list(self._by_process.items()):
-            if now - lost.lost_at >= LOST_REPLICA_MEMORY:
-                del self._by_process[process]
+    def record_silence(self, lost: LostReplica, now: timedelta, has_ended: bool) -> None:
+        """Record that it did not answer; `has_ended` if it cannot answer again."""
+        known = self._by_process.get(lost.process)
+        if known is not None and not known.has_ended:
+            since = now if known.quiet_since is None else known.quiet_since
+            quiet = evolve(known, quiet_since=since, has_ended=has_ended)
+            self._by_process[lost.process] = quiet
+
+    def settle(self, replicas: Iterable[LostReplica]) -> None:
+        """Record that all commits that these replicas may have are at other members."""
+        for lost in replicas:
+            known = self._by_process.get(lost.process)
+            if known is not None:
+                self._by_process[lost.process] = evolve(known, is_settled=True)
+
+    def of_service(self, service: str, now: timedelta) -> list[LostReplica]:
+        """Return the lost replicas of a service that count, oldest first."""
+        lost = [lost for lost in self._by_process.values() if lost.service == service]
+        return [replica for replica in lost if replica.counts(now)]
--- a/packages/core/bramleyrill_core/catalog/_tables.py
+++ b/packages/core/bramleyrill_core/catalog/_tables.py
@@ -7,7 +7,6 @@
 
 from bramleyrill_core._values import MemberRole
 from bramleyrill_core.catalog._lost_replicas import (
-    LOST_REPLICA_MEMORY,
     UNKNOWN_REPLICA,
     LostReplica,
     LostReplicas,
@@ -68,9 +67,9 @@
     entry that may be from the copy therefore does not replace a known one for LAPSE_GRACE, and a
     member that was seen to leave does not come back with it.
 
-    A replica that is gone may have been the only one with some acknowledged commits, so it is
-    remembered for LOST_REPLICA_MEMORY. One that starts again under its id holds nothing of before,
-    so its earlier process is lost. What was lost before the first list of the members is not known.
+    A replica that is gone may be the only one with some acknowledged commits, so it stays in
+    `lost`. One that starts again under its id holds nothing of before, so its earlier process is
+    lost. What was lost before the first list of the members is not known.
     """
 
     def __init__(self) -> None:
@@ -78,7 +77,7 @@
         self.primaries: Table[str, PrimaryRow] = Table()
         self.revision = StoreRevision()
         self._departed_incarnations_by_id: dict[str, int] = {}
-        self._lost = LostReplicas()
+        self.lost = LostReplicas()
         self._first_listed_at: timedelta | None = None
         self._proved_lead_by_service: dict[str, tuple[str, int]] = {}
 
@@ -139,10 +138,10 @@
             if entry.role is not row.entry.role or entry.incarnation != row.entry.incarnation:
                 row.role_revision = role_revision
             if entry.incarnation != row.entry.incarnation:
-                self._record_lost(row.entry, now)
+                self._record_lost(row.entry, now, has_ended=True)
             row.entry = _keep_draining(entry, row.entry)
             row.lapsed_at = row.restored = None
-        self._lost.forget(entry)
+        self.lost.forget(entry)
         if entry.role is MemberRole.PRIMARY:
             self._record_claimed_primary(entry.service, entry.id, row.role_revision)
 
@@ -171,14 +170,16 @@
         return [row.entry.id for row in dropped]
 
     def lost_replicas_of(self, service: str, now: timedelta) -> list[LostReplica]:
-        """Return the replicas of a service that were lost lately.
+        """Return the replicas of a service that are gone and may have commits that no other has.
 
         For a while after the first list of the members, UNKNOWN_REPLICA is one of them.
         """
-        lost = self._lost.of_service(service, now)
-        listed_at = self._first_listed_at
-        if listed_at is not None and now - listed_at < LOST_REPLICA_MEMORY:
-            lost.append(LostReplica(UNKNOWN_REPLICA, service, listed_at))
+        lost = self.lost.of_service(service, now)
+        unknown = LostReplica(UNKNOWN_REPLICA, service, self._first_listed_at or now)
+        if self._first_listed_at is None:
+            return lost
+        if unknown.counts(now):
+            lost.append(evolve(unknown, quiet_since=unknown.heard_at))
         return lost
 
     def members_of_service(self, service: str) -> list[MemberRow]:
@@ -239,9 +240,9 @@
             and self.members.get(primary.member) is not None
         )
 
-    def _record_lost(self, entry: MemberEntry, now: timedelta) -> None:
+    def _record_lost(self, entry: MemberEntry, now: timedelta, has_ended: bool = False) -> None:
         if entry.role is MemberRole.REPLICA:
-            self._lost.record(entry, now)
+            self.lost.record(entry, now, has_ended)
 
     def _record_departure(self, entry: MemberEntry) -> None:
         departed = self._departed_incarnations_by_id
--- a/packages/core/bramleyrill_core/leadership/_successor.py
+++ b/packages/core/bramleyrill_core/leadership/_successor.py
@@ -28,7 +28,7 @@
 class Poll:
     """What the replicas of a service answered when they were asked for their marks.
 
-    `unheard` are the replicas that did not answer, and those that were lost with commits that the
+    `unheard` are the replicas that did not answer, and those that are gone with commits that the
     candidates may not have. The primary acknowledges a commit once `sync_replicas` replicas have
     it; with 0 it waits for none, and a change of primary may lose commits.
     """
@@ -59,19 +59,22 @@
 
 def uncovered_losses(
     lost: Iterable[LostReplica], candidates: list[Candidate], proofs: ProofHistory
-) -> list[str]:
-    """Return the lost replicas that may have had commits that no candidate has.
+) -> list[LostReplica]:
+    """Return the lost replicas that may have commits that no candidate has.
 
-    A position that the primary was proved to have after a loss includes every commit that was
-    acknowledged before it. Once a candidate has that position, the loss hides nothing any more.
+    One that is not known to be quiet may live, and confirm further commits. A position that the
+    primary was proved to have since it is quiet includes every commit that was acknowledged before.
+    Once a candidate has that position, the loss hides nothing any more.
     """
     newest = max((candidate.mark for candidate in candidates), default=None)
-    uncovered = []
-    for replica in lost:
-        proof = proofs.first_since(replica.lost_at)
-        if newest is None or proof is None or newest < proof.mark:
-            uncovered.append(replica.member)
-    return uncovered
+    return [replica for replica in lost if not _is_covered(replica, newest, proofs)]
+
+
+def _is_covered(replica: LostReplica, newest: Mark | None, proofs: ProofHistory) -> bool:
+    if newest is None or replica.quiet_since is None:
+        return False
+    proof = proofs.first_since(replica.quiet_since)
+    return proof is not None and proof.mark <= newest
 
 
 def choose_successor(candidates: list[Candidate], at_least: Mark | None = None) -> str | None:
--- a/packages/entry/bramleyrill_entry/_change_announcements.py
+++ b/packages/entry/bramleyrill_entry/_change_announcements.py
@@ -32,7 +32,7 @@
         """Tell all VMs to refuse work for the primary until a successor is known to be safe.
 
         That is when enough of the unheard replicas answer, or the primary does. A replica counts as
-        unheard while its entry is in the store, and for LOST_REPLICA_MEMORY after that.
+        unheard while its entry is in the store, and for LOST_REPLICA_MEMORY after it last answered.
         """
         now = self._state.now()
         if now < supervised.leaderless_at:
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -53,6 +53,7 @@
 
     `marks_by_member` has the marks of the members that answered the last poll. `diverged_since` is
     the time since which only members whose logs went another way are left, or None.
+    `losses_check_at` is the time of the next look for replicas whose entries are gone.
     """
 
     service: str
@@ -73,6 +74,7 @@
     record_check_at: timedelta = timedelta.min
     marks_by_member: dict[str, Mark] = field(factory=dict)
     diverged_since: timedelta | None = None
+    losses_check_at: timedelta = timedelta.min
 
     @property
     def starts(self) -> tuple[LeadStart, ...]:
--- a/packages/entry/bramleyrill_entry/_fence.py
+++ b/packages/entry/bramleyrill_entry/_fence.py
@@ -6,7 +6,7 @@
 from bramleyrill_core.catalog import MemberEntry
 from bramleyrill_core.permits import StatusReport, wait_after_fence
 
-from bramleyrill_entry._member_commands import MemberCommand, MemberCommands
+from bramleyrill_entry._member_commands import DirectCommands, MemberCommand, MemberCommands
 from bramleyrill_entry._member_status import refuses_connections
 from bramleyrill_entry._state import EntryState
 
@@ -59,7 +59,9 @@
     return True
 
 
-def fence(commands: MemberCommands, replica: MemberEntry, term: int) -> StatusReport | None:
+def fence(
+    commands: MemberCommands | DirectCommands, replica: MemberEntry, term: int
+) -> StatusReport | None:
     """Stop a replica from receiving; return its report, whose mark is final, or None if it fails.
 
     A replica that an earlier order has promoted refuses the fence, and needs none.
--- a/packages/entry/bramleyrill_entry/_member_commands.py
+++ b/packages/entry/bramleyrill_entry/_member_commands.py
@@ -9,7 +9,7 @@
 from enum import IntEnum
 from typing import Any
 
-from bramleyrill_base import log_event
+from bramleyrill_base import Clock, log_event
 from bramleyrill_core import Mark
 from bramleyrill_core.catalog import MemberEntry
 from bramleyrill_core.permits import StatusReport
@@ -17,7 +17,12 @@
 from bramleyrill_platform import lines
 from bramleyrill_wire.entries import frames
 
-from bramleyrill_entry._member_status import DIAL_TIMEOUT, STATUS_TIMEOUT, read_status
+from bramleyrill_entry._member_status import (
+    DIAL_TIMEOUT,
+    STATUS_TIMEOUT,
+    ask_status,
+    read_status,
+)
 from bramleyrill_entry._peer_link import PeerLostError
 from bramleyrill_entry._peers import PeerNet
 from bramleyrill_entry._schedulers import MemberSchedulers
@@ -47,6 +52,19 @@
     return lines.STATUS_TEXT
 
 
+class DirectCommands:
+    """Send commands to members on connections of their own, as to one that has no holder."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+
+    def send(
+        self, member: MemberEntry, command: MemberCommand = MemberCommand.STATUS, term: int = 0
+    ) -> StatusReport | None:
+        """Return the member's report, or None if it cannot be had; failures are logged."""
+        return ask_status(member, self._clock, command_text(command, term))
+
+
 class MemberCommands:
     """Send commands to members.
 
--- a/packages/entry/bramleyrill_entry/_successor_search.py
+++ b/packages/entry/bramleyrill_entry/_successor_search.py
@@ -1,6 +1,5 @@
 """Ask the replicas of a service for their marks, and choose the next primary among them."""
 
-from collections.abc import Callable
 from datetime import timedelta
 
 import gevent
@@ -14,12 +13,12 @@
     starts_up_to,
     uncovered_losses,
 )
-from bramleyrill_core.permits import StatusReport
 
 from bramleyrill_entry._duty_leases import SupervisedService
 from bramleyrill_entry._fence import fence
 from bramleyrill_entry._member_commands import MemberCommand, MemberCommands
 from bramleyrill_entry._state import EntryState
+from bramleyrill_entry._unlisted_replicas import Ask, UnlistedReplicas
 
 # A planned change waits this long for a replica to have all entries.
 CATCH_UP_TIMEOUT = timedelta(seconds=1.5)
@@ -32,14 +31,15 @@
     def __init__(self, state: EntryState, commands: MemberCommands) -> None:
         self._state = state
         self._commands = commands
+        self._unlisted = UnlistedReplicas(state)
 
     def poll(self, supervised: SupervisedService, primary: MemberEntry | None) -> Poll:
         """Ask all replicas for their status at the same time.
 
         Where the service has synchronous replicas, those that drain are asked too: they receive and
-        acknowledge commits until they end.
+        acknowledge commits until they end. So may those that only lost their way to the store.
         """
-        return self._poll(supervised, primary, self._commands.send)
+        return self._poll(supervised, primary, self._commands.send, self._unlisted.commands.send)
 
     def fence(self, supervised: SupervisedService, primary: MemberEntry | None, term: int) -> Poll:
         """Stop all replicas from receiving, and return the marks that they have then.
@@ -47,7 +47,13 @@
         A primary that is back, or that only this VM does not reach, can acknowledge nothing more
         if the poll is complete.
         """
-        return self._poll(supervised, primary, lambda replica: fence(self._commands, replica, term))
+        direct = self._unlisted.commands
+        return self._poll(
+            supervised,
+            primary,
+            lambda replica: fence(self._commands, replica, term),
+            lambda replica: fence(direct, replica, term),
+        )
 
     def resume(self, service: str, primary: MemberEntry | None, chosen: str) -> None:
         """Let the replicas that `fence` stopped receive again, now that another member leads.
@@ -57,6 +63,9 @@
         for row in self._replicas(service, primary):
             if row.entry.id != chosen:
                 gevent.spawn(self._commands.send, row.entry, MemberCommand.RESUME)
+        for replica in self._unlisted.to_ask(service):
+            if replica.member != chosen:
+                gevent.spawn(self._unlisted.commands.send, replica.entry, MemberCommand.RESUME)
 
     def has_fenced_replica(self, service: str, primary: MemberEntry) -> bool:
         """Return whether a replica of the primary still receives nothing, by its own report."""
@@ -66,28 +75,46 @@
         reports = [query.value for query in queries if query.value is not None]
         return any(report.fenced_term and not report.is_primary for report in reports)
 
+    def settle_losses(self, supervised: SupervisedService, primary: MemberEntry) -> None:
+        """Find out which lost replicas are quiet, and whose commits are known to be elsewhere."""
+        known = self._state.members.lost_replicas_of(supervised.service, self._state.now())
+        lost = [replica for replica in known if replica.entry is not None]
+        if not lost:
+            return
+        poll = self.poll(supervised, primary)
+        self._state.members.lost.settle(
+            replica for replica in lost if replica.has_ended and replica.member not in poll.unheard
+        )
+
     def _poll(
         self,
         supervised: SupervisedService,
         primary: MemberEntry | None,
-        ask: Callable[[MemberEntry], StatusReport | None],
+        ask: Ask,
+        ask_unlisted: Ask,
     ) -> Poll:
         service = supervised.service
         sync_replicas = self.sync_replicas_of(service)
         rows = self._replicas(service, primary)
         if not sync_replicas:
             rows = [row for row in rows if row.accepts_work]
+        lost = self._unlisted.to_ask(service) if sync_replicas else []
         queries = [gevent.spawn(ask, row.entry) for row in rows]
+        queries += [gevent.spawn(self._unlisted.ask, replica, ask_unlisted) for replica in lost]
         gevent.joinall(queries)
+        asked = [(row.entry.id, row.accepts_work) for row in rows]
+        # A member without an entry gets no work, so another one with the same mark is preferred.
+        asked += [(replica.member, False) for replica in lost]
         candidates, unheard = [], []
-        for row, query in zip(rows, queries, strict=True):
+        for (member, is_ready), query in zip(asked, queries, strict=True):
             report = query.value
             if report is None:
-                unheard.append(row.entry.id)
+                unheard.append(member)
                 continue
             supervised.highest_term = max(supervised.highest_term, report.term)
-            candidates.append(Candidate(row.entry.id, report.mark, row.accepts_work))
-        unheard += self._uncovered_losses(service, candidates, unheard)
+            candidates.append(Candidate(member, report.mark, is_ready))
+        if sync_replicas:
+            unheard = self._without_covered(service, candidates, unheard)
         log_event(
             "replicas_polled",
             service=service,
@@ -98,13 +125,20 @@
         starts = starts_up_to(supervised.starts, primary)
         return Poll(candidates, unheard, sync_replicas, starts)
 
-    def _uncovered_losses(
+    def _without_covered(
         self, service: str, candidates: list[Candidate], unheard: list[str]
     ) -> list[str]:
-        """Return the lost replicas whose commits are not known to be at a candidate, each once."""
-        lost = self._state.members.lost_replicas_of(service, self._state.now())
+        """Return the unheard replicas, each once, less those whose commits are at a candidate."""
+        members = self._state.members
+        heard = {candidate.member for candidate in candidates}
+        lost = [
+            replica
+            for replica in members.lost_replicas_of(service, self._state.now())
+            if replica.has_ended or replica.member not in heard
+        ]
         uncovered = uncovered_losses(lost, candidates, self._state.proofs.history_of(service))
-        return [name for name in dict.fromkeys(uncovered) if name not in unheard]
+        listed = [member for member in unheard if members.members.get(member) is not None]
+        return list(dict.fromkeys([*listed, *(replica.member for replica in uncovered)]))
 
     def wait_for(
         self, supervised: SupervisedService, primary: MemberEntry, primary_mark: Mark | None
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -54,6 +54,9 @@
 MAX_PAUSE = timedelta(seconds=5)
 MAX_APPOINT_ATTEMPTS = 6
 APPOINT_RETRY_PAUSE = timedelta(milliseconds=300)
+# How often replicas without an entry are asked whether they live, so that their silence has a
+# beginning before the primary fails.
+LOST_REPLICA_INTERVAL = timedelta(seconds=1)
 # How long to wait for the platform to name the primary of a service that has none.
 NO_PRIMARY_GRACE = timedelta(seconds=3)
 
@@ -138,6 +141,8 @@
                 self._confirmation.confirm(supervised, row.entry)
             if self._unfinished.is_left(supervised, row.entry, index):
                 self._replace_primary(supervised, row.entry)
+            else:
+                self._ask_lost_replicas(supervised, row.entry)
             return
         silent_for, refused = self._evidence.collect(supervised, row.entry)
         evidence = Evidence(silent_for - index * SUPERVISOR_DELAY, checked=True, refused=refused)
@@ -152,6 +157,12 @@
             )
             self._replace_primary(supervised, row.entry)
 
+    def _ask_lost_replicas(self, supervised: SupervisedService, primary: MemberEntry) -> None:
+        now = self._state.now()
+        if self._search.sync_replicas_of(primary.service) and now >= supervised.losses_check_at:
+            supervised.losses_check_at = now + LOST_REPLICA_INTERVAL
+            gevent.spawn(self._search.settle_losses, supervised, primary)
+
     def _supervisor_index(self, supervised: SupervisedService) -> int | None:
         """Return this VM's position among the supervisors of a service, or None."""
         now = self._state.now()
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -53,10 +53,10 @@
     `lose_answers` it runs statements and closes the connection instead of answering. `lag` is the
     replication delay, `statement_time` the time that a statement takes. `deposed_term` is the term
     that a replaced primary still leads in its own view, and `fenced_term` the term with which a
-    replica was fenced; both are 0 otherwise. `controls` records the verbs of the commands that set
-    connections up; a command whose verb is `refused_control` fails. `slots` limits the statements
-    that run at the same time if it is set: others wait, and commands are refused while none is
-    free.
+    replica was fenced; both are 0 otherwise. `followed_term` is the newest term it took part in.
+    `controls` records the verbs of the commands that set connections up; a command whose verb is
+    `refused_control` fails. `slots` limits the statements that run at the same time if it is set:
+    others wait, and commands are refused while none is free.
     """
 
     def __init__(self, group: "LineGroup", name: str) -> None:
@@ -72,6 +72,7 @@
         self.statement_time = NO_DELAY
         self.deposed_term = 0
         self.fenced_term = 0
+        self.followed_term = 1
         self.refused_control = ""
         self.controls: list[str] = []
         self.slots: Semaphore | None = None
@@ -109,14 +110,13 @@
 
     @property
     def position(self) -> tuple[int, int]:
-        """Return the number of the last entry in the log, and its term or that of a leader."""
-        if self.is_primary or not self.log:
-            return self.term, len(self.log)
-        return self.log[-1].term, len(self.log)
+        """Return the term that the member leads or followed last, and the length of its log."""
+        return self.term if self.is_primary else self.followed_term, len(self.log)
 
     def follow(self) -> None:
         """Become a replica of the group's primary, with its log."""
         self.deposed_term = 0
+        self.followed_term = self.group.term
         self.log = list(self.group.primary.log)
 
     def stop(self) -> None:
@@ -179,10 +179,12 @@
             if not other.deposed_term and other.running:
                 other.log = list(member.log)
                 other.fenced_term = 0
+                other.followed_term = self.term
 
     def demote(self, member: LineMember) -> None:
         """Make a member a replica; without another primary the group has none then."""
         if self.primary is member:
+            member.followed_term = self.term
             self.primary = None
         elif member.deposed_term:
             member.follow()
@@ -219,10 +221,11 @@
     def _replicate(self, source: LineMember, replica: LineMember, length: int) -> None:
         """Extend a replica's log to the first `length` entries of the source's.
 
-        Does nothing if the replica is fenced, or if another member was promoted meanwhile.
+        Does nothing if the replica is fenced or down, or another member was promoted meanwhile.
         """
-        if self.primary in (source, None) and not replica.fenced_term:
+        if self.primary in (source, None) and replica.running and not replica.fenced_term:
             replica.log.extend(source.log[len(replica.log) : length])
+            replica.followed_term = self.term
 
     def runs_of(self, statement_id: str) -> list[Run]:
         """Return the recorded runs of a statement."""
--- a/tests/entry/test_synchronous_replicas.py
+++ b/tests/entry/test_synchronous_replicas.py
@@ -126,7 +126,8 @@
         """It answers under its old id, and the replica that lagged behind it was promoted."""
         self.put_new("m2", incarnation=7)
         self.assertEqual(self.lost(), ["m2"])
-        self.assertEqual(self.table.lost_replicas_of(SERVICE, LAPSE_GRACE)[0].lost_at, LAPSE_GRACE)
+        (lost,) = self.table.lost_replicas_of(SERVICE, LAPSE_GRACE)
+        self.assertEqual((lost.quiet_since, lost.has_ended), (LAPSE_GRACE, True))
 
     def test_replica_that_starts_again_after_its_entry_was_gone_stays_lost(self):
         self.lose("m2")
@@ -161,6 +162,40 @@
         self.assertEqual(self.lost(9 * SECOND), [UNKNOWN_REPLICA])
         self.assertEqual(self.lost(LOST_REPLICA_MEMORY + SECOND), [])
 
+    def test_replica_that_only_lost_its_entry_may_live(self):
+        """It was held for ended when its entry was gone, and went on confirming commits."""
+        self.lose("m2")
+        (lost,) = self.table.lost_replicas_of(SERVICE, LAPSE_GRACE)
+        self.assertEqual((lost.quiet_since, lost.has_ended), (None, False))
+
+    def test_answer_ends_the_silence_of_a_replica_without_an_entry(self):
+        self.lose("m2")
+        for at in (3 * SECOND, 4 * SECOND):
+            (lost,) = self.table.lost_replicas_of(SERVICE, at)
+            self.table.lost.record_silence(lost, at, has_ended=False)
+        (lost,) = self.table.lost_replicas_of(SERVICE, 4 * SECOND)
+        self.assertEqual(lost.quiet_since, 3 * SECOND)
+        self.table.lost.record_answer(lost, 5 * SECOND)
+        (lost,) = self.table.lost_replicas_of(SERVICE, 5 * SECOND)
+        self.assertIsNone(lost.quiet_since)
+
+    def test_process_that_has_ended_cannot_answer(self):
+        """What answers at its address later is another process, which knows nothing of its log."""
+        self.lose("m2")
+        (lost,) = self.table.lost_replicas_of(SERVICE, LAPSE_GRACE)
+        self.table.lost.record_silence(lost, 3 * SECOND, has_ended=True)
+        self.table.lost.record_answer(lost, 4 * SECOND)
+        (lost,) = self.table.lost_replicas_of(SERVICE, 4 * SECOND)
+        self.assertEqual((lost.quiet_since, lost.has_ended), (3 * SECOND, True))
+
+    def test_replica_that_answers_is_not_given_up(self):
+        """Its commits would be given up while it goes on confirming new ones."""
+        self.lose("m2")
+        (lost,) = self.table.lost_replicas_of(SERVICE, LAPSE_GRACE)
+        self.table.lost.record_answer(lost, 50 * SECOND)
+        self.assertEqual(self.lost(LOST_REPLICA_MEMORY + 40 * SECOND), ["m2"])
+        self.assertEqual(self.lost(LOST_REPLICA_MEMORY + 50 * SECOND), [])
+
     def test_replica_is_given_up_after_a_bounded_time(self):
         """A replica that is lost for good must not stop the service for ever."""
         self.lose("m2")
@@ -171,14 +206,20 @@
 class CoveredLossTest(unittest.TestCase):
     """What a lost replica had is known to be elsewhere once the primary's later position is."""
 
-    LOST = LostReplica("b", SERVICE, lost_at=5 * SECOND)
+    LOST = LostReplica("b", SERVICE, heard_at=4 * SECOND, quiet_since=5 * SECOND)
 
-    def uncovered(self, *proofs, newest=NEW):
+    def uncovered(self, *proofs, newest=NEW, lost=LOST):
         """Return the lost replicas that still count, after proofs of a mark and its time."""
         history = ProofHistory()
         for mark, proved_at in proofs:
             history.record(mark, proved_at)
-        return uncovered_losses([self.LOST], [Candidate("c", newest, True)], history)
+        uncovered = uncovered_losses([lost], [Candidate("c", newest, True)], history)
+        return [replica.member for replica in uncovered]
+
+    def test_replica_that_may_live_counts_whatever_is_proved(self):
+        """It confirmed commits after the proof that was to cover it, and they were lost."""
+        living = evolve(self.LOST, quiet_since=None)
+        self.assertEqual(self.uncovered((NEW, 6 * SECOND), lost=living), ["b"])
 
     def test_loss_counts_without_a_proof_after_it(self):
         self.assertEqual(self.uncovered(), ["b"])
@@ -197,7 +238,7 @@
     def test_without_a_candidate_every_loss_counts(self):
         history = ProofHistory()
         history.record(OLD, 6 * SECOND)
-        self.assertEqual(uncovered_losses([self.LOST], [], history), ["b"])
+        self.assertEqual(uncovered_losses([self.LOST], [], history), [self.LOST])
 
 
 class ReservedSlotTest(unittest.TestCase):
@@ -317,12 +358,74 @@
         self.fail_primary()
         self.assertEqual(self.appointed(), [])
 
-    def test_replica_whose_entry_is_gone_is_waited_for(self):
-        self.state.members.lapse("m2", self.state.now() - 2 * LAPSE_GRACE)
+    def remove_entry(self, name):
+        self.state.members.lapse(name, self.state.now() - 2 * LAPSE_GRACE)
         self.state.members.drop_lapsed(self.state.now())
+
+    def settle(self):
+        primary = self.state.members.primary_of(SERVICE).entry
+        self.supervisor._search.settle_losses(self.supervised, primary)
+
+    def test_replica_whose_entry_is_gone_is_waited_for(self):
+        self.remove_entry("m2")
+        self.group.members_by_name["m2"].stop()
         self.fail_primary()
         self.assertEqual(self.appointed(), [])
 
+    def test_replica_that_only_lost_its_entry_is_asked(self):
+        """It had all acknowledged commits; the one that lagged was promoted without it."""
+        self.remove_entry("m2")
+        self.fail_primary()
+        self.assertEqual(self.appointed(), ["m2"])
+
+    def test_position_that_was_proved_does_not_cover_a_replica_that_lives(self):
+        """It confirmed further commits, which the one that had that position lacked."""
+        self.remove_entry("m2")
+        self.settle()
+        self.prove_primary()
+        self.group.members_by_name["m3"].log[:] = self.group.members_by_name["m1"].log
+        self.write("m1", "WRITE b 2")
+        gevent.sleep(0.01)
+        self.fail_primary()
+        self.assertEqual(self.appointed(), ["m2"])
+
+    def test_replica_without_an_entry_that_is_busy_is_waited_for(self):
+        """Its refusal of a command shows that it lives."""
+        self.group.members_by_name["m2"].refused_control = "STATUS"
+        self.remove_entry("m2")
+        self.settle()
+        self.prove_primary()
+        self.group.members_by_name["m3"].log[:] = self.group.members_by_name["m1"].log
+        self.fail_primary()
+        self.assertEqual(self.appointed(), [])
+
+    def test_replica_that_ended_is_covered_by_a_later_position(self):
+        """The service would stay without a primary for a minute after each loss."""
+        self.remove_entry("m2")
+        self.group.members_by_name["m2"].stop()
+        self.settle()
+        self.prove_primary()
+        self.group.members_by_name["m3"].log[:] = self.group.members_by_name["m1"].log
+        self.fail_primary()
+        self.assertEqual(self.appointed(), ["m3"])
+
+    def test_replica_that_ended_after_the_proof_is_waited_for(self):
+        """It may have confirmed commits until it ended."""
+        self.remove_entry("m2")
+        self.prove_primary()
+        self.group.members_by_name["m3"].log[:] = self.group.members_by_name["m1"].log
+        self.group.members_by_name["m2"].stop()
+        self.fail_primary()
+        self.assertEqual(self.appointed(), [])
+
+    def test_appointed_replica_without_an_entry_is_replaced_by_a_listed_one(self):
+        """No caller reaches it, and the others have its commits once they follow it."""
+        self.remove_entry("m2")
+        self.fail_primary()
+        self.remove_entry("m1")
+        self.supervisor._replace_primary(self.supervised, None)
+        self.assertEqual(self.appointed(), ["m2", "m3"])
+
     def restart_replica(self):
         """Start m2 again: it answers under its id, and its log is empty."""
         self.group.members_by_name["m2"].log.clear()
