Keep the replicas of a service in the duty's record

Cause: VMs that have just started stood one unknown replica in for what might have been lost before, and only a proof of the primary, which was gone, ended that: successor_unproven unheard=unknown heard=2, each second.

Change: the duty's record names the replicas that may have commits that nobody else has. The first supervisor writes it when they change, each order carries it, and a VM that reads one of the present era waits for those only. Who is named and not listed is asked at its address. One write when a replica joins or leaves, for services with syncReplicas; others and an idle service cost no call.

--- a/packages/core/bramleyrill_core/catalog/__init__.py
+++ b/packages/core/bramleyrill_core/catalog/__init__.py
@@ -4,6 +4,8 @@
     LOST_REPLICA_MEMORY,
     UNKNOWN_REPLICA,
     LostReplica,
+    ReplicaProcess,
+    read_address,
 )
 from bramleyrill_core.catalog._model import (
     EMPTY_CATALOG,
@@ -30,5 +32,7 @@
     "MemberRow",
     "MemberState",
     "MemberTable",
+    "ReplicaProcess",
     "ServiceEntry",
+    "read_address",
 ]
--- a/packages/core/bramleyrill_core/catalog/_lost_replicas.py
+++ b/packages/core/bramleyrill_core/catalog/_lost_replicas.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from typing import Any
 
 from attrs import evolve, frozen
 
-from bramleyrill_core.catalog._model import MemberEntry, MemberState
+from bramleyrill_core._values import MemberRole
+from bramleyrill_core.catalog._model import Address, MemberEntry, MemberState
 
 # For how long a replica that is gone may come back with commits that no other replica has.
 LOST_REPLICA_MEMORY = timedelta(seconds=60)
@@ -15,6 +17,58 @@
 MAX_LOST = 1000
 
 
+@frozen
+class ReplicaProcess:
+    """A process of a replica, and where it was reached; another start has another incarnation."""
+
+    id: str
+    incarnation: int
+    address: Address
+
+    @classmethod
+    def of(cls, entry: MemberEntry) -> "ReplicaProcess":
+        """Return the process that wrote an entry."""
+        return cls(entry.id, entry.incarnation, entry.address)
+
+    def entry(self, service: str) -> MemberEntry:
+        """Return an entry with which the process can be asked; its other fields are not known."""
+        return MemberEntry(
+            id=self.id,
+            service=service,
+            address=self.address,
+            domain="",
+            slots=1,
+            state=MemberState.READY,
+            role=MemberRole.REPLICA,
+            incarnation=self.incarnation,
+        )
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the process in the form in which it is stored."""
+        return {"id": self.id, "incarnation": self.incarnation, "address": list(self.address)}
+
+    @classmethod
+    def from_value(cls, value: Any) -> "ReplicaProcess | None":
+        """Return the process of a stored value, or None if it is malformed."""
+        if not isinstance(value, dict):
+            return None
+        name, incarnation = value.get("id"), value.get("incarnation")
+        address = read_address(value.get("address"))
+        if not isinstance(name, str) or type(incarnation) is not int or address is None:
+            return None
+        return cls(name, incarnation, address)
+
+
+def read_address(value: Any) -> Address | None:
+    """Return the address of a stored value, or None if it is malformed."""
+    if not isinstance(value, list) or len(value) != 2:
+        return None
+    host, port = value
+    if not isinstance(host, str) or type(port) is not int or not 0 < port < 65536:
+        return None
+    return host, port
+
+
 @frozen
 class LostReplica:
     """A process of a replica whose entry is gone, or that another process has replaced.
@@ -48,7 +102,7 @@
 
 
 class LostReplicas:
-    """The replicas that are gone."""
+    """The replicas that are gone; those that count no more are kept, as a record may name them."""
 
     def __init__(self) -> None:
         self._by_process: dict[tuple[str, int], LostReplica] = {}
@@ -62,6 +116,11 @@
         if len(self._by_process) > MAX_LOST:
             del self._by_process[next(iter(self._by_process))]
 
+    def remember(self, entry: MemberEntry, now: timedelta, has_ended: bool = False) -> None:
+        """Record a replica that a record of the store names, unless it is known."""
+        if (entry.id, entry.incarnation) not in self._by_process:
+            self.record(entry, now, has_ended)
+
     def forget(self, entry: MemberEntry) -> None:
         """Forget a replica that is back, or whose log the writer of `entry` has."""
         self._by_process.pop((entry.id, entry.incarnation), None)
--- a/packages/core/bramleyrill_core/catalog/_tables.py
+++ b/packages/core/bramleyrill_core/catalog/_tables.py
@@ -1,5 +1,6 @@
 """Table of the members in use and of the presumed primary of each service."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from attrs import define, evolve
@@ -10,6 +11,7 @@
     UNKNOWN_REPLICA,
     LostReplica,
     LostReplicas,
+    ReplicaProcess,
 )
 from bramleyrill_core.catalog._model import MemberEntry, MemberState
 from bramleyrill_core.history import StoreRevision
@@ -69,7 +71,8 @@
 
     A replica that is gone may be the only one with some acknowledged commits, so it stays in
     `lost`. One that starts again under its id holds nothing of before, so its earlier process is
-    lost. What was lost before the first list of the members is not known.
+    lost. What was lost before the first list of the members is not known, unless a record of the
+    store tells it (`remember_replicas`).
     """
 
     def __init__(self) -> None:
@@ -78,6 +81,7 @@
         self.revision = StoreRevision()
         self._departed_incarnations_by_id: dict[str, int] = {}
         self.lost = LostReplicas()
+        self._recorded_services: set[str] = set()
         self._first_listed_at: timedelta | None = None
         self._proved_lead_by_service: dict[str, tuple[str, int]] = {}
 
@@ -172,16 +176,45 @@
     def lost_replicas_of(self, service: str, now: timedelta) -> list[LostReplica]:
         """Return the replicas of a service that are gone and may have commits that no other has.
 
-        For a while after the first list of the members, UNKNOWN_REPLICA is one of them.
+        For a while after the first list of the members, UNKNOWN_REPLICA is one of them, unless a
+        record told which replicas there were.
         """
         lost = self.lost.of_service(service, now)
         unknown = LostReplica(UNKNOWN_REPLICA, service, self._first_listed_at or now)
-        if self._first_listed_at is None:
+        if self._first_listed_at is None or service in self._recorded_services:
             return lost
         if unknown.counts(now):
             lost.append(evolve(unknown, quiet_since=unknown.heard_at))
         return lost
 
+    def remember_replicas(
+        self, service: str, replicas: Iterable[ReplicaProcess], now: timedelta
+    ) -> None:
+        """Record which replicas a service had, by a record of the store; those not listed are lost.
+
+        The presumed primary is none of them.
+        """
+        self._recorded_services.add(service)
+        primary = self.primaries.get(service)
+        for replica in replicas:
+            row = self.members.get(replica.id)
+            if primary is not None and primary.member == replica.id:
+                continue
+            if row is None or row.entry.incarnation != replica.incarnation:
+                self.lost.remember(replica.entry(service), now, has_ended=row is not None)
+
+    def replicas_of(self, service: str, now: timedelta) -> list[ReplicaProcess]:
+        """Return the replicas of a service that may have commits that nobody else has, by id."""
+        primary = self.primaries.get(service)
+        listed = [row.entry for row in self.members_of_service(service)]
+        lost = [lost.entry for lost in self.lost.of_service(service, now)]
+        replicas = {
+            ReplicaProcess.of(entry)
+            for entry in (*listed, *lost)
+            if primary is None or entry.id != primary.member
+        }
+        return sorted(replicas, key=lambda replica: (replica.id, replica.incarnation))
+
     def members_of_service(self, service: str) -> list[MemberRow]:
         """Return the members of a service."""
         return [row for row in self.members if row.entry.service == service]
--- a/packages/core/bramleyrill_core/leadership/__init__.py
+++ b/packages/core/bramleyrill_core/leadership/__init__.py
@@ -9,6 +9,7 @@
     DutyView,
     next_record,
     pending_member,
+    record_with_replicas,
     renewed_record,
 )
 from bramleyrill_core.leadership._lead_starts import (
@@ -54,6 +55,7 @@
     "has_diverged",
     "next_record",
     "pending_member",
+    "record_with_replicas",
     "renewed_record",
     "starts_up_to",
     "starts_with",
--- a/packages/core/bramleyrill_core/leadership/_duty.py
+++ b/packages/core/bramleyrill_core/leadership/_duty.py
@@ -16,6 +16,7 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
+from bramleyrill_core.catalog import ReplicaProcess
 from bramleyrill_core.history import NO_ERA, StoreRevision
 from bramleyrill_core.leadership._lead_starts import MAX_STARTS, LeadStart
 
@@ -43,7 +44,8 @@
     NO_MEMBER is written before the replicas are fenced, to choose among them. `era` is the era of
     the store in which the record was made. Builds that do not write it read it off the token, which
     tells it only while revisions are below 2**32. `starts` tells where the terms of the last
-    appointed members begin, newest first; builds that do not write it leave it empty.
+    appointed members begin, newest first. `replicas` are those that may have commits that nobody
+    else has, or None if the record does not tell. Builds that write neither leave them so.
     """
 
     holder: str
@@ -53,16 +55,20 @@
         default=Factory(lambda self: self.fencing_token // TOKENS_PER_ERA, takes_self=True)
     )
     starts: tuple[LeadStart, ...] = ()
+    replicas: tuple[ReplicaProcess, ...] | None = None
 
     def to_value(self) -> dict[str, Any]:
         """Return the record in the form in which it is stored."""
-        return {
+        value = {
             "holder": self.holder,
             "token": self.fencing_token,
             "member": self.member,
             "era": self.era,
             "starts": [start.to_value() for start in self.starts],
         }
+        if self.replicas is not None:
+            value["replicas"] = [replica.to_value() for replica in self.replicas]
+        return value
 
     @classmethod
     def from_value(cls, value: Any) -> "DutyRecord | None":
@@ -79,7 +85,8 @@
         era = value["era"]
         if type(era) is not int or era < NO_ERA:
             return None
-        return cls(holder, token, member, era, _read_starts(value.get("starts")))
+        starts = _read_starts(value.get("starts"))
+        return cls(holder, token, member, era, starts, _read_replicas(value.get("replicas")))
 
 
 def _read_starts(value: Any) -> tuple[LeadStart, ...]:
@@ -93,6 +100,14 @@
     return tuple(starts)
 
 
+def _read_replicas(value: Any) -> tuple[ReplicaProcess, ...] | None:
+    """Return the replicas of a stored list; None if one is malformed, as any of them may count."""
+    if not isinstance(value, list):
+        return None
+    replicas = [ReplicaProcess.from_value(item) for item in value]
+    return None if None in replicas else tuple(replicas)
+
+
 @define
 class DutyView:
     """A VM's view of a duty: the record, its revision, and when this VM first saw that revision.
@@ -156,12 +171,31 @@
     return evolve(record, fencing_token=_next_token(record, revision), era=revision.era)
 
 
+def record_with_replicas(
+    record: DutyRecord | None,
+    vm: str,
+    primary: str,
+    replicas: tuple[ReplicaProcess, ...],
+    revision: StoreRevision,
+) -> DutyRecord:
+    """Return the record to write at `revision` to store the replicas, which orders nothing.
+
+    `vm` is the holder of the duty, or NO_HOLDER. The member of an order that may still take effect
+    stays. Without a record of this era `primary` is confirmed.
+    """
+    token = _next_token(record, revision)
+    if record is None or record.era != revision.era:
+        return DutyRecord(vm, token, primary, revision.era, (), replicas)
+    return evolve(record, holder=vm, fencing_token=token, replicas=replicas)
+
+
 def next_record(
     record: DutyRecord | None,
     vm: str,
     member: str,
     revision: StoreRevision,
     starts: tuple[LeadStart, ...] = (),
+    replicas: tuple[ReplicaProcess, ...] | None = None,
 ) -> DutyRecord:
     """Return the record to write at `revision` before `vm` orders the appointment of `member`.
 
@@ -176,7 +210,7 @@
     ):
         return record
     token = _next_token(record, revision)
-    return DutyRecord(vm, token, member, revision.era, starts[:MAX_STARTS])
+    return DutyRecord(vm, token, member, revision.era, starts[:MAX_STARTS], replicas)
 
 
 def _next_token(record: DutyRecord | None, revision: StoreRevision) -> int:
--- a/packages/core/bramleyrill_core/leadership/_lead_starts.py
+++ b/packages/core/bramleyrill_core/leadership/_lead_starts.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 
 from bramleyrill_core._values import Mark
-from bramleyrill_core.catalog import Address, MemberEntry
+from bramleyrill_core.catalog import Address, MemberEntry, read_address
 
 # Leads that a record keeps: the present one, the one before it, and an order that is under way.
 MAX_STARTS = 3
@@ -55,16 +55,6 @@
         return cls(member, address, Mark(term, position))
 
 
-def read_address(value: Any) -> Address | None:
-    """Return the address of a stored value, or None if it is malformed."""
-    if not isinstance(value, list) or len(value) != 2:
-        return None
-    host, port = value
-    if not isinstance(host, str) or type(port) is not int or not 0 < port < 65536:
-        return None
-    return host, port
-
-
 def starts_up_to(
     starts: tuple[LeadStart, ...], primary: MemberEntry | None
 ) -> tuple[LeadStart, ...]:
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from bramleyrill_base import log_event
 from bramleyrill_core import Mark
+from bramleyrill_core.catalog import ReplicaProcess
 from bramleyrill_core.history import NO_ERA
 from bramleyrill_core.leadership import (
     DUTY_LEASE,
@@ -15,6 +16,7 @@
     DutyView,
     LeadStart,
     next_record,
+    record_with_replicas,
     renewed_record,
 )
 from bramleyrill_platform import (
@@ -53,7 +55,8 @@
 
     `marks_by_member` has the marks of the members that answered the last poll. `diverged_since` is
     the time since which only members whose logs went another way are left, or None.
-    `losses_check_at` is the time of the next look for replicas whose entries are gone.
+    `losses_check_at` is the time of the next look for replicas whose entries are gone, and
+    `roster_at` that of the next attempt to store which replicas there are.
     """
 
     service: str
@@ -75,6 +78,7 @@
     marks_by_member: dict[str, Mark] = field(factory=dict)
     diverged_since: timedelta | None = None
     losses_check_at: timedelta = timedelta.min
+    roster_at: timedelta = timedelta.min
 
     @property
     def starts(self) -> tuple[LeadStart, ...]:
@@ -97,18 +101,22 @@
         return supervised is not None and (supervised.is_acquiring or self.holds(supervised))
 
     def acquire(
-        self, supervised: SupervisedService, member: str, starts: tuple[LeadStart, ...] = ()
+        self,
+        supervised: SupervisedService,
+        member: str,
+        starts: tuple[LeadStart, ...] = (),
+        replicas: tuple[ReplicaProcess, ...] | None = None,
     ) -> DutyRecord | None:
         """Write the record of the next order and return it; the duty must have been read.
 
-        `starts` are stored with a new record. Return None if another VM holds the duty or the
-        record cannot be written.
+        `starts` and `replicas` are stored with a new record. Return None if another VM holds the
+        duty or the record cannot be written.
         """
         if not self.may_acquire(supervised):
             return None
         now = self._state.now()
         duty = supervised.duty
-        record = next_record(duty.record, self._state.vm, member, duty.revision, starts)
+        record = next_record(duty.record, self._state.vm, member, duty.revision, starts, replicas)
         if record == duty.record:
             if self.holds(supervised):
                 return record
@@ -162,6 +170,44 @@
         )
         return True
 
+    def store_replicas(
+        self,
+        supervised: SupervisedService,
+        primary: str,
+        replicas: tuple[ReplicaProcess, ...],
+        may_confirm: bool,
+    ) -> None:
+        """Write which replicas the service has, unless the record says so or another VM holds it.
+
+        With `may_confirm` the first record of an era, which names the primary, may be written.
+        """
+        if not self.read(supervised):
+            return
+        duty = supervised.duty
+        current = duty.current_record
+        if current is None and not may_confirm:
+            return
+        if (current is not None and current.replicas == replicas) or not self.is_free(supervised):
+            return
+        is_holder = current is not None and current.holder == self._state.vm
+        holder = self._state.vm if is_holder and self.holds(supervised) else NO_HOLDER
+        record = record_with_replicas(duty.record, holder, primary, replicas, duty.revision)
+        now = self._state.now()
+        try:
+            stored = self._write(supervised, record)
+        except StoreError as error:
+            log_event("replicas_not_recorded", service=supervised.service, reason=error)
+            return
+        supervised.duty = DutyView(record, stored.position, now)
+        if holder != NO_HOLDER:
+            supervised.duty_written_at = now
+        log_event(
+            "replicas_recorded",
+            service=supervised.service,
+            replicas=",".join(replica.id for replica in replicas) or "-",
+            written=stored.position,
+        )
+
     def may_acquire(self, supervised: SupervisedService) -> bool:
         """Return whether no other VM holds the duty, by what was read last; log it if one does."""
         if self.is_free(supervised):
@@ -211,6 +257,10 @@
             log_event("duty_not_read", service=supervised.service, reason=error)
             return False
         supervised.duty.update(DutyRecord.from_value(stored.value), stored.position, now)
+        current = supervised.duty.current_record
+        if current is not None and current.replicas is not None:
+            members = self._state.members
+            members.remember_replicas(supervised.service, current.replicas, now)
         return True
 
     def _write(self, supervised: SupervisedService, record: DutyRecord) -> StoredObject:
--- a/packages/entry/bramleyrill_entry/_supervisor.py
+++ b/packages/entry/bramleyrill_entry/_supervisor.py
@@ -36,6 +36,7 @@
 from bramleyrill_entry._peers import PeerNet
 from bramleyrill_entry._permits import PermitKeeper
 from bramleyrill_entry._primary_evidence import PrimaryEvidence
+from bramleyrill_entry._replica_roster import ReplicaRoster
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_entry._state import EntryState
 from bramleyrill_entry._successor_search import POLL_INTERVAL, SuccessorSearch
@@ -54,9 +55,6 @@
 MAX_PAUSE = timedelta(seconds=5)
 MAX_APPOINT_ATTEMPTS = 6
 APPOINT_RETRY_PAUSE = timedelta(milliseconds=300)
-# How often replicas without an entry are asked whether they live, so that their silence has a
-# beginning before the primary fails.
-LOST_REPLICA_INTERVAL = timedelta(seconds=1)
 # How long to wait for the platform to name the primary of a service that has none.
 NO_PRIMARY_GRACE = timedelta(seconds=3)
 
@@ -85,6 +83,9 @@
         self._evidence = PrimaryEvidence(state, executor, self._permits)
         self._commands = MemberCommands(net)
         self._search = SuccessorSearch(state, self._commands)
+        self._roster = ReplicaRoster(
+            state, self.leases, self._search, may_confirm=not self._permits.needed
+        )
         self._unfinished = UnfinishedChanges(state, self.leases, self._search)
         self._services: dict[str, SupervisedService] = {}
 
@@ -142,7 +143,7 @@
             if self._unfinished.is_left(supervised, row.entry, index):
                 self._replace_primary(supervised, row.entry)
             else:
-                self._ask_lost_replicas(supervised, row.entry)
+                self._roster.keep(supervised, row.entry, index)
             return
         silent_for, refused = self._evidence.collect(supervised, row.entry)
         evidence = Evidence(silent_for - index * SUPERVISOR_DELAY, checked=True, refused=refused)
@@ -157,12 +158,6 @@
             )
             self._replace_primary(supervised, row.entry)
 
-    def _ask_lost_replicas(self, supervised: SupervisedService, primary: MemberEntry) -> None:
-        now = self._state.now()
-        if self._search.sync_replicas_of(primary.service) and now >= supervised.losses_check_at:
-            supervised.losses_check_at = now + LOST_REPLICA_INTERVAL
-            gevent.spawn(self._search.settle_losses, supervised, primary)
-
     def _supervisor_index(self, supervised: SupervisedService) -> int | None:
         """Return this VM's position among the supervisors of a service, or None."""
         now = self._state.now()
@@ -232,7 +227,8 @@
         """
         pending = pending_member(supervised.duty, primary.id if primary else "")
         starts = supervised.starts if pending else starts_with(supervised.starts, None, primary)
-        if self.leases.acquire(supervised, pending or NO_MEMBER, starts) is None:
+        replicas = self._roster.replicas_to_store(supervised.service)
+        if self.leases.acquire(supervised, pending or NO_MEMBER, starts, replicas) is None:
             return None
         if primary is not None:
             self._announce.replacement(primary)
@@ -292,7 +288,8 @@
         order was carried out.
         """
         starts = self._starts_with(supervised, chosen, primary)
-        record = self.leases.acquire(supervised, chosen, starts)
+        replicas = self._roster.replicas_to_store(supervised.service)
+        record = self.leases.acquire(supervised, chosen, starts, replicas)
         if record is None:
             return False
         synchronous = self._search.sync_replicas_of(supervised.service) > 0
--- a/tests/entry/test_leadership.py
+++ b/tests/entry/test_leadership.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from bramleyrill_core import Mark
+from bramleyrill_core.catalog import ReplicaProcess
 from bramleyrill_core.history import StoreRevision
 from bramleyrill_core.leadership import (
     DUTY_LEASE,
@@ -25,6 +26,7 @@
     has_diverged,
     next_record,
     pending_member,
+    record_with_replicas,
     renewed_record,
     starts_up_to,
     starts_with,
@@ -86,6 +88,25 @@
         self.assertEqual(len(written.starts), 3)
         self.assertEqual(DutyRecord.from_value(written.to_value()), written)
 
+    def test_malformed_replica_hides_them_all(self):
+        """Any of them may be the only one with some commits, so the rest prove nothing."""
+        replicas = (ReplicaProcess("m2", 3, ("10.0.0.1", 2)),)
+        written = next_record(None, "vm1", "m3", StoreRevision(1, 7), (), replicas)
+        value = written.to_value()
+        self.assertEqual(DutyRecord.from_value(value), written)
+        for broken in (7, {"id": "m2"}, {"id": "m2", "incarnation": 3, "address": ["h"]}):
+            value["replicas"] = [*value["replicas"][:1], broken]
+            self.assertIsNone(DutyRecord.from_value(value).replicas)
+
+    def test_stored_replicas_keep_an_order_that_may_take_effect(self):
+        """The next supervisor would order another member beside it."""
+        earlier = record(7, "m3")
+        written = record_with_replicas(earlier, NO_HOLDER, "m1", (), StoreRevision(1, 9))
+        self.assertEqual((written.member, written.replicas), ("m3", ()))
+        self.assertGreater(written.fencing_token, earlier.fencing_token)
+        first = record_with_replicas(None, NO_HOLDER, "m1", (), StoreRevision(1, 9))
+        self.assertEqual((first.member, first.era), ("m1", 1))
+
     def test_malformed_start_hides_only_older_ones(self):
         """The record also says who holds the duty, which must not be lost with it."""
         value = next_record(None, "vm1", "m3", StoreRevision(1, 7), self.STARTS).to_value()
--- a/tests/entry/test_synchronous_replicas.py
+++ b/tests/entry/test_synchronous_replicas.py
@@ -25,10 +25,12 @@
     KIND_DUTIES,
     Candidate,
     DutyRecord,
+    DutyView,
     Poll,
     choose_from,
     uncovered_losses,
 )
+from bramleyrill_entry._duty_leases import SupervisedService
 from bramleyrill_entry._member_commands import MemberCommand, MemberCommands
 from bramleyrill_entry._run_request import Opens, RunProblem
 from bramleyrill_entry._state import EntryState
@@ -458,6 +460,105 @@
         self.fail_primary()
         self.assertEqual(self.appointed(), [])
 
+    def keep_roster(self, index=0):
+        self.supervised.roster_at = self.supervised.losses_check_at = timedelta.min
+        primary = self.state.members.primary_of(SERVICE).entry
+        self.supervisor._roster.keep(self.supervised, primary, index)
+
+    def restart_vm(self, *listed):
+        """Make this VM one that has just started, and lists some of the members."""
+        self.state.members = MemberTable()
+        entries = [member_entry(self.group, name) for name in listed]
+        self.state.members.replace_all(entries, self.state.now())
+        self.state.proofs = type(self.state.proofs)()
+        self.supervised = SupervisedService(SERVICE, DutyView(), self.state.now(), member="m1")
+
+    def record_of_duty(self):
+        return DutyRecord.from_value(self.platform.value(KIND_DUTIES, SERVICE))
+
+    def test_vms_that_were_all_restarted_know_the_replicas_from_the_record(self):
+        """They waited a minute for an unknown replica, though all that there were answered."""
+        self.keep_roster()
+        self.restart_vm("m1", "m2", "m3")
+        self.fail_primary()
+        self.assertEqual(self.appointed(), ["m2"])
+
+    def test_replica_that_only_the_record_names_is_waited_for(self):
+        """It was lost before all VMs were restarted, and had the commits that the other lacked."""
+        self.keep_roster()
+        self.restart_vm("m1", "m3")
+        self.group.members_by_name["m2"].stop()
+        self.fail_primary()
+        self.assertEqual(self.appointed(), [])
+
+    def test_replica_that_only_the_record_names_is_asked(self):
+        self.keep_roster()
+        self.restart_vm("m1", "m3")
+        self.fail_primary()
+        self.assertEqual(self.appointed(), ["m2"])
+
+    def test_process_that_the_record_names_is_not_the_one_that_is_listed(self):
+        """The replica started again with an empty log while all VMs were down."""
+        self.keep_roster()
+        self.restart_vm("m1", "m3")
+        self.restart_replica()
+        self.fail_primary()
+        self.assertEqual(self.appointed(), [])
+
+    def test_record_of_an_order_names_the_replicas(self):
+        """VMs that are restarted after two changes in a row read the last record only."""
+        self.fail_primary()
+        self.assertEqual([item.id for item in self.record_of_duty().replicas], ["m2", "m3"])
+
+    def test_record_follows_the_replicas_that_join(self):
+        """A replica that joined and was lost was not known after a restart of all VMs."""
+        self.keep_roster()
+        joined = evolve(member_entry(self.group, "m3", revision=9), id="m4")
+        self.state.members.put(joined, self.state.now())
+        self.keep_roster()
+        self.assertEqual([item.id for item in self.record_of_duty().replicas], ["m2", "m3", "m4"])
+
+    def test_replica_that_was_settled_leaves_the_record(self):
+        """VMs that are restarted later would wait for a replica that nobody needs."""
+        self.remove_entry("m3")
+        self.group.members_by_name["m3"].stop()
+        self.keep_roster()
+        gevent.sleep(0.05)
+        self.prove_primary()
+        self.keep_roster()
+        gevent.sleep(0.05)
+        self.keep_roster()
+        self.assertEqual([item.id for item in self.record_of_duty().replicas], ["m2"])
+
+    def test_unchanged_replicas_cost_no_call(self):
+        """An idle service would cost calls to the store for each supervisor."""
+        self.keep_roster()
+        calls = self.store.calls.total
+        self.keep_roster()
+        self.keep_roster(index=1)
+        self.assertEqual(self.store.calls.total, calls)
+
+    def test_service_without_synchronous_replicas_costs_no_call(self):
+        self.state.catalog = evolve(
+            self.state.catalog, services_by_name={SERVICE: ServiceEntry(SERVICE, 16)}
+        )
+        self.keep_roster()
+        self.assertEqual(self.store.calls.total, 0)
+
+    def test_record_of_another_holder_is_left_alone(self):
+        """Its lease would look free, and two VMs could order in turns within it."""
+        self.platform.put(KIND_DUTIES, SERVICE, DutyRecord("vm9", 4, "m1").to_value())
+        self.keep_roster()
+        self.assertEqual(self.record_of_duty(), DutyRecord("vm9", 4, "m1"))
+
+    def test_own_lease_is_kept_when_the_replicas_are_stored(self):
+        """Another VM could order within the lease of this one's last order."""
+        self.fail_primary()
+        self.keep_roster()
+        record = self.record_of_duty()
+        self.assertEqual((record.holder, record.member), ("vm1", "m2"))
+        self.assertEqual([item.id for item in record.replicas], ["m1", "m3"])
+
     def test_draining_replica_is_asked(self):
         """Members that take no new work were not asked, though they acknowledge commits."""
         self.state.members.put(member_entry(self.group, "m2", MemberState.DRAINING, revision=9))
