Let VMs that lost the store watch it for nobody

Cause: the choice of watchers looked at whether their peers reach them.

Change: a VM that watches checks that the store answers, each 0.6 s if nothing else was answered, by a call that may be stale and costs a tenth. After two failures it says so in its entry, the choice passes it by, and those that are to take over are told first and list at once. A VM that does not watch makes no call; if nobody hears the store, two go on trying.

--- a/packages/core/bramleyrill_core/placement/__init__.py
+++ b/packages/core/bramleyrill_core/placement/__init__.py
@@ -6,7 +6,7 @@
     accepted_capacity,
     capacity_of,
 )
-from bramleyrill_core.placement._holders import holder_candidates, watches_platform
+from bramleyrill_core.placement._holders import holder_candidates
 from bramleyrill_core.placement._lengths import TransactionLengths
 from bramleyrill_core.placement._load import LoadSource, MemberLoad, StampFault
 from bramleyrill_core.placement._meter import LoadMeter
@@ -28,9 +28,14 @@
     slow_vms,
 )
 from bramleyrill_core.placement._stamp import LoadStamp, unpack_stamp
+from bramleyrill_core.placement._store_contact import CHECK_INTERVAL, StoreContact
 from bramleyrill_core.placement._vms import MAX_SEQUENCE, VmEntry, VmRow, VmTable
+from bramleyrill_core.placement._watchers import domain_watchers, watches_platform
 
 __all__ = [
+    "CHECK_INTERVAL",
+    "StoreContact",
+    "domain_watchers",
     "DEFAULT_READ_POLICY",
     "LAST_WAIT_POLICY",
     "MAX_SEQUENCE",
--- a/packages/core/bramleyrill_core/placement/_holders.py
+++ b/packages/core/bramleyrill_core/placement/_holders.py
@@ -7,20 +7,13 @@
 capacity, and one that is slow gets no new work as a holder while others are left.
 """
 
-from datetime import timedelta
-
-from bramleyrill_core._rendezvous import rendezvous_order, weighted_rendezvous_order
+from bramleyrill_core._rendezvous import weighted_rendezvous_order
 from bramleyrill_core._values import VmId
 from bramleyrill_core.catalog._model import MemberEntry
 from bramleyrill_core.placement._capacity import holding_weight
 from bramleyrill_core.placement._slow_vms import slow_vms
 from bramleyrill_core.placement._vms import VmEntry, VmTable
 
-# Number of VMs per failure domain that watch the platform; the others learn from their peers. Two,
-# so that the domain is served while the platform turns one away.
-WATCHERS_PER_DOMAIN = 2
-# A VM without an answer of a peer for this long watches the platform itself.
-ISOLATED_AFTER_SILENCE = timedelta(seconds=3)
 # A VM that finds this many first candidates of a member unusable is assumed to be cut off from
 # that domain. Trying the others one by one would cost its callers a timeout for each.
 ISOLATED_AFTER_UNUSABLE = 3
@@ -28,21 +21,6 @@
 MAX_CACHED_MEMBERS = 10_000
 
 
-def watches_platform(vms: VmTable, now: timedelta) -> bool:
-    """Return whether this VM watches the platform, as one of its domain's or because it is alone.
-
-    This answers the load of many VMs: each change is delivered to a few of them only. A slow VM
-    would tell its domain of each change late.
-    """
-    passed_by = slow_vms(vms)
-    same_domain = [
-        VmId(vm.id) for vm in vms.usable() if vm.domain == vms.own.domain and vm.id not in passed_by
-    ]
-    if VmId(vms.own.id) in rendezvous_order("watch", same_domain)[:WATCHERS_PER_DOMAIN]:
-        return True
-    return all(now - row.last_answer_at > ISOLATED_AFTER_SILENCE for row in vms.not_leaving())
-
-
 def holder_candidates(vms: VmTable, member: MemberEntry) -> list[str]:
     """Return the ids of the VMs to send work at `member` to, in order of preference.
 
--- a/packages/core/bramleyrill_core/placement/_news.py
+++ b/packages/core/bramleyrill_core/placement/_news.py
@@ -15,7 +15,7 @@
 
 
 class VmNews:
-    """Ids of VMs that became slow or fine, by the time of the change."""
+    """Ids of VMs whose entries changed in a way to pass on, by the time of the change."""
 
     def __init__(self) -> None:
         self._changed_at_by_vm: dict[str, timedelta] = {}
@@ -37,9 +37,12 @@
 
 
 def is_news(earlier: VmEntry | None, entry: VmEntry) -> bool:
-    """Return whether a newer entry is to be passed on: a running VM became slow or fine."""
+    """Return whether a newer entry is to be passed on.
+
+    It is if a running VM became slow or fine, or lost or regained the store.
+    """
     return (
         earlier is not None
         and earlier.started_ms == entry.started_ms
-        and bool(earlier.slow_ms) is not bool(entry.slow_ms)
+        and (bool(earlier.slow_ms), earlier.store_lost) != (bool(entry.slow_ms), entry.store_lost)
     )
--- a/packages/core/bramleyrill_core/placement/_vms.py
+++ b/packages/core/bramleyrill_core/placement/_vms.py
@@ -27,8 +27,8 @@
     `started_ms` is its start time in Unix milliseconds; the entry with the later one replaces the
     other. `leaving` is set when the VM is about to stop. `capacity` is in thousandths of a core, 0
     if unknown. `slow_ms` is 0, or by how much the VM was late when it judged itself slow.
-    `sequence` grows each time the VM changes `slow_ms`, so that an earlier value never replaces a
-    later one.
+    `store_lost` is set while the store does not answer it. `sequence` grows each time the VM
+    changes one of the two, so that an earlier value never replaces a later one.
     """
 
     id: str
@@ -39,6 +39,7 @@
     capacity: int = UNKNOWN_CAPACITY
     slow_ms: int = 0
     sequence: int = 0
+    store_lost: bool = False
 
     @property
     def age_key(self) -> tuple[int, bool, int]:
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -62,7 +62,8 @@
 
     `behind_hooks` are called when this VM still has older versions than a peer after
     BEHIND_GRACE, and `listing_hooks` with member entries pulled from a peer. `health` gets the
-    round trips and what peers tell of their delays; None measures nothing.
+    round trips and what peers tell of their delays; None measures nothing. `contact_hooks` are
+    called when another VM lost or regained the store.
     """
 
     def __init__(self, net: PeerNet) -> None:
@@ -75,6 +76,7 @@
         self.health: VmHealth | None = None
         self.behind_hooks: list[Callable[[], None]] = []
         self.listing_hooks: list[Callable[[Listing], None]] = []
+        self.contact_hooks: list[Callable[[], None]] = []
 
     def ping_peers(self) -> None:
         """Ping a few random VMs, and some of those that failed."""
@@ -153,7 +155,7 @@
                 gevent.spawn(self._dial_seed, address)
 
     def merge(self, entries: list[VmEntry], via: str) -> None:
-        """Store the entries that a peer told, and pass on that VMs became slow or fine."""
+        """Store the entries that a peer told, and pass on what other VMs should know soon."""
         vms, now = self._state.vms, self._state.now()
         for entry in entries:
             row = vms.vms.get(entry.id)
@@ -167,8 +169,12 @@
                 leaving=entry.leaving,
                 capacity=entry.capacity or "unknown",
                 slow_ms=entry.slow_ms,
+                store_lost=entry.store_lost,
                 via=via,
             )
+            if earlier is not None and earlier.store_lost is not entry.store_lost:
+                for hook in self.contact_hooks:
+                    hook()
             if is_news(earlier, entry):
                 self.news.record(entry.id, now)
                 self._pass_on_soon()
@@ -200,7 +206,7 @@
             gevent.spawn(self.ping, row.entry.id)
 
     def news_to_tell(self) -> list[Any]:
-        """Return the structs of the VMs that became slow or fine a moment ago."""
+        """Return the structs of the VMs whose entries changed a moment ago."""
         return [encode_vm(entry) for entry in self.news.current(self._state.vms, self._state.now())]
 
     def hear_delays(self, vm: str, ping: Any) -> None:
--- a/packages/entry/bramleyrill_entry/_peer_link.py
+++ b/packages/entry/bramleyrill_entry/_peer_link.py
@@ -56,13 +56,14 @@
         capacity=entry.capacity or None,
         slow_ms=entry.slow_ms or None,
         sequence=entry.sequence or None,
+        store_lost=entry.store_lost or None,
     )
 
 
 def decode_vm(vm: Any) -> VmEntry:
     """Return the VM's entry of a thrift struct; raise ValueError if it is malformed.
 
-    A VM of an older build tells neither its capacity nor whether it is slow.
+    A VM of an older build tells neither its capacity nor whether it is slow or has lost the store.
     """
     fields = (vm.id, vm.domain, vm.host, vm.port, vm.started_ms) if vm is not None else ()
     if not fields or None in fields:
@@ -84,6 +85,7 @@
         accepted_capacity(vm.capacity),
         min(slow_ms, MAX_SLOW_MS),
         sequence,
+        bool(vm.store_lost),
     )
 
 
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -37,6 +37,7 @@
 )
 from bramleyrill_entry._state import EntryState, run_periodically
 from bramleyrill_entry._stop import PlannedStop
+from bramleyrill_entry._store_checks import StoreChecks
 from bramleyrill_entry._supervisor import SUPERVISION_INTERVAL, Supervisor
 from bramleyrill_entry._watch import (
     VM_LIST_INTERVAL,
@@ -110,6 +111,10 @@
         self.net.lost_hooks.append(self.schedulers.end_transactions)
         self.gossip.behind_hooks.append(self.members.watch.renew)
         self.gossip.behind_hooks.append(self.configuration.watch.renew)
+        self.store_checks = StoreChecks(self.state, self.store, self.gossip)
+        watches = (self.members.watch, self.configuration.watch)
+        self.gossip.contact_hooks += [watch.recheck for watch in watches]
+        self.store_checks.lost_hooks += [watch.renew for watch in watches]
         self.state.history.hooks += [
             self.members.watch.renew,
             self.configuration.watch.renew,
@@ -134,6 +139,7 @@
         gevent.spawn(self.configuration.watch.run)
         gevent.spawn(self.members.watch.run)
         gevent.spawn(self.registration.register)
+        gevent.spawn(self.store_checks.run)
         run_periodically(VM_LIST_INTERVAL, self.registration.list_vms)
         run_periodically(PING_INTERVAL, self._gossip_tick)
         run_periodically(QUEUE_TICK_INTERVAL, self._queue_tick)
--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -31,6 +31,7 @@
     used_fields,
     without_keys,
 )
+from gevent.event import Event
 
 from bramleyrill_entry._peer_link import is_port
 from bramleyrill_entry._state import EntryState
@@ -80,6 +81,7 @@
         self.wait = WATCH_WAIT
         self._needed = needed
         self._call: gevent.Greenlet | None = None
+        self._recheck = Event()
         self._store = store
         self._kind = kind
         self._on_listing = on_listing
@@ -93,7 +95,8 @@
         while True:
             if not self._needed():
                 self._position = None
-                gevent.sleep(WATCH_CHECK_INTERVAL.total_seconds())
+                self._recheck.clear()
+                self._recheck.wait(WATCH_CHECK_INTERVAL.total_seconds())
                 continue
             try:
                 self._step()
@@ -149,6 +152,10 @@
         self._on_listing(listing)
         self._position = listing.position
 
+    def recheck(self) -> None:
+        """Look now whether the watch is needed, as another VM lost or regained the store."""
+        self._recheck.set()
+
     def renew(self) -> None:
         """Cancel the waiting call, so that a new one is made at once."""
         call = self._call
--- a/packages/wire/bramleyrill_wire/entries.thrift
+++ b/packages/wire/bramleyrill_wire/entries.thrift
@@ -14,7 +14,7 @@
 // out, and a build that knows none of the three leaves all out.
 struct Vm {
   1: string id, 2: string domain, 3: string host, 4: i32 port, 5: i64 started_ms, 6: bool leaving,
-  7: i32 capacity, 8: i32 slow_ms, 9: i32 sequence
+  7: i32 capacity, 8: i32 slow_ms, 9: i32 sequence, 10: optional bool store_lost
 }
 
 // First frame that each side of a connection sends.
@@ -24,7 +24,7 @@
 // `store_era` of the store, which has lasted for `store_era_age_ms` at least; a build that knows no
 // eras leaves both out. `loop_delay_us` is how late the sender's timers fire. `late_by_us` is by how
 // much the receiver's answer to the ping before was late, if it was. `news` are the VMs that became
-// slow or fine a moment ago.
+// slow or fine, or lost or regained the store, a moment ago.
 struct Ping {
   1: i64 call, 2: i64 catalog_version, 3: i64 vms_known, 4: Vm vm, 5: i64 members_revision,
   6: i64 store_era, 7: i64 store_era_age_ms, 10: optional i32 late_by_us,
--- a/packages/wire/bramleyrill_wire/entries/_frames.py
+++ b/packages/wire/bramleyrill_wire/entries/_frames.py
@@ -53,6 +53,7 @@
         7: (TType.I32, "capacity", False),
         8: (TType.I32, "slow_ms", False),
         9: (TType.I32, "sequence", False),
+        10: (TType.BOOL, "store_lost", False),
     }
     default_spec = [
         ("id", None),
@@ -64,6 +65,7 @@
         ("capacity", None),
         ("slow_ms", None),
         ("sequence", None),
+        ("store_lost", None),
     ]
 
 
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -13,7 +13,7 @@
     holder_candidates,
     watches_platform,
 )
-from bramleyrill_core.placement._holders import ISOLATED_AFTER_SILENCE, WATCHERS_PER_DOMAIN
+from bramleyrill_core.placement._watchers import ISOLATED_AFTER_SILENCE, WATCHERS_PER_DOMAIN
 
 MS = timedelta(milliseconds=1)
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
