Explore the choice of a successor, and play it in the soak

The soak gets three faults: two changes of primary in a row, a member without an entry that lives, and all VMs killed, also beside the primary. It checks that no acknowledged commit comes back after it was given up.

A stand-in's member that comes back or hears again follows the primary, and one whose log went another way takes the primary's.

--- a/packages/standins/bramleyrill_standins/prepared/_deployment.py
+++ b/packages/standins/bramleyrill_standins/prepared/_deployment.py
@@ -197,6 +197,14 @@
         self.group.members_by_name[name].start()
         self._unlisted.discard(name)
 
+    def hide_member(self, name: str) -> None:
+        """Remove a member's store object, as when it loses its path to the store."""
+        self._unlisted.add(name)
+
+    def show_member(self, name: str) -> None:
+        """Let a member write its store object again."""
+        self._unlisted.discard(name)
+
     # Overridden by deployments that put proxies in between.
 
     def member_port(self, name: str) -> int:
--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -54,6 +54,7 @@
     replication delay, `statement_time` the time that a statement takes. `deposed_term` is the term
     that a replaced primary still leads in its own view, and `fenced_term` the term with which a
     replica was fenced; both are 0 otherwise. `followed_term` is the newest term it took part in.
+    A replica that is `deaf` receives nothing, also of a promotion, until `hear`.
     `controls` records the verbs of the commands that set connections up; a command whose verb is
     `refused_control` fails. `slots` limits the statements that run at the same time if it is set:
     others wait, and commands are refused while none is free.
@@ -64,6 +65,7 @@
         self.name = name
         self.log: list[Entry] = []
         self.silent = False
+        self.deaf = False
         self.failing = False
         self.failing_writes = False
         self.refusing = False
@@ -83,11 +85,27 @@
         self._server.start()
 
     def start(self) -> None:
-        """Listen again on the same address after `stop`; the log is kept, a fence is not."""
+        """Listen again on the same address after `stop`; a fence is not kept.
+
+        The log is kept until the member follows a primary that is up.
+        """
         self.fenced_term = 0
+        self._follow_if_possible()
         self._server = StreamServer(self.address, self._serve)
         self._server.start()
 
+    def hear(self) -> None:
+        """Receive again after `deaf`."""
+        self.deaf = False
+        self._follow_if_possible()
+
+    def _follow_if_possible(self) -> None:
+        primary = self.group.primary
+        if primary in (None, self) or self.deaf or self.deposed_term or self.fenced_term:
+            return
+        if primary.running:
+            self.follow()
+
     @property
     def address(self) -> tuple[str, int]:
         """Return the address on which the member listens."""
@@ -143,6 +161,8 @@
 class LineGroup:
     """A primary and its replicas; `history` has all commits, also those that were rolled back.
 
+    `resurrected` has those that a later promotion brought back.
+
     With `split`, a primary that is replaced goes on in its old term until it is demoted, as if it
     were cut off from its successor. With `sync_replicas`, a commit is acknowledged once that many
     replicas have received it. The platform takes `promote_time` to carry out an order. Example:
@@ -155,6 +175,7 @@
         self.term = 1
         self.runs: list[Run] = []
         self.history: list[Entry] = []
+        self.resurrected: list[Entry] = []
         self.members_by_name = {name: LineMember(self, name) for name in names}
         self.primary: LineMember | None = next(iter(self.members_by_name.values()))
         self.changed = Event()
@@ -167,6 +188,7 @@
         member = self.members_by_name[name]
         if member is self.primary:
             return
+        self.resurrected += [entry for entry in member.log if entry.rolled_back]
         if self.primary is not None:
             for entry in self.primary.log[len(member.log) :]:
                 entry.rolled_back = True
@@ -174,9 +196,10 @@
             self.primary.deposed_term = self.term
         self.term += 1
         self.primary = member
+        member.deaf = False
         for other in self.members_by_name.values():
             # A member that is down comes back with its log.
-            if not other.deposed_term and other.running:
+            if not other.deposed_term and other.running and not other.deaf:
                 other.log = list(member.log)
                 other.fenced_term = 0
                 other.followed_term = self.term
@@ -221,11 +244,16 @@
     def _replicate(self, source: LineMember, replica: LineMember, length: int) -> None:
         """Extend a replica's log to the first `length` entries of the source's.
 
-        Does nothing if the replica is fenced or down, or another member was promoted meanwhile.
+        Does nothing if the replica receives nothing, or if another member was promoted meanwhile.
         """
-        if self.primary in (source, None) and replica.running and not replica.fenced_term:
-            replica.log.extend(source.log[len(replica.log) : length])
+        receives = replica.running and not replica.deaf and not replica.fenced_term
+        if not receives or self.primary not in (source, None):
+            return
+        if replica.followed_term != self.term:
+            # Its log may have gone another way.
+            replica.log = list(source.log[:length])
             replica.followed_term = self.term
+        replica.log.extend(source.log[len(replica.log) : length])
 
     def runs_of(self, statement_id: str) -> list[Run]:
         """Return the recorded runs of a statement."""
--- a/soak/bramleyrill_soak/_faults.py
+++ b/soak/bramleyrill_soak/_faults.py
@@ -51,6 +51,15 @@
     return _reserve(world, world.unreserved_members(), rng)
 
 
+def _wait_for_order(world: SoakWorld) -> None:
+    """Wait until the next primary has been ordered, or for MAX_FAULT_S."""
+    appointments = world.deployment.platform.appointments
+    orders = len(appointments)
+    with gevent.Timeout(MAX_FAULT_S, False):
+        while len(appointments) == orders:
+            gevent.sleep(0.02)
+
+
 # Processes.
 
 
@@ -74,6 +83,28 @@
             vm.start()
 
 
+@fault
+def kill_all_vms(world: SoakWorld, rng: random.Random, fault_s: float) -> None:
+    """Kill all processes, sometimes right after the primary, and start them again."""
+    vms = world.unreserved_vms()
+    primary = world.deployment.group.primary
+    if len(vms) < len(world.deployment.vms):
+        return
+    world.reserved.update(vms)
+    is_primary_lost = rng.random() < 0.5 and primary in world.unreserved_members()
+    if is_primary_lost:
+        world.reserved.add(primary)
+        world.deployment.stop_member(primary.name)
+    for vm in vms:
+        vm.kill()
+    gevent.joinall([gevent.spawn(vm.start) for vm in vms], raise_error=True)
+    world.reserved.difference_update(vms)
+    if is_primary_lost:
+        gevent.sleep(fault_s)
+        world.deployment.start_member(primary.name)
+        world.reserved.discard(primary)
+
+
 @fault
 def restart_vm(world: SoakWorld, rng: random.Random, fault_s: float) -> None:
     """Stop a process in order, sometimes right after a settings reload, and start it again."""
@@ -113,15 +144,51 @@
     if primary is None or primary not in world.unreserved_members():
         return
     world.reserved.add(primary)
-    orders = len(deployment.platform.appointments)
     deployment.stop_member(primary.name)
-    with gevent.Timeout(MAX_FAULT_S, False):
-        while len(deployment.platform.appointments) == orders:
-            gevent.sleep(0.02)
+    _wait_for_order(world)
     deployment.start_member(primary.name)
     world.reserved.discard(primary)
 
 
+@fault
+def change_primary_twice(world: SoakWorld, rng: random.Random, fault_s: float) -> None:
+    """Stop the primary while the replicas receive nothing, then its successor as it comes back."""
+    deployment, members = world.deployment, world.unreserved_members()
+    first = deployment.group.primary
+    if first not in members or len(members) < len(deployment.group.members_by_name):
+        return
+    world.reserved.update(members)
+    replicas = [member for member in members if member is not first]
+    for replica in replicas:
+        replica.deaf = True
+    gevent.sleep(fault_s / 4)
+    deployment.stop_member(first.name)
+    _wait_for_order(world)
+    second = deployment.group.primary
+    for replica in replicas:
+        replica.deaf = replica is not second
+    gevent.sleep(fault_s / 4)
+    if second not in (None, first):
+        deployment.stop_member(second.name)
+    deployment.start_member(first.name)
+    _wait_for_order(world)
+    if second not in (None, first):
+        deployment.start_member(second.name)
+    for replica in replicas:
+        replica.hear()
+    world.reserved.difference_update(members)
+
+
+@fault
+def cut_member_from_store(world: SoakWorld, rng: random.Random, fault_s: float) -> None:
+    """Remove a member's entry for a while, which lives and is reached by all others."""
+    with _reserve_member(world, rng) as member:
+        if member is not None:
+            world.deployment.hide_member(member.name)
+            gevent.sleep(fault_s)
+            world.deployment.show_member(member.name)
+
+
 @fault
 def lag_replica(world: SoakWorld, rng: random.Random, fault_s: float) -> None:
     """Delay replication to a member."""
--- a/soak/bramleyrill_soak/_history.py
+++ b/soak/bramleyrill_soak/_history.py
@@ -22,6 +22,7 @@
     WITHDRAWN_KEY = "a withdrawn key was accepted after the faults had ended"
     SERVED_AGAIN = "a caller was not served after the faults had ended"
     KEPT_COMMIT = "an acknowledged write is not in the log of the last primary"
+    GIVEN_UP = "a commit that a change of primary had given up came back"
     ONE_WRITER = "a write was acknowledged that a replaced primary had committed"
     UNIQUE_TOKENS = "two different orders had one fencing token"
     CONFIGURATION_IN_FORCE = "the last configuration was not in force after the faults had ended"
@@ -150,6 +151,8 @@
                 self._check_not_acknowledged(entry.data, Promise.ONE_WRITER)
         if self.group.sync_replicas:
             self._check_kept()
+        for entry in self.group.resurrected:
+            self._check_not_acknowledged(entry.data, Promise.GIVEN_UP)
         for value, write in self.writes_by_value.items():
             count = commits_by_value.get(value, 0)
             if count > 1:
--- a/tests/entry/test_leadership.py
+++ b/tests/entry/test_leadership.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from unittest import mock
 
+from attrs import evolve
 from bramleyrill_core import Mark
 from bramleyrill_core.catalog import ReplicaProcess
 from bramleyrill_core.history import StoreRevision
@@ -23,6 +24,7 @@
     choose_from,
     choose_successor,
     explore,
+    explore_choice,
     has_diverged,
     next_record,
     pending_member,
@@ -338,3 +340,35 @@
 
         with self.assertRaises(explore.UnsafeError):
             explore.explore(from_record)
+
+
+class ChoiceExplorationTest(unittest.TestCase):
+    """Crashes, deaf replicas, lost entries and restarts of all VMs, in every order."""
+
+    def test_no_acknowledged_commit_is_lost_and_none_that_was_given_up_returns(self):
+        for sync_replicas in (0, 1):
+            self.assertGreater(explore_choice.explore(sync_replicas), 50_000)
+
+    def assert_unsafe(self, sync_replicas, choose, **options):
+        with self.assertRaises(explore_choice.UnsafeError):
+            explore_choice.explore(sync_replicas, choose, **options)
+
+    def test_choice_by_marks_alone_is_unsafe(self):
+        """An old primary whose log went another way has the highest mark."""
+        self.assert_unsafe(0, lambda poll: choose_from(evolve(poll, starts=())))
+
+    def test_choice_among_listed_replicas_alone_is_unsafe(self):
+        """A replica without an entry may be the only one with a commit."""
+
+        def choose(poll):
+            listed = [candidate for candidate in poll.candidates if candidate.ready]
+            return choose_from(evolve(poll, candidates=listed))
+
+        self.assert_unsafe(1, choose)
+
+    def test_choice_without_an_unheard_replica_is_unsafe(self):
+        self.assert_unsafe(1, lambda poll: choose_from(evolve(poll, unheard=[])))
+
+    def test_vms_that_forget_the_replicas_are_unsafe(self):
+        """After a restart of all VMs nobody knows of a replica without an entry."""
+        self.assert_unsafe(1, choose_from, has_record=False)
--- a/tests/entry/test_supervisor.py
+++ b/tests/entry/test_supervisor.py
@@ -162,8 +162,8 @@
         self.assertEqual(self.primary_name(), "m2")
         self.group.members_by_name["m3"].refused_control = ""
         self.write("m2", "WRITE c 1")
-        self.group.members_by_name["m1"].start()
         self.group.members_by_name["m2"].stop()
+        self.group.members_by_name["m1"].start()
 
     def replace(self):
         primary = self.state.members.primary_of(SERVICE)
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -29,6 +29,9 @@
 UNFENCED_SEED, UNFENCED_S = 502, 8.0
 RESTORED_SEED, RESTORED_S = 600, 8.0
 RETURN_SEED, RETURN_S = 824, 12.0
+# Faults that make VMs appoint from what the store and the members say, not from their memory.
+APPOINTMENT_KINDS = ("change_primary_twice", "cut_member_from_store", "kill_all_vms")
+APPOINTMENT_SEED, APPOINTMENT_S = 5000, 6.0
 
 
 class SoakTest(unittest.TestCase):
@@ -56,6 +59,17 @@
         """
         self.check(RETURN_SEED, RETURN_S, ("return_primary",), sync_replicas=1)
 
+    def test_appointments_after_lost_entries_and_restarts(self):
+        """Guards against commits that are lost, or come back after they were given up."""
+        for sync_replicas in (0, 1):
+            with self.subTest(sync_replicas=sync_replicas):
+                self.check(
+                    APPOINTMENT_SEED,
+                    APPOINTMENT_S,
+                    APPOINTMENT_KINDS,
+                    sync_replicas=sync_replicas,
+                )
+
     def test_store_that_comes_back_from_a_copy(self):
         """Checks tokens and the configuration while the store is restored again and again."""
         kinds = ("store_restored", "crash_member", "pause_vm", "change_configuration")
