Bound the memory that callers' sessions hold

Cause: values and statements were bounded by number and not by size, nothing bounded all sessions together, and memory_mb was in the settings and not read.

Change: an eighth of memory_mb is for the values and statements of all sessions, beyond 8 KiB that each may hold; the rest is refused as BUSY, not run. Messages above 32 KiB are received in turns, an eighth of the memory at a time. A connection to a member on which more than 512 KiB are prepared is reset.

--- a/packages/entry/bramleyrill_entry/_preparation.py
+++ b/packages/entry/bramleyrill_entry/_preparation.py
@@ -48,7 +48,7 @@
         """Set the session's values, reset those of other sessions, and prepare the statement."""
         state = connection.state
         texts = []
-        if state.needs_reset(values):
+        if state.needs_reset(values) or (state.is_full and not connection.in_transaction):
             texts.append(lines.RESET_TEXT)
             state.reset()
         texts += [lines.set_text(name, value) for name, value in state.missing_values(values)]
--- a/packages/entry/bramleyrill_entry/_process.py
+++ b/packages/entry/bramleyrill_entry/_process.py
@@ -189,6 +189,7 @@
         self.state.placement.choosers = len(self.state.vms.entries())
         self.loads.log_changes()
         self.metrics.set_gauge("sessions_open", len(self.front.sessions))
+        self.metrics.set_gauge("session_memory_bytes", self.state.memory.sessions.used)
         self.health.update_metrics(self.metrics)
         self.metrics.set_gauge("store_calls", self.store.calls.total)
         self.metrics.set_gauge("store_era", self.state.history.era)
--- a/packages/entry/bramleyrill_entry/_session.py
+++ b/packages/entry/bramleyrill_entry/_session.py
@@ -12,6 +12,7 @@
 from bramleyrill_core.statements import (
     Answer,
     AnswerCode,
+    SessionFullError,
     Statement,
     StatementKind,
     StatementSession,
@@ -21,6 +22,7 @@
 from bramleyrill_platform import lines
 
 from bramleyrill_entry._limits import TeamLimits
+from bramleyrill_entry._memory_limits import ARRIVAL_TIMEOUT, SMALL_MESSAGE_BYTES, TURN_TIMEOUT
 from bramleyrill_entry._metrics import EntryMetrics
 from bramleyrill_entry._router import Router, TransactionHandle
 from bramleyrill_entry._state import EntryState
@@ -70,7 +72,9 @@
         self._limits = limits
         self._buffer = lines.LineBuffer()
         self._pending_lines: list[str] = []
-        self._session = StatementSession("")
+        # When the large message that this session has a turn for must have arrived, or None.
+        self._large_message_by: timedelta | None = None
+        self._session = StatementSession("", memory=state.memory.sessions)
         self._route: DatabaseRoute | None = None
         self._key_digest: str | None = None
         self._transaction: TransactionHandle | None = None
@@ -94,6 +98,8 @@
             if not self.closing and self.in_transaction:
                 log_event("session_lost", database=self._session.database, reason=error)
         finally:
+            self._end_turn()
+            self._session.release()
             self._end_transaction()
             self._sock.close()
 
@@ -184,24 +190,30 @@
         return True
 
     def _serve_statements(self) -> None:
-        while True:
-            line = self._read_statement_line()
-            if self.closing:
-                return
-            message = lines.parse_caller_message(line)
-            if isinstance(message, lines.EndSession):
-                return
-            if isinstance(message, Statement):
-                self._serve_statement(message)
-                if self._key_withdrawn:
-                    return
-                self._last_active_at = self._state.now()
-                if self._state.closing_sessions:
-                    self._end_if_idle()
-            else:
-                reason = getattr(message, "reason", "unexpected message")
-                self._sock.sendall(lines.encode_error(AnswerCode.MALFORMED, reason))
-                return
+        # Each message is served by a call of its own, so that none stays in memory while the
+        # session waits for the next one.
+        while self._serve_next():
+            self._end_turn()
+
+    def _serve_next(self) -> bool:
+        """Serve the next message; return whether the session goes on."""
+        line = self._read_statement_line()
+        if self.closing:
+            return False
+        message = lines.parse_caller_message(line)
+        if isinstance(message, lines.EndSession):
+            return False
+        if not isinstance(message, Statement):
+            reason = getattr(message, "reason", "unexpected message")
+            self._sock.sendall(lines.encode_error(AnswerCode.MALFORMED, reason))
+            return False
+        self._serve_statement(message)
+        if self._key_withdrawn:
+            return False
+        self._last_active_at = self._state.now()
+        if self._state.closing_sessions:
+            self._end_if_idle()
+        return True
 
     def _serve_statement(self, statement: Statement) -> None:
         self.busy = True
@@ -261,8 +273,12 @@
         return self._answer_single(statement)
 
     def _answer_local(self, statement: Statement) -> Answer:
-        if self._session.apply(statement):
-            return Answer()
+        try:
+            if self._session.apply(statement):
+                return Answer()
+        except SessionFullError:
+            self._session.fail()
+            return Answer(AnswerCode.BUSY, text="no memory for it, retry after 1000 ms")
         self._session.fail()
         return Answer(AnswerCode.NOT_PREPARED, text=statement.name)
 
@@ -400,8 +416,37 @@
 
     def _read_line(self) -> str:
         while not self._pending_lines:
-            data = self._sock.recv(_READ_BYTES)
+            if self._buffer.size > SMALL_MESSAGE_BYTES:
+                self._take_turn()
+            data = self._receive()
             if not data:
                 raise ConnectionError("connection closed by the caller")
             self._pending_lines = self._buffer.feed(data)
         return self._pending_lines.pop(0)
+
+    def _receive(self) -> bytes:
+        if self._large_message_by is None:
+            return self._sock.recv(_READ_BYTES)
+        remaining = (self._large_message_by - self._state.now()).total_seconds()
+        try:
+            self._sock.settimeout(max(remaining, 0.001))
+            return self._sock.recv(_READ_BYTES)
+        except TimeoutError as error:
+            raise self._refuse_large("it did not arrive in time") from error
+
+    def _take_turn(self) -> None:
+        """Wait until this session may receive the rest of a large message."""
+        if self._large_message_by is not None:
+            return
+        if not self._state.memory.turns.acquire(timeout=TURN_TIMEOUT.total_seconds()):
+            raise self._refuse_large("others did not end in time")
+        self._large_message_by = self._state.now() + ARRIVAL_TIMEOUT
+
+    def _refuse_large(self, reason: str) -> ConnectionError:
+        log_event("large_message_refused", database=self._session.database, reason=reason)
+        return ConnectionError("a large message was refused")
+
+    def _end_turn(self) -> None:
+        if self._large_message_by is not None:
+            self._large_message_by = None
+            self._state.memory.turns.release()
--- a/packages/entry/bramleyrill_entry/_settings.py
+++ b/packages/entry/bramleyrill_entry/_settings.py
@@ -30,7 +30,7 @@
     after a stop is requested. `fenced_orders` is whether the platform checks the fencing token of
     an order and the replaced primary stops at once; without that, a primary is used under a permit.
     The process has `cpu_share` of a core, which is `cores` times as fast as the usual one, and a
-    link of `link_mbps`; None is unknown.
+    link of `link_mbps`, and may use `memory_mb` of memory; None is unknown.
     `read_policy` names how the member that serves a read is chosen.
     In each window of `quota_window_s` a team may run (rate x window + burst) x (1 + `quota_over`) +
     `quota_slack` operations.
@@ -52,6 +52,7 @@
     cpu_share: float | None = None
     cores: float | None = 1.0
     link_mbps: float | None = None
+    memory_mb: float | None = None
     read_policy: str = DEFAULT_READ_POLICY
     quota_window_s: float = 0.0
     quota_over: float = 0.0
@@ -126,6 +127,7 @@
             cpu_share=self._measure("cpu_share"),
             cores=self._measure("cores", 1.0),
             link_mbps=self._measure("link_mbps"),
+            memory_mb=self._measure("memory_mb"),
             read_policy=self._choice(
                 "read_policy", self._default_read_policy(), read_policies.by_name
             ),
@@ -154,8 +156,8 @@
     def _measure(self, name: str, default: float | None = None) -> float | None:
         """Return a number above 0 that the process can do without, or None if it is not one.
 
-        A missing one is `default`. Only the placement of work depends on it, so that a wrong one
-        must not keep the process from its start.
+        A missing one is `default`. Only the placement of work and the memory of sessions depend on
+        it, so that a wrong one must not keep the process from its start.
         """
         value = self._values.get(name)
         if value is None:
--- a/packages/entry/bramleyrill_entry/_state.py
+++ b/packages/entry/bramleyrill_entry/_state.py
@@ -17,6 +17,7 @@
 from bramleyrill_platform import StoredObject
 from gevent.event import Event
 
+from bramleyrill_entry._memory_limits import MemoryLimits
 from bramleyrill_entry._settings import EntrySettings
 from bramleyrill_entry._team_metrics import TeamMetrics
 
@@ -55,7 +56,7 @@
     `team_metrics` counts the work of teams at the members that this VM is the holder of.
     `leaderless_until_by_service` has the services whose primary does not answer and whose
     successor is not known to be safe yet. `replaced_until_by_member` has the primaries whose
-    successor is being chosen.
+    successor is being chosen. `memory` bounds what the callers' sessions hold.
     """
 
     settings: EntrySettings
@@ -81,6 +82,9 @@
         init=False,
         default=Factory(lambda state: TeamWeights(lambda: state.catalog.teams), takes_self=True),
     )
+    memory: MemoryLimits = field(
+        default=Factory(lambda state: MemoryLimits.of(state.settings.memory_mb), takes_self=True)
+    )
     history: StoreHistory = field(
         default=Factory(lambda state: StoreHistory(state.clock), takes_self=True)
     )
