--- a/packages/standins/bramleyrill_standins/prepared/_store.py
+++ b/packages/standins/bramleyrill_standins/prepared/_store.py
@@ -158,7 +158,8 @@
         status, body = 503, {}
         if not self.unavailable:
             query = {key: values[0] for key, values in parse_qs(environ["QUERY_STRING"]).items()}
-            path = environ["PATH_INFO"].strip("/").split("/")
+            # WSGI passes the decoded path as Latin-1.
+            path = environ["PATH_INFO"].encode("latin-1").decode().strip("/").split("/")
             data = environ["wsgi.input"].read()
             status, body = self._call(environ, path, query, json.loads(data) if data else {})
         headers = [("Content-Type", "application/json")]
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -57,6 +57,13 @@
         with self.assertRaises(NotFoundError):
             self.store.get("kind", "a")
 
+    def test_name_that_is_not_ascii(self):
+        """The change of primary of such a service failed with the encoding of the path."""
+        name = "pi\u00e8ces \u6f06?x=1"
+        created = self.store.create("kind", name, {"x": 1})
+        self.store.replace("kind", name, {"x": 2}, created.revision)
+        self.assertEqual(self.store.get("kind", name).value, {"x": 2})
+
     def test_conditional_update_of_a_changed_object_fails(self):
         """Operators and VMs may update an object concurrently; only one may succeed."""
         first = self.store.create("kind", "a", 1)
