Do not send a frame that every receiver rejects

An answer of many short rows is below the limit of an answer and above that of a frame between VMs. Such a frame is not encoded now, and the peer is told that the answer was lost, as with other values that a frame cannot carry; an open transaction is ended then. test_answer_that_no_frame_can_carry_breaks_no_link failed before.

--- a/packages/entry/bramleyrill_entry/_executor.py
+++ b/packages/entry/bramleyrill_entry/_executor.py
@@ -138,21 +138,25 @@
         log_event("run_failed", vm=link.peer.id, id=frame.id, error=repr(error))
         result = RunResult(problem=RunProblem.LOST)
     try:
-        _send_result(link, frame.call, result)
+        is_told = _send_result(link, frame.call, result)
     except PeerLostError as error:
         log_event("result_not_sent", vm=link.peer.id, id=frame.id, reason=error)
-        if result.transaction_open:
-            # Its entry VM does not know that it is open, and would never end it.
-            net.services[MemberSchedulers].end_transaction(link.peer.id, frame.exchange)
+        is_told = False
+    if result.transaction_open and not is_told:
+        # Its entry VM does not know that it is open, and would never end it.
+        net.services[MemberSchedulers].end_transaction(link.peer.id, frame.exchange)
 
 
-def _send_result(link: PeerLink, call: int, result: RunResult) -> None:
+def _send_result(link: PeerLink, call: int, result: RunResult) -> bool:
+    """Send a result; return False if the peer is told only that it was lost."""
     try:
         link.send(encode_result(call, result))
+        return True
     except NotSentError as error:
         # Without an answer the peer would wait for its timeout.
         log_event("result_not_encoded", vm=link.peer.id, reason=error)
         link.send(encode_result(call, RunResult(problem=RunProblem.LOST)))
+        return False
 
 
 @handlers.register("Release")
--- a/packages/wire/bramleyrill_wire/entries/_codec.py
+++ b/packages/wire/bramleyrill_wire/entries/_codec.py
@@ -1,12 +1,21 @@
 """Codec of the frames between entry VMs."""
 
-from bramleyrill_wire._framing import MAX_FRAME, FrameCodec, FrameSplitter
+from typing import Any
+
+from bramleyrill_wire._framing import MAX_FRAME, FrameCodec, FrameError, FrameSplitter
 from bramleyrill_wire.entries import _frames as frames
 
 PROTOCOL = 1
 
 _codec = FrameCodec(frames)
-encode = _codec.encode
+
+
+def encode(frame: Any) -> bytes:
+    """Return the encoded frame; raise FrameError for one that every receiver would reject."""
+    data = _codec.encode(frame)
+    if len(data) > MAX_FRAME:
+        raise FrameError(f"a frame of {len(data)} bytes is too long")
+    return data
 
 
 class FrameBuffer(FrameSplitter):
--- a/tests/entry/test_executor.py
+++ b/tests/entry/test_executor.py
@@ -8,12 +8,12 @@
 from bramleyrill_core.statements import Answer
 from bramleyrill_entry._duty_leases import DutyLeases
 from bramleyrill_entry._executor import Executor, _prove_and_reply, _run_and_reply
-from bramleyrill_entry._peer_link import PeerLostError
+from bramleyrill_entry._peer_link import NotSentError, PeerLostError
 from bramleyrill_entry._run_codec import encode_request
 from bramleyrill_entry._run_request import Opens, RunProblem, RunResult
 from bramleyrill_entry._schedulers import MemberSchedulers
 from bramleyrill_standins.prepared import LineGroup
-from bramleyrill_wire.entries import FrameBuffer, encode, frames
+from bramleyrill_wire.entries import FrameBuffer, FrameError, encode, frames
 
 from tests.entry.builders import SERVICE, make_state, request
 
@@ -46,6 +46,28 @@
         _run_and_reply(net, link, encode_request(7, opening))
         schedulers.end_transaction.assert_called_once_with("vm2", 4)
 
+    def test_answer_that_no_frame_can_carry_breaks_no_link(self):
+        """The receiver closed the link, and other callers' writes on it had no known outcome."""
+        rows = ["x"] * 900_000
+        schedulers = mock.Mock()
+        schedulers.run.return_value = RunResult(Answer(rows=rows), transaction_open=True)
+        net = mock.Mock(services={MemberSchedulers: schedulers})
+        sent, link = [], mock.Mock()
+        link.peer.id = "vm2"
+
+        def send(frame):
+            try:
+                sent.append(encode(frame))
+            except FrameError as error:
+                raise NotSentError(str(error)) from error
+
+        link.send.side_effect = send
+        opening = request("READ a", "m1", opens=Opens.READ_WRITE, transaction_id=4)
+        _run_and_reply(net, link, encode_request(7, opening))
+        (answer,) = FrameBuffer().feed(sent[0])
+        self.assertEqual((answer.call, answer.problem), (7, RunProblem.LOST))
+        schedulers.end_transaction.assert_called_once_with("vm2", 4)
+
 
 class TransactionIdTest(unittest.TestCase):
     def test_process_does_not_use_the_ids_of_the_one_before_it(self):
