Presume another primary once a member with a false claim is gone

A member that starts again may claim for a moment that it leads. A proved leader that is listed, or the newest member that says that it leads, is presumed then. test_claim_of_a_member_that_is_gone_does_not_last and test_proved_primary_is_presumed_after_a_false_claim failed before ('None').

--- a/packages/core/bramleyrill_core/catalog/_tables.py
+++ b/packages/core/bramleyrill_core/catalog/_tables.py
@@ -158,6 +158,7 @@
             self.members.remove(member)
             self._record_departure(row.entry)
             self._record_lost(row.entry, now)
+            self._forget_gone_primary(row.entry)
         elif row.lapsed_at is None:
             row.lapsed_at = now
 
@@ -171,6 +172,7 @@
         for row in dropped:
             self.members.remove(row.entry.id)
             self._record_lost(row.entry, row.lapsed_at)
+            self._forget_gone_primary(row.entry)
         return [row.entry.id for row in dropped]
 
     def lost_replicas_of(self, service: str, now: timedelta) -> list[LostReplica]:
@@ -277,6 +279,25 @@
         if entry.role is MemberRole.REPLICA:
             self.lost.record(entry, now, has_ended)
 
+    def _forget_gone_primary(self, gone: MemberEntry) -> None:
+        """Presume another member that says that it leads, or was proved to, in place of one gone.
+
+        A member that starts again may claim for a moment that it leads. The VMs that get no proofs
+        believe its entry, which nothing corrects once the member is gone.
+        """
+        primary = self.primaries.get(gone.service)
+        if primary is None or primary.member != gone.id:
+            return
+        proved, _ = self._proved_lead_by_service.get(gone.service, ("", 0))
+        leaders = [
+            row
+            for row in self.members_of_service(gone.service)
+            if row.entry.role is MemberRole.PRIMARY or row.entry.id == proved
+        ]
+        if leaders:
+            newest = max(leaders, key=lambda row: (row.entry.id == proved, row.role_revision))
+            primary.member = newest.entry.id
+
     def _record_departure(self, entry: MemberEntry) -> None:
         departed = self._departed_incarnations_by_id
         departed[entry.id] = entry.incarnation
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -212,6 +212,30 @@
         self.assertEqual(self.table.primary_of("pieces").entry.id, "m9")
         self.assertTrue(self.table.record_primary_proof("pieces", "m2", 2))
 
+    def test_claim_of_a_member_that_is_gone_does_not_last(self):
+        """VMs that got no proofs refused all work for the primary to the end of the day."""
+        self.table.put(member("m9", role=MemberRole.PRIMARY, revision=9))
+        self.assertEqual(self.table.primary_of("pieces").entry.id, "m9")
+        self.table.lapse("m9", 0 * MS)
+        self.table.drop_lapsed(2500 * MS)
+        self.assertEqual(self.table.primary_of("pieces").entry.id, "m1")
+
+    def test_proved_primary_is_presumed_after_a_false_claim(self):
+        self.table.record_primary_proof("pieces", "m2", 2)
+        self.table.put(member("m9", role=MemberRole.PRIMARY, revision=9))
+        self.table.put(
+            member("m9", role=MemberRole.PRIMARY, revision=10, state=MemberState.DRAINING)
+        )
+        self.table.lapse("m9", 0 * MS)
+        self.assertEqual(self.table.primary_of("pieces").entry.id, "m2")
+
+    def test_primary_that_is_gone_stays_known_without_another_one(self):
+        """Nobody would replace it."""
+        self.table.lapse("m1", 0 * MS)
+        self.table.drop_lapsed(2500 * MS)
+        self.assertIsNone(self.table.primary_of("pieces"))
+        self.assertEqual(self.table.primaries.get("pieces").member, "m1")
+
     def test_appointment_is_no_proof(self):
         """It raises the newest term, in which a fence of the successor does not show."""
         self.table.record_primary_proof("pieces", "m1", 2)
