--- a/packages/entry/bramleyrill_entry/_watch.py
+++ b/packages/entry/bramleyrill_entry/_watch.py
@@ -275,10 +275,12 @@
             self._members.revision = max(self._members.revision, change.object.position)
             self._members.lapse(name, self._state.now())
             return
-        previous_row = self._members.members.get(name)
+        row = self._members.members.get(name)
+        # The row is changed in place.
+        previous_state = row.entry.state if row is not None else None
         previous_primaries = self._primary_by_service()
         self._members.put(entry, self._state.now())
-        if previous_row is None or previous_row.entry.state is not entry.state:
+        if previous_state is not entry.state:
             log_event(
                 "member_seen",
                 member=name,
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -206,6 +206,16 @@
         self.step()
         self.assertIsNone(self.state.members.members.get("m1"))
 
+    def test_member_that_begins_to_drain_is_logged(self):
+        """The row was changed before it was compared, so the log of a release said nothing."""
+        self.platform.put("servers", "m1", ENTRY)
+        self.step()
+        self.platform.put("servers", "m1", ENTRY | {"state": "draining"})
+        with mock.patch.object(_watch, "log_event") as logged:
+            self.step()
+        events = [call.args[0] for call in logged.call_args_list]
+        self.assertIn("member_seen", events)
+
     def test_malformed_entry_leaves_the_others(self):
         self.platform.put("servers", "m1", ENTRY)
         self.platform.put("servers", "m2", {"state": 5})
