Take a process that another one replaced for ended, and keep recorded replicas

A replica without an entry that started again under its id, or left its address to another member, was asked at that address, and the new process answered for its log. And a new first supervisor compared the record with the replicas that it knew before it had read the record, so it would have written those alone, and the one without an entry was forgotten.

An entry now ends the other processes of its id and at its address, and the replicas to store are computed after the record was read.

Before: three new tests of test_synchronous_replicas fail. After: 186 tests of supervisor, synchronous replicas, permits, placement and starts pass.

--- a/packages/core/bramleyrill_core/catalog/_lost_replicas.py
+++ b/packages/core/bramleyrill_core/catalog/_lost_replicas.py
@@ -121,13 +121,19 @@
         if (entry.id, entry.incarnation) not in self._by_process:
             self.record(entry, now, has_ended)
 
-    def forget(self, entry: MemberEntry) -> None:
-        """Forget a replica that is back, or whose log the writer of `entry` has."""
+    def take_entry(self, entry: MemberEntry, now: timedelta) -> None:
+        """Learn from the entry of a member that is listed.
+
+        The process that wrote it is not lost, nor is one that drained at its address, whose log it
+        has. Other processes of its id or at its address have ended.
+        """
         self._by_process.pop((entry.id, entry.incarnation), None)
         for process, lost in list(self._by_process.items()):
             at_same_address = lost.entry.address == entry.address
             if lost.planned and lost.service == entry.service and at_same_address:
                 del self._by_process[process]
+            elif lost.member == entry.id or at_same_address:
+                self.record_silence(lost, now, has_ended=True)
 
     def record_answer(self, lost: LostReplica, now: timedelta) -> None:
         """Record that a replica without an entry answered at its last address."""
--- a/packages/core/bramleyrill_core/catalog/_tables.py
+++ b/packages/core/bramleyrill_core/catalog/_tables.py
@@ -145,7 +145,7 @@
                 self._record_lost(row.entry, now, has_ended=True)
             row.entry = _keep_draining(entry, row.entry)
             row.lapsed_at = row.restored = None
-        self.lost.forget(entry)
+        self.lost.take_entry(entry, now)
         if entry.role is MemberRole.PRIMARY:
             self._record_claimed_primary(entry.service, entry.id, row.role_revision)
 
@@ -198,12 +198,15 @@
         """
         self._recorded_services.add(service)
         primary = self.primaries.get(service)
+        listed = [row.entry for row in self.members_of_service(service)]
+        processes = {(entry.id, entry.incarnation) for entry in listed}
+        ids, addresses = {entry.id for entry in listed}, {entry.address for entry in listed}
         for replica in replicas:
-            row = self.members.get(replica.id)
-            if primary is not None and primary.member == replica.id:
+            is_primary = primary is not None and primary.member == replica.id
+            if is_primary or (replica.id, replica.incarnation) in processes:
                 continue
-            if row is None or row.entry.incarnation != replica.incarnation:
-                self.lost.remember(replica.entry(service), now, has_ended=row is not None)
+            has_ended = replica.id in ids or replica.address in addresses
+            self.lost.remember(replica.entry(service), now, has_ended)
 
     def replicas_of(self, service: str, now: timedelta) -> list[ReplicaProcess]:
         """Return the replicas of a service that may have commits that nobody else has, by id."""
--- a/packages/entry/bramleyrill_entry/_duty_leases.py
+++ b/packages/entry/bramleyrill_entry/_duty_leases.py
@@ -177,17 +177,16 @@
         replicas: tuple[ReplicaProcess, ...],
         may_confirm: bool,
     ) -> None:
-        """Write which replicas the service has, unless the record says so or another VM holds it.
+        """Write which replicas the service has, unless another VM holds the duty.
 
-        With `may_confirm` the first record of an era, which names the primary, may be written.
+        The duty must have been read. With `may_confirm` the first record of an era, which names the
+        primary, may be written.
         """
-        if not self.read(supervised):
-            return
         duty = supervised.duty
         current = duty.current_record
         if current is None and not may_confirm:
             return
-        if (current is not None and current.replicas == replicas) or not self.is_free(supervised):
+        if not self.is_free(supervised):
             return
         is_holder = current is not None and current.holder == self._state.vm
         holder = self._state.vm if is_holder and self.holds(supervised) else NO_HOLDER
--- a/packages/entry/bramleyrill_entry/_replica_roster.py
+++ b/packages/entry/bramleyrill_entry/_replica_roster.py
@@ -40,19 +40,23 @@
 
     def keep(self, supervised: SupervisedService, primary: MemberEntry, index: int) -> None:
         """Ask the replicas that are gone; as the first supervisor, store the present ones."""
-        replicas = self.replicas_to_store(supervised.service)
-        if replicas is None:
+        if not self._search.sync_replicas_of(supervised.service):
             return
         now = self._state.now()
         if now >= supervised.losses_check_at:
             supervised.losses_check_at = now + ASK_INTERVAL
             gevent.spawn(self._search.settle_losses, supervised, primary)
-        if index == 0 and now >= supervised.roster_at and self._has_changed(supervised, replicas):
+        if index == 0 and now >= supervised.roster_at and self._has_changed(supervised):
             supervised.roster_at = now + WRITE_INTERVAL
-            self._leases.store_replicas(supervised, primary.id, replicas, self._may_confirm)
+            self._store(supervised, primary)
 
-    def _has_changed(
-        self, supervised: SupervisedService, replicas: tuple[ReplicaProcess, ...]
-    ) -> bool:
+    def _store(self, supervised: SupervisedService, primary: MemberEntry) -> None:
+        """Write the replicas, with those that this VM learns of only from the present record."""
+        if not self._leases.read(supervised) or not self._has_changed(supervised):
+            return
+        replicas = self.replicas_to_store(supervised.service) or ()
+        self._leases.store_replicas(supervised, primary.id, replicas, self._may_confirm)
+
+    def _has_changed(self, supervised: SupervisedService) -> bool:
         record = supervised.duty.current_record
-        return record is None or record.replicas != replicas
+        return record is None or record.replicas != self.replicas_to_store(supervised.service)
--- a/tests/entry/test_synchronous_replicas.py
+++ b/tests/entry/test_synchronous_replicas.py
@@ -16,6 +16,7 @@
     LostReplica,
     MemberState,
     MemberTable,
+    ReplicaProcess,
     ServiceEntry,
 )
 from bramleyrill_core.catalog._tables import LAPSE_GRACE
@@ -170,6 +171,29 @@
         (lost,) = self.table.lost_replicas_of(SERVICE, LAPSE_GRACE)
         self.assertEqual((lost.quiet_since, lost.has_ended), (None, False))
 
+    def test_process_that_is_replaced_has_ended(self):
+        """The process that started in its place was asked, and answered for its log."""
+        self.lose("m2")
+        for changes in ({"incarnation": 7}, {"id": "m4"}):
+            self.put_new("m2", **changes)
+            (lost,) = self.table.lost_replicas_of(SERVICE, LAPSE_GRACE)
+            self.assertEqual((lost.quiet_since, lost.has_ended), (LAPSE_GRACE, True))
+            self.table.members.remove(changes.get("id", "m2"))
+            self.table.lost._by_process.clear()
+            self.put_new("m2")
+            self.lose("m2")
+
+    def test_process_of_a_record_that_is_replaced_has_ended(self):
+        entry = member_entry(self.group, "m2")
+        processes = [
+            ReplicaProcess("m2", 5, ("10.0.0.9", 9)),
+            ReplicaProcess("m9", 0, entry.address),
+            ReplicaProcess("m8", 0, ("10.0.0.9", 9)),
+        ]
+        self.table.remember_replicas(SERVICE, processes, SECOND)
+        lost = self.table.lost_replicas_of(SERVICE, SECOND)
+        self.assertEqual([item.has_ended for item in lost], [True, True, False])
+
     def test_answer_ends_the_silence_of_a_replica_without_an_entry(self):
         self.lose("m2")
         for at in (3 * SECOND, 4 * SECOND):
@@ -530,6 +554,13 @@
         self.keep_roster()
         self.assertEqual([item.id for item in self.record_of_duty().replicas], ["m2"])
 
+    def test_new_supervisor_keeps_the_replicas_that_only_the_record_names(self):
+        """It wrote those that it knew itself, and the one without an entry was forgotten."""
+        self.keep_roster()
+        self.restart_vm("m1", "m3")
+        self.keep_roster()
+        self.assertEqual([item.id for item in self.record_of_duty().replicas], ["m2", "m3"])
+
     def test_unchanged_replicas_cost_no_call(self):
         """An idle service would cost calls to the store for each supervisor."""
         self.keep_roster()
