--- a/packages/core/bramleyrill_core/leadership/_successor.py
+++ b/packages/core/bramleyrill_core/leadership/_successor.py
@@ -30,7 +30,8 @@
 
     `unheard` are the replicas that did not answer, and those that are gone with commits that the
     candidates may not have. The primary acknowledges a commit once `sync_replicas` replicas have
-    it; with 0 it waits for none, and a change of primary may lose commits.
+    it; with 0 it waits for none, and a change of primary may lose commits. `starts` tells where the
+    present term and those before it began, as far as that is known.
     """
 
     candidates: list[Candidate] = field(factory=list)
