--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -291,13 +291,15 @@
     def serve(self) -> None:
         """Serve until the connection ends."""
         reader = self.sock.makefile("rb")
-        fields = reader.readline().decode().split()
+        fields = reader.readline().decode("utf-8", "surrogateescape").split()
         if not self._accept_session(fields):
             return
         for line in reader:
             if self.member.silent:
                 continue
-            _, statement_id, text = line.decode().rstrip("\r\n").split(" ", 2)
+            _, statement_id, text = (
+                line.decode("utf-8", "surrogateescape").rstrip("\r\n").split(" ", 2)
+            )
             lines = self._run(statement_id, text)
             if lines is None:
                 return
@@ -448,4 +450,5 @@
         return f"{term}.{number}"
 
     def _send(self, *lines: str) -> None:
-        self.sock.sendall("".join(f"{line}\r\n" for line in lines).encode())
+        text = "".join(f"{line}\r\n" for line in lines)
+        self.sock.sendall(text.encode("utf-8", "surrogateescape"))
