PostgreSQL path: do not let a log with given-up entries lead again

The start of a term counts as an entry of it, but only in logs that received it: a member that was fenced into term 2 and got nothing of it had the older mark, so a primary of term 1 that came back with entries which were given up was fenced to lead, and entries that callers had been told were lost reappeared.

Change: the supervisor knows the starts of terms from the histories of all members it has seen. A log beyond the start of a term that it does not have comes after the others (rule given_up_stays). It applies with term_before_position only, so that the traces of that rule show what it prevents as before.

--- a/packages/core/bramleyrill_core/succession/_change.py
+++ b/packages/core/bramleyrill_core/succession/_change.py
@@ -6,7 +6,7 @@
 from attrs import evolve, field, frozen
 
 from bramleyrill_core._rules import Rules
-from bramleyrill_core._values import MemberRole, MemberStatus
+from bramleyrill_core._values import MemberRole, MemberStatus, TermStart
 from bramleyrill_core.succession._terms import (
     Spans,
     choose_term,
@@ -78,6 +78,7 @@
 
     `statuses` are recent statuses by member, `highest_term` is the highest term ever seen, `avoid`
     are members that should not lead, and `resume` allows continuing another supervisor's fence.
+    `starts` are the starts of terms in all logs that the supervisor has seen, also earlier.
     """
 
     spans: Spans
@@ -86,6 +87,7 @@
     avoid: frozenset[str] = frozenset()
     resume: bool = True
     rules: Rules = field(factory=Rules)
+    starts: frozenset[TermStart] = frozenset()
 
 
 def enter_step(change: Change, step: Step, now: timedelta, **changes: object) -> Change:
@@ -112,11 +114,11 @@
     """
     statuses = dict(survey.statuses)
     planned = change.old_primary in statuses
-    leaders = most_advanced(statuses, survey.rules)
+    leaders = most_advanced(statuses, survey.rules, survey.starts)
     eligible = [name for name in leaders if name not in survey.avoid]
     if planned and not eligible:
         allowed = {name: status for name, status in statuses.items() if name not in survey.avoid}
-        eligible = most_advanced(allowed, survey.rules)
+        eligible = most_advanced(allowed, survey.rules, survey.starts)
     term = choose_term(
         survey.spans,
         survey.highest_term,
@@ -156,7 +158,7 @@
     entries after its status and before its fence.
     """
     answers = dict(change.answers)
-    leaders = most_advanced(answers, survey.rules)
+    leaders = most_advanced(answers, survey.rules, survey.starts)
     leader = leader_of(survey.spans, change.term)
     if leader in leaders or not survey.rules.on("most_advanced_leads"):
         return enter_step(change, Step.WAIT, now)
--- a/packages/core/bramleyrill_core/succession/_drive.py
+++ b/packages/core/bramleyrill_core/succession/_drive.py
@@ -8,7 +8,7 @@
 
 from bramleyrill_core._core import handles
 from bramleyrill_core._messages import Effect
-from bramleyrill_core._values import MemberId, MemberRole, database_of
+from bramleyrill_core._values import MemberId, MemberRole, TermStart, database_of
 from bramleyrill_core._world import World
 from bramleyrill_core.permits import wait_after_fence
 from bramleyrill_core.sessions import log_contains
@@ -63,9 +63,16 @@
         frozenset(avoid),
         group.no_resume_up_to < group.highest_term and world.rules.on("resume_fence"),
         world.rules,
+        _known_starts(group),
     )
 
 
+def _known_starts(group: Group) -> frozenset[TermStart]:
+    """Return the starts of terms in the logs of all members, also of those that are down now."""
+    statuses = [watch.status for watch in group.watches.values() if watch.status is not None]
+    return frozenset(start for status in statuses for start in status.history)
+
+
 def drive_change(world: World, group: Group) -> Iterator[Effect]:
     """Advance the change as far as the time and the answers allow."""
     now = world.clock.monotonic()
--- a/packages/core/bramleyrill_core/succession/_terms.py
+++ b/packages/core/bramleyrill_core/succession/_terms.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from bramleyrill_core._rules import Rules
-from bramleyrill_core._values import MemberRole, MemberStatus
+from bramleyrill_core._values import MemberRole, MemberStatus, TermStart
 
 
 @frozen
@@ -67,14 +67,34 @@
     return all(is_majority(span.members, names) for span in spans[first : last + 1])
 
 
-def most_advanced(statuses: Mapping[str, MemberStatus], rules: Rules) -> list[str]:
+def has_diverged(status: MemberStatus, starts: Iterable[TermStart]) -> bool:
+    """Return whether a member's log has entries that were given up when one of the terms began.
+
+    They are those beyond the start of a term that the log does not have.
+    """
+    last_term = last_term_of(status)
+    return any(start.term > last_term and status.position > start.start for start in starts)
+
+
+def most_advanced(
+    statuses: Mapping[str, MemberStatus], rules: Rules, starts: Collection[TermStart] = ()
+) -> list[str]:
     """Return the members with the newest log, by the last term and then the last position.
 
-    The start of a term counts as an entry of it. Otherwise a primary that wrote nothing would
-    lose to a member with more entries of the previous term, and entries that were reported to
-    callers as lost would reappear.
+    `starts` are the starts of terms that are known from any member's log. A member whose log went
+    another way comes after all others: a member that was fenced into a newer term and received
+    nothing of it has a shorter log, and no entries that were given up.
+
+    The start of a term counts as an entry of it. Otherwise a primary that wrote nothing would lose
+    to a member with more entries of the previous term, and entries that were reported to callers as
+    lost would reappear.
     """
     by_term = rules.on("term_before_position")
+    if by_term and rules.on("given_up_stays"):
+        following = {
+            name: status for name, status in statuses.items() if not has_diverged(status, starts)
+        }
+        statuses = following or statuses
     progress = {
         name: (last_term_of(status) if by_term else 0, status.position)
         for name, status in statuses.items()
--- a/tests/succession/test_failover.py
+++ b/tests/succession/test_failover.py
@@ -3,7 +3,7 @@
 import unittest
 from datetime import timedelta
 
-from bramleyrill_core import Core, MemberRole, Rules
+from bramleyrill_core import Core, MemberRole, Rules, TermStart
 from bramleyrill_core.succession import (
     AppendSpan,
     PlannedChangeRequested,
@@ -127,6 +127,20 @@
         }
         self.assertEqual(most_advanced(statuses, Rules()), ["m1"])
 
+    def test_returned_log_with_entries_that_were_given_up_does_not_outrank_a_shorter_one(self):
+        """Guards against entries that reappear when the leader that gave them up is lost.
+
+        Term 4 began at 101. m3 was fenced into it and has received nothing of it yet.
+        """
+        statuses = {
+            "m1": status("m1", 3, 137, last_term=3, history=((1, 0), (3, 90))),
+            "m3": status("m3", 4, 95, last_term=3, history=((1, 0), (3, 90))),
+        }
+        starts = [TermStart(1, 0), TermStart(3, 90), TermStart(4, 101)]
+        self.assertEqual(most_advanced(statuses, Rules()), ["m1"])
+        self.assertEqual(most_advanced(statuses, Rules(), starts), ["m3"])
+        self.assertEqual(most_advanced({"m1": statuses["m1"]}, Rules(), starts), ["m1"])
+
 
 class SpanTest(unittest.TestCase):
     def test_member_lists_change_by_one_member_above_the_term_in_use(self):
