--- a/packages/standins/bramleyrill_standins/prepared/_group.py
+++ b/packages/standins/bramleyrill_standins/prepared/_group.py
@@ -132,10 +132,11 @@
         return self.term if self.is_primary else self.followed_term, len(self.log)
 
     def follow(self) -> None:
-        """Become a replica of the group's primary, with its log."""
+        """Become a replica of the group's primary, with its log; without one keep the own log."""
         self.deposed_term = 0
         self.followed_term = self.group.term
-        self.log = list(self.group.primary.log)
+        if self.group.primary is not None:
+            self.log = list(self.group.primary.log)
 
     def stop(self) -> None:
         """Close all connections and refuse new ones."""
