Tell the loss of the store to the VM's own failure domain only

Each VM that lost the store told VMs of all domains, which passed it on, though only those of its own domain choose their watchers by it. test_other_domains_are_not_told failed before.

--- a/packages/core/bramleyrill_core/placement/_news.py
+++ b/packages/core/bramleyrill_core/placement/_news.py
@@ -36,13 +36,14 @@
         return [row.entry for row in rows if row is not None]
 
 
-def is_news(earlier: VmEntry | None, entry: VmEntry) -> bool:
-    """Return whether a newer entry is to be passed on.
+def is_news(earlier: VmEntry | None, entry: VmEntry, domain: str) -> bool:
+    """Return whether a newer entry is to be passed on by a VM of a failure domain.
 
-    It is if a running VM became slow or fine, or lost or regained the store.
+    It is if a running VM became slow or fine, and in its own domain, whose watchers depend on it,
+    if it lost or regained the store.
     """
-    return (
-        earlier is not None
-        and earlier.started_ms == entry.started_ms
-        and (bool(earlier.slow_ms), earlier.store_lost) != (bool(entry.slow_ms), entry.store_lost)
-    )
+    if earlier is None or earlier.started_ms != entry.started_ms:
+        return False
+    if bool(earlier.slow_ms) is not bool(entry.slow_ms):
+        return True
+    return entry.domain == domain and earlier.store_lost is not entry.store_lost
--- a/packages/entry/bramleyrill_entry/_gossip.py
+++ b/packages/entry/bramleyrill_entry/_gossip.py
@@ -175,18 +175,21 @@
             if earlier is not None and earlier.store_lost is not entry.store_lost:
                 for hook in self.contact_hooks:
                     hook()
-            if is_news(earlier, entry):
+            if is_news(earlier, entry, vms.own.domain):
                 self.news.record(entry.id, now)
                 self._pass_on_soon()
 
-    def announce(self) -> None:
-        """Tell a few VMs of each failure domain at once that this VM's entry changed."""
+    def announce(self, to_other_domains: bool = True) -> None:
+        """Tell a few VMs of each failure domain, or of its own, that this VM's entry changed."""
         rows_by_domain: dict[str, list[VmRow]] = {}
         for row in self._state.vms.vms:
             if row.usable:
                 rows_by_domain.setdefault(row.entry.domain, []).append(row)
+        own_domain = self._state.settings.domain
         for domain, rows in rows_by_domain.items():
-            count = OWN_DOMAIN_PINGS if domain == self._state.settings.domain else 1
+            if domain != own_domain and not to_other_domains:
+                continue
+            count = OWN_DOMAIN_PINGS if domain == own_domain else 1
             for row in random.sample(rows, min(count, len(rows))):
                 gevent.spawn(self.ping, row.entry.id)
 
--- a/packages/entry/bramleyrill_entry/_store_checks.py
+++ b/packages/entry/bramleyrill_entry/_store_checks.py
@@ -69,14 +69,17 @@
         return True
 
     def _tell(self) -> None:
-        """Change this VM's entry, and tell those first that are to watch the store now."""
+        """Change this VM's entry, and tell those first that are to watch the store now.
+
+        VMs of other domains hear it with the next ping; none of them watches for this one.
+        """
         vms, lost = self._state.vms, self.contact.lost
         log_event("store_contact_lost" if lost else "store_contact_regained", vm=vms.own.id)
         vms.own = evolve(vms.own, store_lost=lost, sequence=vms.own.sequence + 1)
         for vm in domain_watchers(vms):
             if vm != vms.own.id:
                 gevent.spawn(self._gossip.ping, vm)
-        self._gossip.announce()
+        self._gossip.announce(to_other_domains=False)
         if lost:
             for hook in self.lost_hooks:
                 hook()
--- a/tests/entry/test_store_checks.py
+++ b/tests/entry/test_store_checks.py
@@ -138,7 +138,7 @@
     def test_loss_is_news_to_pass_on(self):
         """The VMs that are to take over would hear of it by chance only."""
         lost = self.entry(2, store_lost=True, sequence=1)
-        self.assertTrue(is_news(self.entry(2), lost))
+        self.assertTrue(is_news(self.entry(2), lost, DOMAIN))
         self.hear_lost("vm2")
         told = self.gossip.news.current(self.vms, self.state.now())
         self.assertEqual([(vm.id, vm.store_lost) for vm in told], [("vm2", True)])
@@ -157,6 +157,18 @@
         self.assertLessEqual(set(domain_watchers(self.vms)), set(self.pinged))
         self.assertEqual(renewed, [True])
 
+    def test_other_domains_are_not_told(self):
+        """When a store is down all VMs lose it, and told each other across regions."""
+        self.vms.update(VmEntry("far", "south-a", ("127.0.0.1", 9), 1), self.state.now())
+        self.platform.unavailable = True
+        self.checks.check()
+        self.checks.check()
+        gevent.sleep(0)
+        self.assertNotIn("far", self.pinged)
+        lost = self.entry(2, store_lost=True, sequence=1)
+        self.assertFalse(is_news(self.entry(2), lost, "south-a"))
+        self.assertTrue(is_news(self.entry(2), self.entry(2, slow_ms=9, sequence=1), "south-a"))
+
     def test_store_that_is_silent_is_lost_too(self):
         """A partition refuses nothing: calls wait, and a watch waits 30 s."""
         listener = gevent.socket.socket()
